--- /dev/null
+++ b/crates/core/src/config/diff.rs
@@ -0,0 +1,188 @@
+//! The difference between two manifests, as it goes onto the log.
+
+use {
+    super::manifest::{
+        Adapter, BaseModel, EngineSpec, Hosts, Manifest, ServiceSpec, WeightStoreSpec,
+    },
+    faststr::FastStr,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// One step from a manifest to the next. A change of one adapter costs one such
+/// record on the log, however many adapters there are.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "op", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Op {
+    /// Sets the weight store's limits.
+    SetWeightStore {
+        /// The new limits.
+        store: WeightStoreSpec,
+    },
+    /// Adds a base model.
+    PutBaseModel {
+        /// Its name.
+        name: FastStr,
+        /// Its settings.
+        base: BaseModel,
+    },
+    /// Removes a base model.
+    RemoveBaseModel {
+        /// Its name.
+        name: FastStr,
+    },
+    /// Adds or replaces an adapter.
+    PutAdapter {
+        /// Its key, `base/adapter`.
+        name: FastStr,
+        /// Its versions.
+        adapter: Adapter,
+    },
+    /// Removes an adapter.
+    RemoveAdapter {
+        /// Its key, `base/adapter`.
+        name: FastStr,
+    },
+    /// Adds or replaces an engine.
+    PutEngine {
+        /// Its host name.
+        name: FastStr,
+        /// Its settings.
+        engine: EngineSpec,
+    },
+    /// Removes an engine.
+    RemoveEngine {
+        /// Its host name.
+        name: FastStr,
+    },
+    /// Adds or replaces a plain service.
+    PutService {
+        /// Its name.
+        name: FastStr,
+        /// Its targets.
+        service: ServiceSpec,
+    },
+    /// Removes a plain service.
+    RemoveService {
+        /// Its name.
+        name: FastStr,
+    },
+    /// Sets the hosts to retire or stop.
+    SetHosts {
+        /// The hosts.
+        hosts: Hosts,
+    },
+}
+
+impl Op {
+    /// Applies this step to `manifest`.
+    pub(crate) fn apply(&self, manifest: &mut Manifest) {
+        match self {
+            Self::SetWeightStore { store } => manifest.weight_store = store.clone(),
+            Self::PutBaseModel { name, base } => put(&mut manifest.base_models, name, base),
+            Self::RemoveBaseModel { name } => remove(&mut manifest.base_models, name),
+            Self::PutAdapter { name, adapter } => put(&mut manifest.adapters, name, adapter),
+            Self::RemoveAdapter { name } => remove(&mut manifest.adapters, name),
+            Self::PutEngine { name, engine } => put(&mut manifest.engines, name, engine),
+            Self::RemoveEngine { name } => remove(&mut manifest.engines, name),
+            Self::PutService { name, service } => put(&mut manifest.services, name, service),
+            Self::RemoveService { name } => remove(&mut manifest.services, name),
+            Self::SetHosts { hosts } => manifest.hosts = hosts.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Op {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::SetWeightStore { .. } => f.write_str("set weight_store"),
+            Self::PutBaseModel { name, .. } => write!(f, "put base model {name}"),
+            Self::RemoveBaseModel { name } => write!(f, "remove base model {name}"),
+            Self::PutAdapter { name, adapter } => {
+                write!(f, "put adapter {name} versions {:?}", adapter.versions)
+            }
+            Self::RemoveAdapter { name } => write!(f, "remove adapter {name}"),
+            Self::PutEngine { name, .. } => write!(f, "put engine {name}"),
+            Self::RemoveEngine { name } => write!(f, "remove engine {name}"),
+            Self::PutService { name, .. } => write!(f, "put service {name}"),
+            Self::RemoveService { name } => write!(f, "remove service {name}"),
+            Self::SetHosts { hosts } => {
+                write!(
+                    f,
+                    "set hosts retire {:?} stop {:?}",
+                    hosts.retire, hosts.stop
+                )
+            }
+        }
+    }
+}
+
+fn put<V: Clone>(map: &mut IndexMap<FastStr, V>, name: &FastStr, value: &V) {
+    map.insert(name.clone(), value.clone());
+}
+
+fn remove<V>(map: &mut IndexMap<FastStr, V>, name: &FastStr) {
+    map.shift_remove(name);
+}
+
+/// Steps that lead from `old` to `new`. Removals come first and in an order that
+/// keeps each reference valid: users before what they use, and the reverse for additions.
+#[must_use]
+pub fn diff(old: &Manifest, new: &Manifest) -> Vec<Op> {
+    let mut ops = Vec::new();
+    if old.weight_store != new.weight_store {
+        let store = new.weight_store.clone();
+        ops.push(Op::SetWeightStore { store });
+    }
+    ops.extend(removed(&old.services, &new.services, |name| {
+        Op::RemoveService { name }
+    }));
+    ops.extend(removed(&old.engines, &new.engines, |name| {
+        Op::RemoveEngine { name }
+    }));
+    ops.extend(removed(&old.adapters, &new.adapters, |name| {
+        Op::RemoveAdapter { name }
+    }));
+    ops.extend(removed(&old.base_models, &new.base_models, |name| {
+        Op::RemoveBaseModel { name }
+    }));
+    ops.extend(changed(&old.base_models, &new.base_models, |name, base| {
+        Op::PutBaseModel { name, base }
+    }));
+    ops.extend(changed(&old.adapters, &new.adapters, |name, adapter| {
+        Op::PutAdapter { name, adapter }
+    }));
+    ops.extend(changed(&old.engines, &new.engines, |name, engine| {
+        Op::PutEngine { name, engine }
+    }));
+    ops.extend(changed(&old.services, &new.services, |name, service| {
+        Op::PutService { name, service }
+    }));
+    if old.hosts != new.hosts {
+        let hosts = new.hosts.clone();
+        ops.push(Op::SetHosts { hosts });
+    }
+    ops
+}
+
+fn removed<V>(
+    old: &IndexMap<FastStr, V>,
+    new: &IndexMap<FastStr, V>,
+    op: fn(FastStr) -> Op,
+) -> Vec<Op> {
+    let gone = old.keys().filter(|name| !new.contains_key(*name));
+    gone.cloned().map(op).collect()
+}
+
+fn changed<V: Clone + PartialEq>(
+    old: &IndexMap<FastStr, V>,
+    new: &IndexMap<FastStr, V>,
+    op: fn(FastStr, V) -> Op,
+) -> Vec<Op> {
+    let differs = |(name, value): &(&FastStr, &V)| old.get(*name) != Some(*value);
+    new.iter()
+        .filter(differs)
+        .map(|(name, value)| op(name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,128 @@
+//! Entry hosts: which there are, which leave, which are heard of.
+
+use {
+    crate::{Time, rendezvous},
+    faststr::FastStr,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::net::IpAddr,
+};
+
+/// What the platform's host list says of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    /// In service.
+    Live,
+    /// Going away: no new work.
+    Leaving,
+}
+
+/// An entry host as one process sees it. The view steers, it never decides.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Host name.
+    pub host: FastStr,
+    /// Its address; ports come from settings.
+    pub ip: IpAddr,
+    /// Its data centre.
+    pub data_centre: FastStr,
+    /// What the host list says.
+    pub state: HostState,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: Member,
+    heard: Option<Time>,
+    listed_since: Time,
+    absent_since: Option<Time>,
+}
+
+/// The entry hosts by name.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    seen: IndexMap<FastStr, Seen>,
+}
+
+impl Members {
+    /// Takes a fresh host list. A host that it no longer shows stays known for
+    /// `forget_after_ms`, since the list may lag.
+    pub fn listed(&mut self, now: Time, list: &[Member], forget_after_ms: u64) {
+        for member in list {
+            let seen = self
+                .seen
+                .entry(member.host.clone())
+                .or_insert_with(|| Seen {
+                    member: member.clone(),
+                    heard: None,
+                    listed_since: now,
+                    absent_since: None,
+                });
+            seen.member = member.clone();
+            seen.absent_since = None;
+        }
+        for (host, seen) in &mut self.seen {
+            let listed = list.iter().any(|m| m.host == *host);
+            if !listed && seen.absent_since.is_none() {
+                seen.absent_since = Some(now);
+            }
+        }
+        let forgotten = |seen: &Seen| {
+            seen.absent_since
+                .is_some_and(|t| now.ms_since(t) >= forget_after_ms)
+        };
+        self.seen.retain(|_, seen| !forgotten(seen));
+    }
+
+    /// Notes a sign of life of `host`.
+    pub fn heard(&mut self, now: Time, host: &str) {
+        if let Some(seen) = self.seen.get_mut(host) {
+            seen.heard = Some(now);
+        }
+    }
+
+    /// The member named `host`.
+    #[must_use]
+    pub fn get(&self, host: &str) -> Option<&Member> {
+        self.seen.get(host).map(|seen| &seen.member)
+    }
+
+    /// Every member still known, listed or lately listed, in the order of their names.
+    #[must_use]
+    pub fn known(&self) -> Vec<&Member> {
+        let mut all: Vec<&Member> = self.seen.values().map(|seen| &seen.member).collect();
+        all.sort_by(|a, b| a.host.cmp(&b.host));
+        all
+    }
+
+    /// Names of the members that are listed live and were heard of within `suspect_ms`.
+    /// A member that was never heard of counts as live for `suspect_ms` after it was first
+    /// listed. `me` always counts while it is not leaving.
+    #[must_use]
+    pub fn live(&self, now: Time, me: &str, suspect_ms: u64) -> Vec<FastStr> {
+        let is_live = |seen: &&Seen| {
+            let last = seen.heard.unwrap_or(seen.listed_since);
+            let heard = seen.member.host == me || now.ms_since(last) < suspect_ms;
+            heard && seen.absent_since.is_none() && seen.member.state == HostState::Live
+        };
+        let mut hosts: Vec<FastStr> = self
+            .seen
+            .values()
+            .filter(is_live)
+            .map(|s| s.member.host.clone())
+            .collect();
+        hosts.sort();
+        hosts
+    }
+
+    /// The members that `me` sends heartbeats to: at most `most`, the same few on each call,
+    /// so that the cost of heartbeats does not grow with the number of hosts.
+    #[must_use]
+    pub fn watched(&self, me: &str, most: usize) -> Vec<&Member> {
+        let mut others: Vec<&Member> = self.known().into_iter().filter(|m| m.host != me).collect();
+        others.sort_by_key(|m| std::cmp::Reverse(rendezvous(me, &m.host)));
+        others.truncate(most);
+        others
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/rights.rs
@@ -0,0 +1,296 @@
+//! The right of a holder to give orders, with a deadline on its own clock.
+
+use {
+    super::{ClaimRecord, Claims, Holding, Resource, assign},
+    crate::Time,
+    faststr::FastStr,
+    indexmap::IndexMap,
+};
+
+/// Delay between the keepers that could claim a resource nobody holds.
+const CLAIM_RANK_DELAY_MS: u64 = 1500;
+
+/// How many load timeouts a loan of a permit lasts.
+pub(crate) const LOAN_LOAD_TIMEOUTS: u64 = 2;
+
+/// Lengths of time that all keepers of a deployment must agree on.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnershipTimes {
+    /// How long a read of the stream's end that showed no later claim gives the right
+    /// to order, in milliseconds from the start of that read.
+    pub right_ms: u64,
+    /// Added to every wait for another keeper's right to end, for differing clock rates.
+    pub margin_ms: u64,
+    /// Longest time a load may be in transit after its order.
+    pub load_timeout_ms: u64,
+    /// How long an append may go unseen before it is tried again.
+    pub claim_retry_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    fence: u64,
+    orders_from: Time,
+}
+
+/// One keeper's part in the ownership of resources.
+///
+/// A right ends `right_ms` after the start of the last read that reached the stream's end
+/// without a later claim. A claimant orders nothing until `right_ms` and a margin after it
+/// read its claim back: by then the former holder's last possible read has run out, since
+/// any read begun after the claim was on the log shows the claim. So two rights never
+/// overlap, and nothing is renewed on the log.
+#[derive(Clone, Debug)]
+pub struct Ownership {
+    me: FastStr,
+    incarnation: u64,
+    times: OwnershipTimes,
+    claims: Claims,
+    held: IndexMap<Resource, Held>,
+    confirmed_until: Time,
+    claimed: IndexMap<Resource, Time>,
+    vacant_since: IndexMap<Resource, Time>,
+    reset_again_at: Time,
+}
+
+impl Ownership {
+    /// State of a keeper that has read nothing yet.
+    #[must_use]
+    pub fn new(me: FastStr, incarnation: u64, times: OwnershipTimes) -> Self {
+        Self {
+            me,
+            incarnation,
+            times,
+            claims: Claims::default(),
+            held: IndexMap::new(),
+            confirmed_until: Time::ZERO,
+            claimed: IndexMap::new(),
+            vacant_since: IndexMap::new(),
+            reset_again_at: Time::ZERO,
+        }
+    }
+
+    /// The claims as far as they were read.
+    #[must_use]
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// Notes that the claim stream can only be read from `start` on.
+    pub fn starts_at(&mut self, start: u64) {
+        self.claims.starts_at(start);
+    }
+
+    /// Takes a record of the claim stream that was read at `now`. Returns the resources whose
+    /// holding changed.
+    pub fn observe(&mut self, now: Time, offset: u64, record: ClaimRecord) -> Vec<Resource> {
+        let changed = self.claims.observe(offset, record);
+        for (resource, before) in &changed {
+            self.claimed.shift_remove(resource);
+            self.take_holding(now, resource, before.as_ref());
+        }
+        changed.into_iter().map(|(resource, _)| resource).collect()
+    }
+
+    fn take_holding(&mut self, now: Time, resource: &Resource, before: Option<&Holding>) {
+        let mine = self.claims.get(resource).filter(|h| self.is_mine(h));
+        let Some(fence) = mine.map(|h| h.fence) else {
+            self.held.shift_remove(resource);
+            return;
+        };
+        if self.held.get(resource).is_none_or(|h| h.fence != fence) {
+            let orders_from = self.orders_from(now, resource, before);
+            self.held
+                .insert(resource.clone(), Held { fence, orders_from });
+        }
+    }
+
+    /// Notes that a read which began at `read_start` reached the end of the stream, after
+    /// all its records were passed to [`Self::observe`].
+    pub fn reached_end(&mut self, read_start: Time) {
+        let until = read_start.after_ms(self.times.right_ms);
+        self.confirmed_until = self.confirmed_until.max(until);
+    }
+
+    /// The fencing number for an order given right now, or none without the right.
+    #[must_use]
+    pub fn may_order(&self, now: Time, resource: &Resource) -> Option<u64> {
+        let held = self.held.get(resource)?;
+        let right = now >= held.orders_from && now < self.confirmed_until;
+        right.then_some(held.fence)
+    }
+
+    /// The fencing number of `resource` if this keeper holds it, with or without the right.
+    #[must_use]
+    pub fn fence(&self, resource: &Resource) -> Option<u64> {
+        self.held.get(resource).map(|h| h.fence)
+    }
+
+    /// When the right over everything held ends unless another read confirms it.
+    #[must_use]
+    pub fn confirmed_until(&self) -> Time {
+        self.confirmed_until
+    }
+
+    /// Numbers of the permits that this keeper may use right now.
+    #[must_use]
+    pub fn usable_permits(&self, now: Time) -> Vec<u16> {
+        let number = |resource: &Resource| match resource {
+            Resource::Permit(number) => Some(*number),
+            Resource::Engine(_) => None,
+        };
+        let usable = self
+            .held
+            .keys()
+            .filter(|r| self.may_order(now, r).is_some());
+        usable.filter_map(number).collect()
+    }
+
+    /// Resources held by this keeper.
+    pub fn held(&self) -> impl Iterator<Item = &Resource> {
+        self.held.keys()
+    }
+
+    /// Records to append now, given the keepers seen live (which include this one) and the
+    /// resources of the configuration in force. A surplus is given up only when the view of
+    /// the keepers is `settled`.
+    pub fn plan(
+        &mut self,
+        now: Time,
+        live: &[FastStr],
+        settled: bool,
+        resources: &[Resource],
+    ) -> Vec<ClaimRecord> {
+        if now >= self.confirmed_until {
+            // without a recent read a claim would be made blindly
+            return Vec::new();
+        }
+        if !self.claims.contiguous() {
+            return self.reset(now);
+        }
+        let proposals = assign(resources, live);
+        let mut records = Vec::new();
+        if settled {
+            records.extend(self.surplus(live, &proposals));
+        }
+        for resource in resources {
+            let proposed = proposals.get(resource);
+            if self.should_claim(now, live, resource, proposed) {
+                self.claimed.insert(resource.clone(), now);
+                records.push(self.claim(resource));
+            }
+        }
+        records
+    }
+
+    /// Records that give up everything held, for a planned stop.
+    #[must_use]
+    pub fn release_all(&self) -> Vec<ClaimRecord> {
+        let release = |(resource, held): (&Resource, &Held)| ClaimRecord::Release {
+            resource: resource.clone(),
+            fence: held.fence,
+        };
+        self.held.iter().map(release).collect()
+    }
+
+    fn reset(&mut self, now: Time) -> Vec<ClaimRecord> {
+        if now < self.reset_again_at {
+            return Vec::new();
+        }
+        self.reset_again_at = now.after_ms(self.times.claim_retry_ms);
+        vec![ClaimRecord::Reset]
+    }
+
+    fn is_mine(&self, holding: &Holding) -> bool {
+        holding.keeper == self.me && holding.incarnation == self.incarnation && !holding.released
+    }
+
+    fn orders_from(&self, now: Time, resource: &Resource, former: Option<&Holding>) -> Time {
+        let transit_ms = match resource {
+            Resource::Engine(_) => 0,
+            // a loan may begin just before the right ends, a load just before half of the loan
+            Resource::Permit(_) => LOAN_LOAD_TIMEOUTS * self.times.load_timeout_ms,
+        };
+        let wait_ms = match former {
+            // a released permit may still have a load in transit
+            Some(holding) if holding.released => transit_ms,
+            // nobody known: the log may have dropped an older claim
+            _ => self.times.right_ms + transit_ms,
+        };
+        now.after_ms(wait_ms + self.times.margin_ms)
+    }
+
+    fn claim(&self, resource: &Resource) -> ClaimRecord {
+        ClaimRecord::Claim {
+            resource: resource.clone(),
+            keeper: self.me.clone(),
+            incarnation: self.incarnation,
+            follows: self.claims.get(resource).map_or(0, |h| h.fence),
+        }
+    }
+
+    fn should_claim(
+        &mut self,
+        now: Time,
+        live: &[FastStr],
+        resource: &Resource,
+        proposed: Option<&FastStr>,
+    ) -> bool {
+        if self.held.contains_key(resource) || self.claim_under_way(now, resource) {
+            return false;
+        }
+        if !self.is_vacant(live, resource) {
+            self.vacant_since.shift_remove(resource);
+            return false;
+        }
+        let since = *self.vacant_since.entry(resource.clone()).or_insert(now);
+        if proposed == Some(&self.me) {
+            return true;
+        }
+        // the proposed keeper had its chance: the others follow in their order
+        let rank = live
+            .iter()
+            .position(|k| *k == self.me)
+            .map_or(live.len(), |i| i + 1);
+        let delay_ms = CLAIM_RANK_DELAY_MS.saturating_mul(rank as u64 + 1);
+        now.ms_since(since) >= delay_ms
+    }
+
+    fn claim_under_way(&self, now: Time, resource: &Resource) -> bool {
+        let since = self.claimed.get(resource);
+        since.is_some_and(|t| now.ms_since(*t) < self.times.claim_retry_ms)
+    }
+
+    fn is_vacant(&self, live: &[FastStr], resource: &Resource) -> bool {
+        let Some(holding) = self.claims.get(resource) else {
+            return true;
+        };
+        // an earlier incarnation of this keeper will not come back
+        let former_self = holding.keeper == self.me && holding.incarnation != self.incarnation;
+        holding.released || former_self || !live.contains(&holding.keeper)
+    }
+
+    /// Releases what this keeper holds beyond its share and another is proposed for.
+    fn surplus(
+        &self,
+        live: &[FastStr],
+        proposals: &IndexMap<Resource, FastStr>,
+    ) -> Vec<ClaimRecord> {
+        let mut records = Vec::new();
+        for engines in [true, false] {
+            let of_kind = |r: &Resource| matches!(r, Resource::Engine(_)) == engines;
+            let total = proposals.keys().filter(|r| of_kind(r)).count();
+            let share = total.div_ceil(live.len().max(1));
+            let mine: Vec<(&Resource, &Held)> =
+                self.held.iter().filter(|(r, _)| of_kind(r)).collect();
+            let excess = mine.len().saturating_sub(share);
+            let foreign = |r: &Resource| proposals.get(r).is_some_and(|k| *k != self.me);
+            let given = mine.into_iter().filter(|(r, _)| foreign(r)).take(excess);
+            records.extend(given.map(|(resource, held)| ClaimRecord::Release {
+                resource: resource.clone(),
+                fence: held.fence,
+            }));
+        }
+        records
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/choose.rs
@@ -0,0 +1,139 @@
+//! The scoring function.
+
+use {
+    super::{
+        policy::{Policy, Weights},
+        views::{EngineView, Views},
+    },
+    crate::{ModelName, mix, rendezvous},
+    faststr::FastStr,
+};
+
+/// Engines, first in rendezvous order, that are weighed for an adapter beside its holders.
+const COLD_CANDIDATES: usize = 2;
+
+/// Preference of the first engine in rendezvous order over the next, in milliseconds, so that
+/// entries with slightly different views agree.
+const RANK_MS: u64 = 5;
+
+/// What is asked of [`choose`] beside the views.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidates<'a> {
+    /// What the request names.
+    pub model: &'a ModelName,
+    /// Engines already tried.
+    pub tried: &'a [FastStr],
+    /// The entry's own data centre.
+    pub data_centre: &'a str,
+    /// Extra cost of another data centre, in milliseconds.
+    pub far_ms: u64,
+    /// Set when the request is a crash suspect: all copies of it go to one engine.
+    pub suspect: Option<u64>,
+    /// Source of randomness for [`Policy::Random`].
+    pub seed: u64,
+}
+
+/// Chooses the engine for a request, none when no engine of the base model takes work.
+#[must_use]
+pub fn choose(
+    policy: Policy,
+    weights: &Weights,
+    views: &Views,
+    ask: &Candidates<'_>,
+) -> Option<FastStr> {
+    let usable = |(name, view): &(&FastStr, &EngineView)| {
+        view.base == ask.model.base && !view.leaving && !ask.tried.contains(*name)
+    };
+    if let Some(content) = ask.suspect {
+        let first = views
+            .iter()
+            .filter(usable)
+            .max_by_key(|(n, _)| mix(content, key_of(n)));
+        return first.map(|(name, _)| name.clone());
+    }
+    let chosen = match policy {
+        Policy::Random => views
+            .iter()
+            .filter(usable)
+            .max_by_key(|(n, _)| mix(ask.seed, key_of(n))),
+        Policy::Rendezvous => {
+            let key = ask.model.to_string();
+            views
+                .iter()
+                .filter(usable)
+                .max_by_key(|(n, _)| rendezvous(&key, n))
+        }
+        Policy::LeastLoaded => views
+            .iter()
+            .filter(usable)
+            .min_by_key(|(n, v)| (v.running + v.queued, mix(ask.seed, key_of(n)))),
+        Policy::Weighted => weighted(weights, views, ask),
+    };
+    chosen.map(|(name, _)| name.clone())
+}
+
+fn key_of(name: &str) -> u64 {
+    rendezvous("", name)
+}
+
+fn weighted<'a>(
+    weights: &Weights,
+    views: &'a Views,
+    ask: &Candidates<'_>,
+) -> Option<(&'a FastStr, &'a EngineView)> {
+    let key = ask.model.to_string();
+    let mut best: Option<(u64, &FastStr, &EngineView)> = None;
+    let mut consider = |cost: u64, name: &'a FastStr, view: &'a EngineView| {
+        if best.is_none_or(|(lowest, _, _)| cost < lowest) {
+            best = Some((cost, name, view));
+        }
+    };
+    for (rank, (name, view)) in ranked(views, ask, &key).into_iter().enumerate() {
+        let resident = view.resident.contains(ask.model);
+        if resident || rank < COLD_CANDIDATES {
+            let cost = cost_ms(weights, view, resident) + far_ms(view, ask) + RANK_MS * rank as u64;
+            consider(cost, name, view);
+        }
+    }
+    best.map(|(_, name, view)| (name, view))
+}
+
+/// Usable holders of the model and the first engines in rendezvous order, best rank first.
+fn ranked<'a>(
+    views: &'a Views,
+    ask: &Candidates<'_>,
+    key: &str,
+) -> Vec<(&'a FastStr, &'a EngineView)> {
+    let usable = |(name, view): &(&FastStr, &EngineView)| {
+        view.base == ask.model.base && !view.leaving && !ask.tried.contains(*name)
+    };
+    let mut all: Vec<(u64, &FastStr, &EngineView)> = views
+        .iter()
+        .filter(usable)
+        .map(|(name, view)| (rendezvous(key, name), name, view))
+        .collect();
+    all.sort_unstable_by_key(|(weight, _, _)| std::cmp::Reverse(*weight));
+    all.into_iter()
+        .map(|(_, name, view)| (name, view))
+        .collect()
+}
+
+fn cost_ms(weights: &Weights, view: &EngineView, resident: bool) -> u64 {
+    let queue_ms = view.queue_ms();
+    if resident {
+        return queue_ms;
+    }
+    if !view.can_load {
+        // still possible: the keeper refuses at once with when to come back
+        return u64::MAX / 4;
+    }
+    queue_ms.max(view.load_ms.saturating_mul(weights.stall_milli) / 1000)
+}
+
+fn far_ms(view: &EngineView, ask: &Candidates<'_>) -> u64 {
+    if view.data_centre == ask.data_centre {
+        0
+    } else {
+        ask.far_ms
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/demand.rs
@@ -0,0 +1,89 @@
+//! How often each adapter is asked for.
+
+use {
+    crate::{ModelName, Time},
+    indexmap::IndexMap,
+};
+
+/// Uses below this count are forgotten.
+const FORGET_BELOW: f64 = 0.01;
+
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    uses: f64,
+    at: Time,
+}
+
+impl Count {
+    fn decayed(&self, now: Time, half_life_ms: f64) -> f64 {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "hours in milliseconds fit a f64"
+        )]
+        let elapsed = now.ms_since(self.at) as f64;
+        self.uses * (-elapsed / half_life_ms).exp2()
+    }
+}
+
+/// Uses of each adapter, each use counting half after a half-life.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    half_life_ms: f64,
+    counts: IndexMap<ModelName, Count>,
+    sweep_at: usize,
+}
+
+impl Demand {
+    /// No uses yet.
+    #[must_use]
+    pub fn new(half_life_ms: u64) -> Self {
+        #[expect(clippy::cast_precision_loss, reason = "days in milliseconds fit a f64")]
+        let half_life_ms = half_life_ms.max(1) as f64;
+        Self {
+            half_life_ms,
+            counts: IndexMap::new(),
+            sweep_at: 0,
+        }
+    }
+
+    /// Counts a use of `model`.
+    pub fn used(&mut self, now: Time, model: &ModelName) {
+        let uses = self.uses(now, model) + 1.0;
+        self.counts.insert(model.clone(), Count { uses, at: now });
+        self.sweep_one(now);
+    }
+
+    /// Uses of `model` that still count.
+    #[must_use]
+    pub fn uses(&self, now: Time, model: &ModelName) -> f64 {
+        let count = self.counts.get(model);
+        count.map_or(0.0, |c| c.decayed(now, self.half_life_ms))
+    }
+
+    /// Adapters remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// True when nothing is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    // looks at one entry per use, so that no call has to scan all adapters
+    fn sweep_one(&mut self, now: Time) {
+        if self.sweep_at >= self.counts.len() {
+            self.sweep_at = 0;
+        }
+        let Some((_, count)) = self.counts.get_index(self.sweep_at) else {
+            return;
+        };
+        if count.decayed(now, self.half_life_ms) < FORGET_BELOW {
+            self.counts.swap_remove_index(self.sweep_at);
+        } else {
+            self.sweep_at += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/views.rs
@@ -0,0 +1,149 @@
+//! What an entry believes of the engines.
+
+use {
+    crate::ModelName,
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+};
+
+/// An engine as its keeper last described it. Late, so it steers and never decides.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EngineView {
+    /// Base model it runs.
+    pub base: FastStr,
+    /// Its data centre.
+    pub data_centre: FastStr,
+    /// Host of the keeper that holds it.
+    pub keeper: FastStr,
+    /// Fencing number of that keeper's claim.
+    pub fence: u64,
+    /// Sequences it runs at once.
+    pub batch: u32,
+    /// Requests that run on it.
+    pub running: u32,
+    /// Requests that wait for it.
+    pub queued: u32,
+    /// Typical time a request runs, in milliseconds.
+    pub service_ms: u64,
+    /// Adapters waiting to be loaded there.
+    pub loads_waiting: u32,
+    /// Typical time from asking for a load to its end, in milliseconds.
+    pub load_ms: u64,
+    /// Adapter slots that hold nothing.
+    pub free_slots: u32,
+    /// False while its keeper may not order loads.
+    pub can_load: bool,
+    /// True when it is to get no new work.
+    pub leaving: bool,
+    /// Adapters resident or being loaded.
+    pub resident: IndexSet<ModelName>,
+}
+
+impl EngineView {
+    /// Time until a new request would start to run, in milliseconds, if its adapter is resident.
+    #[must_use]
+    pub fn queue_ms(&self) -> u64 {
+        let ahead = u64::from(self.running + self.queued);
+        let batch = u64::from(self.batch.max(1));
+        let over = (ahead + 1).saturating_sub(batch);
+        over * self.service_ms / batch
+    }
+}
+
+/// All engines by host name, with an index by adapter.
+#[derive(Clone, Debug, Default)]
+pub struct Views {
+    engines: IndexMap<FastStr, EngineView>,
+    holders: IndexMap<ModelName, Vec<FastStr>>,
+}
+
+impl Views {
+    /// The engine named `name`.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&EngineView> {
+        self.engines.get(name)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = (&FastStr, &EngineView)> {
+        self.engines.iter()
+    }
+
+    /// Engines on which `model` is resident or being loaded.
+    #[must_use]
+    pub fn holders(&self, model: &ModelName) -> &[FastStr] {
+        self.holders.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Replaces what is known of an engine. A description under an older fencing number is
+    /// ignored.
+    pub fn update(&mut self, name: &FastStr, view: EngineView) {
+        let old = self.engines.get(name);
+        if old.is_some_and(|old| old.fence > view.fence) {
+            return;
+        }
+        let old_models = old.map(|o| o.resident.clone()).unwrap_or_default();
+        for model in old_models.difference(&view.resident) {
+            self.unlink(model, name);
+        }
+        for model in view.resident.difference(&old_models) {
+            self.holders
+                .entry(model.clone())
+                .or_default()
+                .push(name.clone());
+        }
+        self.engines.insert(name.clone(), view);
+    }
+
+    /// Counts a request that this process has just sent towards an engine, so that its next
+    /// choices do not wait for the keeper's report.
+    pub fn count_sent(&mut self, name: &str, model: &ModelName) {
+        let Some(view) = self.engines.get_mut(name) else {
+            return;
+        };
+        view.queued += 1;
+        if view.resident.insert(model.clone()) {
+            view.loads_waiting += 1;
+            let engine = FastStr::new(name);
+            self.holders.entry(model.clone()).or_default().push(engine);
+        }
+    }
+
+    /// Notes that `model` was found missing on an engine.
+    pub fn count_missing(&mut self, name: &str, model: &ModelName) {
+        if let Some(view) = self.engines.get_mut(name) {
+            view.resident.swap_remove(model);
+        }
+        self.unlink(model, name);
+    }
+
+    /// Sets whether an engine is to get new work.
+    pub fn set_leaving(&mut self, name: &str, leaving: bool) {
+        if let Some(view) = self.engines.get_mut(name) {
+            view.leaving = leaving;
+        }
+    }
+
+    /// Forgets engines that are not in `names`.
+    pub fn retain(&mut self, names: &IndexSet<FastStr>) {
+        let (kept, gone) = std::mem::take(&mut self.engines)
+            .into_iter()
+            .partition::<IndexMap<_, _>, _>(|(name, _)| names.contains(name));
+        self.engines = kept;
+        for (name, view) in gone {
+            for model in &view.resident {
+                self.unlink(model, &name);
+            }
+        }
+    }
+
+    fn unlink(&mut self, model: &ModelName, name: &str) {
+        let Some(names) = self.holders.get_mut(model) else {
+            return;
+        };
+        names.retain(|n| n != name);
+        if names.is_empty() {
+            self.holders.swap_remove(model);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,58 @@
+//! How often a failed attempt may be repeated.
+
+use crate::{Time, mix};
+
+/// Retries that each first attempt pays for, in thousandths.
+const RETRY_SHARE_MILLI: u64 = 100;
+
+/// Retries saved up at most, in thousandths.
+const SAVED_MAX_MILLI: u64 = 20_000;
+
+/// Longest wait between two tries, in milliseconds.
+const BACKOFF_MAX_MS: u64 = 30_000;
+
+/// Bounds retries to a share of first attempts, so that a failure that hits every request
+/// does not multiply the load (the retry budget of Google's SRE book, chapter 21).
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    saved_milli: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            saved_milli: SAVED_MAX_MILLI,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt.
+    pub fn first_attempt(&mut self) {
+        self.saved_milli = (self.saved_milli + RETRY_SHARE_MILLI).min(SAVED_MAX_MILLI);
+    }
+
+    /// Takes one retry out of the budget. False when it is spent.
+    pub fn take(&mut self) -> bool {
+        let Some(rest) = self.saved_milli.checked_sub(1000) else {
+            return false;
+        };
+        self.saved_milli = rest;
+        true
+    }
+}
+
+/// Wait before try number `attempt` (from 1): doubles from `base_ms`, with jitter over its
+/// upper half drawn from `seed`.
+#[must_use]
+pub fn backoff_ms(base_ms: u64, attempt: u32, seed: u64) -> u64 {
+    let doubled = base_ms.saturating_mul(1 << attempt.saturating_sub(1).min(16));
+    let ceiling = doubled.clamp(1, BACKOFF_MAX_MS);
+    let half = ceiling / 2;
+    half + mix(seed, u64::from(attempt)) % (ceiling - half + 1)
+}
+
+/// The point `attempt`'s backoff ends.
+pub(crate) fn retry_at(now: Time, base_ms: u64, attempt: u32, seed: u64) -> Time {
+    now.after_ms(backoff_ms(base_ms, attempt, seed))
+}
--- /dev/null
+++ b/crates/core/src/slots/dispatch.rs
@@ -0,0 +1,118 @@
+//! Which waiting request gets the next ticket.
+
+use {
+    super::{
+        engine::{EngineSlots, Queued},
+        types::{Effect, RequestKey, Ticket},
+    },
+    crate::{Class, ModelName, Time},
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+    std::cmp::Reverse,
+};
+
+/// Order of waiting requests, least first.
+type Rank = (Class, bool, usize, Reverse<usize>, Time, usize);
+
+impl EngineSlots {
+    /// Grants tickets while the engine has room.
+    pub(super) fn pump(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some(key) = self.next_to_run() {
+            effects.push(self.grant(now, &key));
+        }
+        effects
+    }
+
+    fn next_to_run(&self) -> Option<RequestKey> {
+        let full = self.tickets.len() >= self.limits.batch;
+        if full || self.queue.is_empty() || self.tickets.values().any(|t| t.alone) {
+            return None;
+        }
+        let (key, queued) = self.first_ready()?;
+        // a suspect waits until it can run alone, and what comes behind it waits too
+        if queued.req.suspect && !self.tickets.is_empty() {
+            return None;
+        }
+        Some(key.clone())
+    }
+
+    fn first_ready(&self) -> Option<(&RequestKey, &Queued)> {
+        let running: IndexSet<&ModelName> = self.tickets.values().map(|t| &t.model).collect();
+        let callers = self.running_by_caller();
+        let mut waiting: IndexMap<&ModelName, usize> = IndexMap::new();
+        for queued in self.queue.values() {
+            *waiting.entry(&queued.req.model).or_default() += 1;
+        }
+        let rank = |(index, queued): (usize, &Queued)| -> Rank {
+            let req = &queued.req;
+            let shares = running.contains(&req.model);
+            let gathered = if req.class == Class::Live {
+                0
+            } else {
+                waiting[&req.model]
+            };
+            let of_caller = callers.get(&req.caller).copied().unwrap_or(0);
+            let fair = if req.class == Class::Background {
+                0
+            } else {
+                of_caller
+            };
+            let apart = req.class != Class::Live && !shares;
+            (
+                req.class,
+                apart,
+                fair,
+                Reverse(gathered),
+                req.deadline,
+                index,
+            )
+        };
+        let ready = |queued: &Queued| self.is_ready(&queued.req.model);
+        self.queue
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, queued))| ready(queued))
+            .min_by_key(|(index, (_, queued))| rank((*index, queued)))
+            .map(|(_, pair)| pair)
+    }
+
+    fn running_by_caller(&self) -> IndexMap<&FastStr, usize> {
+        let mut callers = IndexMap::new();
+        for ticket in self.tickets.values() {
+            *callers.entry(&ticket.caller).or_default() += 1;
+        }
+        callers
+    }
+
+    fn grant(&mut self, now: Time, key: &RequestKey) -> Effect {
+        let queued = self
+            .queue
+            .shift_remove(key)
+            .expect("the key was taken from the queue");
+        let slot = self
+            .slots
+            .get_mut(&queued.req.model)
+            .expect("its model is ready");
+        slot.last_use = now;
+        let ticket = Ticket {
+            model: queued.req.model,
+            caller: queued.req.caller,
+            expires: now.after_ms(self.cfg.ticket_ms),
+            alone: queued.req.suspect,
+            cancelling: false,
+            granted: now,
+            fingerprint: queued.req.fingerprint,
+        };
+        self.tickets.insert(key.clone(), ticket);
+        let stall_ms = if queued.stalled {
+            now.ms_since(queued.since).max(1)
+        } else {
+            0
+        };
+        self.counters.granted += 1;
+        self.counters.stalled += u64::from(queued.stalled);
+        self.counters.stall_ms += stall_ms;
+        self.grant_effect(key.clone(), stall_ms)
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots/engine.rs
@@ -0,0 +1,406 @@
+//! State of one engine's slots and what changes it.
+
+use {
+    super::types::{
+        Effect, EngineLimits, Grant, Refusal, RequestKey, SlotCounters, SlotSettings, Ticket,
+        TicketEnd, Waiting,
+    },
+    crate::{Class, Demand, Fingerprint, ModelName, Reason, Time},
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+};
+
+/// Weight of a new measurement in a running mean, as one part in this many.
+const MEAN_PARTS: u64 = 8;
+
+/// Shortest wait that a refused caller is told, in milliseconds.
+const RETRY_AFTER_MIN_MS: u64 = 200;
+
+/// What an adapter slot holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum SlotState {
+    /// A load was ordered.
+    Loading {
+        /// When the order is of no use any more.
+        deadline: Time,
+        /// The permit that it occupies.
+        permit: u16,
+    },
+    /// Resident.
+    Ready,
+    /// An unload was ordered, to make room.
+    Unloading {
+        /// The adapter to load then.
+        next: ModelName,
+        /// The permit for that load.
+        permit: u16,
+    },
+    /// The answer to an order was lost; a probe after this point tells.
+    Unsure {
+        /// When the lost order has ended for certain.
+        settled: Time,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    pub(super) state: SlotState,
+    pub(super) since: Time,
+    pub(super) last_use: Time,
+    pub(super) copies: u32,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Queued {
+    pub(super) req: Waiting,
+    pub(super) since: Time,
+    pub(super) stalled: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    pub(super) tries: u32,
+    pub(super) retry_at: Time,
+}
+
+/// One engine as its keeper holds it.
+///
+/// A request runs only with a ticket, and an adapter with a ticket, or with a request
+/// waiting for it, is never unloaded. After a takeover nothing is unloaded until every
+/// entry has registered its open tickets.
+#[derive(Clone, Debug)]
+pub struct EngineSlots {
+    pub(super) limits: EngineLimits,
+    pub(super) cfg: SlotSettings,
+    pub(super) fence: u64,
+    pub(super) can_load: bool,
+    pub(super) leaving: bool,
+    pub(super) down: bool,
+    pub(super) epoch: Option<u64>,
+    pub(super) last_unload: Time,
+    pub(super) broken: Vec<(Fingerprint, Time)>,
+    pub(super) slots: IndexMap<ModelName, Slot>,
+    pub(super) queue: IndexMap<RequestKey, Queued>,
+    pub(super) tickets: IndexMap<RequestKey, Ticket>,
+    pub(super) registered: IndexMap<FastStr, u64>,
+    pub(super) required: IndexSet<FastStr>,
+    pub(super) demand: Demand,
+    pub(super) failures: IndexMap<ModelName, Failure>,
+    pub(super) service_ms: u64,
+    pub(super) load_ms: u64,
+    pub(super) counters: SlotCounters,
+}
+
+impl EngineSlots {
+    /// State of an engine just taken over under `fence`.
+    #[must_use]
+    pub fn new(limits: EngineLimits, cfg: SlotSettings, fence: u64) -> Self {
+        Self {
+            limits,
+            cfg,
+            fence,
+            can_load: false,
+            leaving: false,
+            down: false,
+            epoch: None,
+            last_unload: Time::ZERO,
+            broken: Vec::new(),
+            slots: IndexMap::new(),
+            queue: IndexMap::new(),
+            tickets: IndexMap::new(),
+            registered: IndexMap::new(),
+            required: IndexSet::new(),
+            demand: Demand::new(cfg.weights.demand_half_life_ms),
+            failures: IndexMap::new(),
+            service_ms: cfg.first_service_ms,
+            load_ms: cfg.first_load_ms,
+            counters: SlotCounters::default(),
+        }
+    }
+
+    /// Fencing number of the claim under which the engine is held.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Sizes of the engine.
+    #[must_use]
+    pub fn limits(&self) -> EngineLimits {
+        self.limits
+    }
+
+    /// Counts since the takeover.
+    #[must_use]
+    pub fn counters(&self) -> SlotCounters {
+        self.counters
+    }
+
+    /// Requests that run with a ticket.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Typical time a request runs, in milliseconds.
+    #[must_use]
+    pub fn service_ms(&self) -> u64 {
+        self.service_ms
+    }
+
+    /// Typical time from wanting an adapter to having it, in milliseconds.
+    #[must_use]
+    pub fn load_ms(&self) -> u64 {
+        self.load_ms
+    }
+
+    /// Sets the typical time from wanting an adapter to having it, in milliseconds.
+    pub fn set_load_ms(&mut self, load_ms: u64) {
+        self.load_ms = load_ms;
+    }
+
+    /// True when the engine gets no new work.
+    #[must_use]
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// True when loads may be ordered.
+    #[must_use]
+    pub fn can_load(&self) -> bool {
+        self.can_load
+    }
+
+    /// Slots that hold nothing.
+    #[must_use]
+    pub fn free_slots(&self) -> usize {
+        self.limits.adapter_slots.saturating_sub(self.slots.len())
+    }
+
+    /// Adapters resident or being loaded.
+    pub fn resident(&self) -> impl Iterator<Item = &ModelName> {
+        let counts =
+            |state: &SlotState| matches!(state, SlotState::Ready | SlotState::Loading { .. });
+        self.slots
+            .iter()
+            .filter(move |(_, s)| counts(&s.state))
+            .map(|(model, _)| model)
+    }
+
+    /// True when requests for `model` can run.
+    #[must_use]
+    pub fn is_ready(&self, model: &ModelName) -> bool {
+        self.slots
+            .get(model)
+            .is_some_and(|s| s.state == SlotState::Ready)
+    }
+
+    /// True when a ticket for `model` is out.
+    #[must_use]
+    pub fn pinned(&self, model: &ModelName) -> bool {
+        self.tickets.values().any(|t| t.model == *model)
+    }
+
+    /// True while the engine takes no connections.
+    #[must_use]
+    pub fn down(&self) -> bool {
+        self.down
+    }
+
+    /// Takes a request. It is granted, refused or queued; at once or by a later call.
+    pub fn acquire(&mut self, now: Time, req: Waiting) -> Vec<Effect> {
+        if self.tickets.contains_key(&req.key) {
+            return vec![self.grant_effect(req.key, 0)];
+        }
+        if self.queue.contains_key(&req.key) {
+            return Vec::new();
+        }
+        self.demand.used(now, &req.model);
+        if let Some((reason, retry_after_ms)) = self.unacceptable(now, &req) {
+            return vec![self.refuse(req.key, reason, retry_after_ms)];
+        }
+        let stalled = !self.is_ready(&req.model);
+        if let Some(slot) = self.slots.get_mut(&req.model) {
+            slot.copies = req.copies;
+        }
+        let key = req.key.clone();
+        self.queue.insert(
+            key,
+            Queued {
+                req,
+                since: now,
+                stalled,
+            },
+        );
+        self.pump(now)
+    }
+
+    /// Drops a waiting request whose entry no longer wants it.
+    pub fn withdraw(&mut self, key: &RequestKey) {
+        self.queue.shift_remove(key);
+    }
+
+    /// Takes a ticket back.
+    pub fn release(&mut self, now: Time, key: &RequestKey, end: TicketEnd) -> Vec<Effect> {
+        let Some(ticket) = self.tickets.shift_remove(key) else {
+            self.withdraw(key);
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        match end {
+            TicketEnd::Done => {
+                let took_ms = now.ms_since(ticket.granted);
+                self.service_ms = running_mean(self.service_ms, took_ms);
+            }
+            TicketEnd::NotResident => effects.push(Effect::Probe),
+            TicketEnd::Broken => {
+                self.broken.push((ticket.fingerprint, now));
+                effects.push(Effect::Probe);
+            }
+            TicketEnd::Unused => {}
+        }
+        effects.extend(self.pump(now));
+        effects
+    }
+
+    /// Extends the tickets of one entry.
+    pub fn renew(&mut self, now: Time, entry: &str, incarnation: u64) {
+        let expires = now.after_ms(self.cfg.ticket_ms);
+        for (key, ticket) in &mut self.tickets {
+            if key.entry == entry && key.incarnation == incarnation && !ticket.cancelling {
+                ticket.expires = expires;
+            }
+        }
+    }
+
+    /// Ends what has run out of time: waiting requests past their deadline, those that need a
+    /// load that can't be ordered, and lapsed tickets, which are cancelled at the engine first.
+    pub fn tick(&mut self, now: Time, can_load: bool, leaving: bool) -> Vec<Effect> {
+        self.can_load = can_load;
+        self.leaving = leaving;
+        let mut effects = self.refuse_hopeless(now);
+        effects.extend(self.cancel_lapsed(now));
+        effects.extend(self.probe_unsure(now));
+        effects.extend(self.pump(now));
+        effects
+    }
+
+    /// Notes that the engine has cancelled a request, or never knew it.
+    pub fn cancelled(&mut self, now: Time, key: &RequestKey) -> Vec<Effect> {
+        self.tickets.shift_remove(key);
+        self.pump(now)
+    }
+
+    /// Refuses all that waits, for instance because another keeper holds the engine now.
+    pub fn refuse_all(&mut self, reason: Reason, retry_after_ms: u64) -> Vec<Effect> {
+        let keys: Vec<RequestKey> = self.queue.drain(..).map(|(key, _)| key).collect();
+        keys.into_iter()
+            .map(|key| self.refuse(key, reason, retry_after_ms))
+            .collect()
+    }
+
+    /// Time until a new request for `model` would start to run, in milliseconds.
+    #[must_use]
+    pub fn wait_ms(&self, model: &ModelName) -> u64 {
+        let ahead = (self.tickets.len() + self.queue.len()) as u64;
+        let batch = self.limits.batch.max(1) as u64;
+        let queue_ms = (ahead + 1).saturating_sub(batch) * self.service_ms / batch;
+        if self.is_ready(model) {
+            queue_ms
+        } else {
+            queue_ms.max(self.load_ms)
+        }
+    }
+
+    pub(super) fn grant_effect(&self, key: RequestKey, stall_ms: u64) -> Effect {
+        Effect::Grant(Grant {
+            key,
+            fence: self.fence,
+            stall_ms,
+        })
+    }
+
+    pub(super) fn refuse(&mut self, key: RequestKey, reason: Reason, after_ms: u64) -> Effect {
+        self.counters.refused += 1;
+        let retry_after_ms = after_ms.max(RETRY_AFTER_MIN_MS);
+        Effect::Refuse(Refusal {
+            key,
+            reason,
+            retry_after_ms,
+        })
+    }
+
+    fn unacceptable(&self, now: Time, req: &Waiting) -> Option<(Reason, u64)> {
+        if self.leaving {
+            return Some((Reason::Leaving, 0));
+        }
+        if self.down {
+            return Some((Reason::NoTarget, self.cfg.load_backoff_ms));
+        }
+        if let Some(refusal) = self.load_impossible(now, &req.model) {
+            return Some(refusal);
+        }
+        let wait_ms = self.wait_ms(&req.model);
+        if now.after_ms(wait_ms) >= req.deadline {
+            return Some((Reason::Deadline, wait_ms));
+        }
+        let of_caller = self
+            .queue
+            .values()
+            .filter(|q| q.req.caller == req.caller)
+            .count();
+        if of_caller >= self.cfg.caller_queue_max {
+            return Some((Reason::CallerLimit, wait_ms));
+        }
+        let full = self.queue.len() >= self.cfg.queue_max && req.class != Class::Live;
+        full.then_some((Reason::Overloaded, wait_ms))
+    }
+
+    /// Why an adapter that is not resident can't be loaded now, if so.
+    fn load_impossible(&self, now: Time, model: &ModelName) -> Option<(Reason, u64)> {
+        let coming = |s: &Slot| matches!(s.state, SlotState::Ready | SlotState::Loading { .. });
+        if self.slots.get(model).is_some_and(coming) {
+            return None;
+        }
+        if !self.can_load {
+            return Some((Reason::LoadsPaused, self.cfg.order_ms));
+        }
+        let failure = self.failures.get(model).filter(|f| f.retry_at > now)?;
+        Some((Reason::LoadFailed, now.ms_until(failure.retry_at)))
+    }
+
+    fn refuse_hopeless(&mut self, now: Time) -> Vec<Effect> {
+        let hopeless = |(key, queued): (&RequestKey, &Queued)| {
+            if now >= queued.req.deadline {
+                return Some((
+                    key.clone(),
+                    Reason::Deadline,
+                    self.wait_ms(&queued.req.model),
+                ));
+            }
+            if self.leaving {
+                return Some((key.clone(), Reason::Leaving, 0));
+            }
+            let (reason, after_ms) = self.load_impossible(now, &queued.req.model)?;
+            Some((key.clone(), reason, after_ms))
+        };
+        let given_up: Vec<(RequestKey, Reason, u64)> =
+            self.queue.iter().filter_map(hopeless).collect();
+        let mut effects = Vec::new();
+        for (key, reason, after_ms) in given_up {
+            self.queue.shift_remove(&key);
+            effects.push(self.refuse(key, reason, after_ms));
+        }
+        effects
+    }
+}
+
+pub(super) fn running_mean(mean: u64, sample: u64) -> u64 {
+    (mean * (MEAN_PARTS - 1) + sample).div_ceil(MEAN_PARTS)
+}
--- /dev/null
+++ b/crates/core/src/slots/mod.rs
@@ -0,0 +1,16 @@
+//! The adapter slots, the queue and the tickets of one engine, as its keeper decides on them.
+
+mod dispatch;
+mod engine;
+mod evict;
+mod loads;
+mod takeover;
+mod types;
+
+pub use {
+    engine::EngineSlots,
+    types::{
+        Cancel, Effect, EngineLimits, Grant, LoadOrder, LoadResult, OrderKind, Refusal, RequestKey,
+        SlotCounters, SlotSettings, Ticket, TicketEnd, Waiting, Want,
+    },
+};
--- /dev/null
+++ b/crates/core/src/slots/takeover.rs
@@ -0,0 +1,198 @@
+//! What a keeper learns of an engine that others used before it, or that lost its memory.
+
+use {
+    super::{
+        engine::{EngineSlots, Slot, SlotState},
+        types::{Cancel, Effect, RequestKey, Ticket},
+    },
+    crate::{Fingerprint, ModelName, Reason, Time},
+    faststr::FastStr,
+    indexmap::IndexSet,
+};
+
+impl EngineSlots {
+    /// Sets the entry hosts that must register before anything is unloaded: every host
+    /// that the host list shows or showed lately.
+    pub fn require(&mut self, entries: IndexSet<FastStr>) {
+        self.required = entries;
+    }
+
+    /// True when every entry has registered its open tickets.
+    #[must_use]
+    pub fn may_evict(&self) -> bool {
+        self.required
+            .iter()
+            .all(|entry| self.registered.contains_key(entry))
+    }
+
+    /// Entries that have not registered yet.
+    pub fn unregistered(&self) -> impl Iterator<Item = &FastStr> {
+        self.required
+            .iter()
+            .filter(|entry| !self.registered.contains_key(*entry))
+    }
+
+    /// True when `entry` has registered under this claim.
+    #[must_use]
+    pub fn has_registered(&self, entry: &str, incarnation: u64) -> bool {
+        self.registered.get(entry) == Some(&incarnation)
+    }
+
+    /// Takes the open tickets of an entry, granted under earlier claims. The entry has promised
+    /// to start nothing more under them. Tickets of its earlier incarnations are cancelled.
+    pub fn register(
+        &mut self,
+        now: Time,
+        entry: &FastStr,
+        incarnation: u64,
+        open: Vec<(RequestKey, ModelName, FastStr, Fingerprint)>,
+    ) -> Vec<Effect> {
+        self.registered.insert(entry.clone(), incarnation);
+        for (key, model, caller, fingerprint) in open {
+            self.adopt_ticket(now, key, model, caller, fingerprint);
+        }
+        let mut effects = Vec::new();
+        for (key, ticket) in &mut self.tickets {
+            let stale = key.entry == *entry && key.incarnation != incarnation;
+            if stale && !ticket.cancelling {
+                ticket.cancelling = true;
+                ticket.expires = now.after_ms(self.cfg.order_ms);
+                effects.push(Effect::Cancel(Cancel { key: key.clone() }));
+            }
+        }
+        let stale = |key: &RequestKey| key.entry == *entry && key.incarnation != incarnation;
+        self.queue.retain(|key, _| !stale(key));
+        effects
+    }
+
+    fn adopt_ticket(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        model: ModelName,
+        caller: FastStr,
+        fingerprint: Fingerprint,
+    ) {
+        self.slots.entry(model.clone()).or_insert(Slot {
+            state: SlotState::Ready,
+            since: now,
+            last_use: now,
+            copies: 1,
+        });
+        let ticket = Ticket {
+            model,
+            caller,
+            expires: now.after_ms(self.cfg.ticket_ms),
+            alone: false,
+            cancelling: false,
+            granted: now,
+            fingerprint,
+        };
+        self.tickets.entry(key).or_insert(ticket);
+    }
+
+    /// Takes the engine's own list of resident adapters, asked for at `asked`. `epoch` differs
+    /// after each start of the engine. Returns the contents that ran when the engine crashed,
+    /// if it has started anew since the last list.
+    pub fn sync(
+        &mut self,
+        now: Time,
+        asked: Time,
+        epoch: u64,
+        resident: &IndexSet<ModelName>,
+    ) -> (Vec<Fingerprint>, Vec<Effect>) {
+        let restarted = self.epoch.is_some_and(|known| known != epoch);
+        self.epoch = Some(epoch);
+        self.down = false;
+        let crashed = if restarted {
+            self.crash_contents(asked)
+        } else {
+            Vec::new()
+        };
+        self.broken.retain(|(_, at)| *at >= asked);
+        // what was decided after the question was asked is newer than the answer
+        let newer = |slot: &Slot| slot.since >= asked;
+        let in_flight = |slot: &Slot| match slot.state {
+            SlotState::Loading { .. } | SlotState::Unloading { .. } => !restarted,
+            SlotState::Unsure { settled } => asked < settled,
+            SlotState::Ready => false,
+        };
+        self.slots
+            .retain(|model, slot| resident.contains(model) || in_flight(slot) || newer(slot));
+        for model in resident {
+            self.found_resident(now, asked, model);
+        }
+        (crashed, self.pump(now))
+    }
+
+    /// Notes that the engine takes no connections. All that waits is refused at once. Returns
+    /// the contents that ran on it.
+    pub fn lost(&mut self, now: Time) -> (Vec<Fingerprint>, Vec<Effect>) {
+        if self.down {
+            return (Vec::new(), Vec::new());
+        }
+        self.down = true;
+        let crashed = self.crash_contents(now);
+        self.slots.clear();
+        (
+            crashed,
+            self.refuse_all(Reason::NoTarget, self.cfg.load_backoff_ms),
+        )
+    }
+
+    /// Contents of requests that broke off and of those whose tickets are older than `before`.
+    fn crash_contents(&mut self, before: Time) -> Vec<Fingerprint> {
+        let broken = std::mem::take(&mut self.broken);
+        let open = self.tickets.values().filter(|t| t.granted < before);
+        let all = broken
+            .into_iter()
+            .map(|(f, _)| f)
+            .chain(open.map(|t| t.fingerprint));
+        let distinct: IndexSet<Fingerprint> = all.collect();
+        distinct.into_iter().collect()
+    }
+
+    fn found_resident(&mut self, now: Time, asked: Time, model: &ModelName) {
+        let fresh = Slot {
+            state: SlotState::Ready,
+            since: now,
+            last_use: now,
+            copies: 1,
+        };
+        // an unload that ended after the question was asked: the next list will tell
+        if self.last_unload >= asked && !self.slots.contains_key(model) {
+            return;
+        }
+        let slot = self.slots.entry(model.clone()).or_insert(fresh);
+        if let SlotState::Unsure { settled } = slot.state
+            && asked >= settled
+        {
+            slot.state = SlotState::Ready;
+            slot.since = now;
+        }
+    }
+
+    pub(super) fn probe_unsure(&self, now: Time) -> Vec<Effect> {
+        let due =
+            |slot: &Slot| matches!(slot.state, SlotState::Unsure { settled } if now >= settled);
+        if self.slots.values().any(due) {
+            vec![Effect::Probe]
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub(super) fn cancel_lapsed(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let again = now.after_ms(self.cfg.order_ms);
+        for (key, ticket) in &mut self.tickets {
+            if now >= ticket.expires {
+                // asked again until the engine confirms: the pin stays as long
+                ticket.cancelling = true;
+                ticket.expires = again;
+                effects.push(Effect::Cancel(Cancel { key: key.clone() }));
+            }
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream.rs
@@ -0,0 +1,81 @@
+//! Position of a reader in a stream whose oldest records may be gone.
+
+/// Which records of a stream are folded into a state, and which wait for a snapshot.
+///
+/// A reader that starts behind the stream's first record holds the records it reads back
+/// until a snapshot reflects all that came before them. All readers thus fold the same
+/// records in the same order.
+#[derive(Clone, Debug)]
+pub(crate) struct Position<R> {
+    folded_to: u64,
+    waiting_from: Option<u64>,
+    pending: Vec<(u64, R)>,
+}
+
+impl<R> Default for Position<R> {
+    fn default() -> Self {
+        Self {
+            folded_to: 0,
+            waiting_from: None,
+            pending: Vec::new(),
+        }
+    }
+}
+
+impl<R> Position<R> {
+    /// All records below this offset are folded.
+    pub(crate) fn folded_to(&self) -> u64 {
+        self.folded_to
+    }
+
+    /// False while records are missing.
+    pub(crate) fn contiguous(&self) -> bool {
+        self.waiting_from.is_none()
+    }
+
+    /// Notes that the stream can only be read from `start` on.
+    pub(crate) fn starts_at(&mut self, start: u64) {
+        if start > self.folded_to && self.waiting_from != Some(start) {
+            self.waiting_from = Some(start);
+            self.pending.clear();
+        }
+    }
+
+    /// Hands the record back if it is to be folded now; holds it back or drops it otherwise.
+    pub(crate) fn admit(&mut self, offset: u64, record: R) -> Option<R> {
+        if offset < self.folded_to {
+            return None;
+        }
+        if self.waiting_from.is_some() {
+            self.pending.push((offset, record));
+            return None;
+        }
+        self.folded_to = offset + 1;
+        Some(record)
+    }
+
+    /// Notes that the record at `offset` was read and changes nothing by itself.
+    pub(crate) fn pass(&mut self, offset: u64) {
+        if self.waiting_from.is_none() {
+            self.folded_to = self.folded_to.max(offset + 1);
+        }
+    }
+
+    /// Moves to a snapshot that reflects all records below `as_of`. Returns the records held
+    /// back that follow it, or none if the snapshot is older than what is folded or would
+    /// leave a gap.
+    pub(crate) fn jump(&mut self, as_of: u64) -> Option<Vec<(u64, R)>> {
+        let closes_gap = self.waiting_from.is_none_or(|from| as_of >= from);
+        if !closes_gap || as_of <= self.folded_to {
+            return None;
+        }
+        self.folded_to = as_of;
+        self.waiting_from = None;
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.retain(|(offset, _)| *offset >= as_of);
+        if let Some((last, _)) = pending.last() {
+            self.folded_to = last + 1;
+        }
+        Some(pending)
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/args.rs
@@ -0,0 +1,15 @@
+//! Arguments that all daemons take.
+
+use {clap::Args, std::path::PathBuf};
+
+/// Arguments that all daemons take.
+#[derive(Args, Clone, Debug)]
+pub struct CommonArgs {
+    /// Settings file (TOML)
+    #[arg(short, long, value_name = "FILE")]
+    pub config: PathBuf,
+
+    /// Check the settings file and exit: 0 when it is right, 2 when not
+    #[arg(long)]
+    pub check: bool,
+}
--- /dev/null
+++ b/crates/runtime/src/event.rs
@@ -0,0 +1,94 @@
+//! Numbered events. `docs/EVENTS.md` is their catalogue.
+
+use std::fmt;
+
+/// Key and value pairs that go with an event, for people and for `egretctl`.
+pub type Fields<'a> = fmt::Arguments<'a>;
+
+/// A kind of event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventId {
+    /// Its number, stable over releases.
+    pub number: u16,
+    /// Its meaning, as it stands in the catalogue.
+    pub meaning: &'static str,
+}
+
+impl EventId {
+    /// Logs this event for information.
+    pub fn info(self, fields: Fields<'_>) {
+        log::info!(event = self.code(); "{} {fields}", self.meaning);
+    }
+
+    /// Logs this event as something that an operator may want to know.
+    pub fn warn(self, fields: Fields<'_>) {
+        log::warn!(event = self.code(); "{} {fields}", self.meaning);
+    }
+
+    /// Logs this event as a failure.
+    pub fn error(self, fields: Fields<'_>) {
+        log::error!(event = self.code(); "{} {fields}", self.meaning);
+    }
+
+    /// Logs this event for debugging.
+    pub fn debug(self, fields: Fields<'_>) {
+        log::debug!(event = self.code(); "{} {fields}", self.meaning);
+    }
+
+    /// The number as it is written: `E1203`.
+    #[must_use]
+    pub fn code(self) -> String {
+        format!("E{}", self.number)
+    }
+}
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal $meaning:literal;)*) => {
+        /// The kinds of events by name.
+        pub mod events {
+            use super::EventId;
+            $(
+                #[doc = $meaning]
+                pub const $name: EventId = EventId { number: $number, meaning: $meaning };
+            )*
+        }
+
+        /// All kinds of events, in the order of their numbers.
+        pub const EVENTS: &[EventId] = &[$(events::$name),*];
+    };
+}
+
+catalogue! {
+    STARTED = 1001 "process started";
+    STOPPING = 1002 "graceful stop began";
+    STOPPED = 1003 "graceful stop ended";
+    SETTINGS_REFUSED = 1004 "settings refused";
+    LOG_UNREACHABLE = 1010 "platform log can't be read";
+    LOG_REACHABLE = 1011 "platform log can be read again";
+    LOG_RECORD_UNKNOWN = 1012 "record of a log stream not understood";
+    HOSTS_UNREACHABLE = 1013 "host list can't be read";
+    CONFIG_IN_FORCE = 1020 "configuration came into force";
+    LINK_REFUSED = 1030 "link to a peer refused";
+    LINK_BROKEN = 1031 "link to a peer broke";
+    REQUEST_DONE = 1101 "request answered";
+    REQUEST_REFUSED = 1102 "request refused";
+    REQUEST_UNKNOWN = 1103 "request ended with unknown outcome";
+    ATTEMPT_FAILED = 1104 "attempt failed";
+    ANSWER_DROPPED = 1105 "answer that matches no open attempt dropped";
+    JOURNAL_SETTLED = 1110 "journal entry settled";
+    JOURNAL_UNSETTLED = 1111 "journal entry could not be settled";
+    REGISTERED = 1120 "open tickets registered with a keeper";
+    CLAIM_APPENDED = 1201 "claim appended";
+    HOLDING_CHANGED = 1202 "holding of a resource changed";
+    HOLDING_RELEASED = 1203 "holdings released";
+    ORDER_DONE = 1210 "order carried out";
+    ORDER_FAILED = 1211 "order failed";
+    ORDER_FENCED = 1212 "order refused for its fencing number";
+    ORDER_WITHHELD = 1213 "order withheld because the right had lapsed";
+    ENGINE_RESTARTED = 1220 "engine restarted";
+    ENGINE_LOST = 1221 "engine takes no connections";
+    SUSPECTS_FOUND = 1222 "contents became crash suspects";
+    TICKET_CANCELLED = 1230 "lapsed ticket cancelled at the engine";
+    PERMITS_LENT = 1240 "weight store permits lent";
+    STANDIN_FAULT = 1401 "fault switch set on a stand-in";
+}
--- /dev/null
+++ b/crates/runtime/src/link/client.rs
@@ -0,0 +1,219 @@
+//! The asking side of a link.
+
+use {
+    super::{
+        codec,
+        message::{Body, Frame, Hello},
+    },
+    crate::web::before,
+    bytes::Bytes,
+    egret_core::Time,
+    futures::{SinkExt, StreamExt},
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    prost::Message,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+    },
+    thiserror::Error,
+    tokio::{
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::{mpsc, oneshot},
+        task::JoinHandle,
+    },
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+};
+
+/// Frames that may wait to be written.
+const WRITE_QUEUE_FRAMES: usize = 4096;
+
+/// Why a question on a link got no answer.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum LinkError {
+    /// No connection was made: the peer can't have seen the question.
+    #[error("not connected")]
+    NotConnected,
+    /// The link broke or was closed; the peer may have seen the question.
+    #[error("the link broke")]
+    Broken,
+    /// The deadline passed; the peer may have seen the question.
+    #[error("no answer before the deadline")]
+    Late,
+}
+
+type Waiters = Mutex<IndexMap<u64, oneshot::Sender<Body>>>;
+
+#[derive(Debug)]
+struct Shared {
+    waiters: Waiters,
+    closed: AtomicBool,
+    next_id: AtomicU64,
+}
+
+/// An open link to a peer. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Link {
+    shared: Arc<Shared>,
+    tx: mpsc::Sender<Bytes>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Link {
+    /// Connects to `address` and says who this is.
+    ///
+    /// # Errors
+    ///
+    /// When there is no connection by `deadline`.
+    pub async fn connect(
+        address: SocketAddr,
+        hello: &Hello,
+        deadline: Time,
+    ) -> Result<Self, LinkError> {
+        let connecting = before(deadline, TcpStream::connect(address)).await;
+        let stream = connecting
+            .ok_or(LinkError::NotConnected)?
+            .map_err(|_| LinkError::NotConnected)?;
+        // small frames must not wait for the acknowledgement of earlier ones
+        stream
+            .set_nodelay(true)
+            .map_err(|_| LinkError::NotConnected)?;
+        let (read, write) = stream.into_split();
+        let shared = Arc::new(Shared {
+            waiters: Mutex::default(),
+            closed: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+        });
+        let (tx, rx) = mpsc::channel(WRITE_QUEUE_FRAMES);
+        let tasks = [
+            tokio::spawn(write_frames(
+                FramedWrite::new(write, codec()),
+                rx,
+                shared.clone(),
+            )),
+            tokio::spawn(read_frames(FramedRead::new(read, codec()), shared.clone())),
+        ];
+        let link = Self { shared, tx, tasks };
+        link.call(Body::Hello(hello.clone()), deadline).await?;
+        Ok(link)
+    }
+
+    /// True once the connection has ended.
+    #[must_use]
+    pub fn closed(&self) -> bool {
+        self.shared.closed.load(Ordering::Acquire)
+    }
+
+    /// Asks and waits for the answer until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer.
+    pub async fn call(&self, body: Body, deadline: Time) -> Result<Body, LinkError> {
+        let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        let (answer_tx, answer_rx) = oneshot::channel();
+        self.shared.waiters.lock().insert(id, answer_tx);
+        let forget = Forget {
+            shared: &self.shared,
+            id,
+        };
+        if self.closed() {
+            return Err(LinkError::Broken);
+        }
+        let bytes = Bytes::from(
+            Frame {
+                id,
+                body: Some(body),
+            }
+            .encode_to_vec(),
+        );
+        self.tx.try_send(bytes).map_err(|_| LinkError::Broken)?;
+        let answer = before(deadline, answer_rx).await.ok_or(LinkError::Late)?;
+        drop(forget);
+        answer.map_err(|_| LinkError::Broken)
+    }
+
+    /// Says something without waiting for the answer.
+    pub fn tell(&self, body: Body) {
+        let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        let bytes = Bytes::from(
+            Frame {
+                id,
+                body: Some(body),
+            }
+            .encode_to_vec(),
+        );
+        let _ = self.tx.try_send(bytes);
+    }
+
+    /// Closes the connection, for instance because the peer is silent.
+    pub fn close(&self) {
+        self.shared.close();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+struct Forget<'a> {
+    shared: &'a Shared,
+    id: u64,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.shared.waiters.lock().swap_remove(&self.id);
+    }
+}
+
+impl Shared {
+    fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        self.waiters.lock().clear();
+    }
+}
+
+async fn write_frames(
+    mut sink: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    mut rx: mpsc::Receiver<Bytes>,
+    shared: Arc<Shared>,
+) {
+    while let Some(bytes) = rx.recv().await {
+        if sink.send(bytes).await.is_err() {
+            break;
+        }
+    }
+    shared.close();
+}
+
+async fn read_frames(
+    mut source: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    shared: Arc<Shared>,
+) {
+    while let Some(Ok(bytes)) = source.next().await {
+        let Ok(Frame {
+            id,
+            body: Some(body),
+        }) = Frame::decode(bytes)
+        else {
+            break;
+        };
+        // an answer nobody waits for any more is dropped
+        if let Some(waiter) = shared.waiters.lock().swap_remove(&id) {
+            let _ = waiter.send(body);
+        }
+    }
+    shared.close();
+}
--- /dev/null
+++ b/crates/runtime/src/link/message.rs
@@ -0,0 +1,331 @@
+//! Messages between entries and keepers. Times are stated as milliseconds that remain, since
+//! clocks of different hosts have nothing in common.
+
+use prost::{Message, Oneof};
+
+/// One frame on a link. An answer carries the id of its request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Chosen by the side that asks, unique on its connection.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What is said.
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub body: Option<Body>,
+}
+
+/// What a frame says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// First frame of a connection.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// Asks for a ticket.
+    #[prost(message, tag = "3")]
+    Acquire(AcquireMsg),
+    /// A ticket.
+    #[prost(message, tag = "4")]
+    Grant(GrantMsg),
+    /// No ticket.
+    #[prost(message, tag = "5")]
+    Refuse(RefuseMsg),
+    /// Gives a ticket back.
+    #[prost(message, tag = "6")]
+    Release(ReleaseMsg),
+    /// Heartbeat of an entry or a keeper.
+    #[prost(message, tag = "7")]
+    Beat(BeatMsg),
+    /// Answer to a heartbeat.
+    #[prost(message, tag = "8")]
+    View(ViewMsg),
+    /// Registers open tickets after a takeover.
+    #[prost(message, tag = "9")]
+    Register(RegisterMsg),
+    /// Done, with nothing more to say.
+    #[prost(message, tag = "10")]
+    Ok(Hello),
+    /// Asks another keeper for permits.
+    #[prost(message, tag = "11")]
+    Borrow(BorrowMsg),
+    /// Permits lent.
+    #[prost(message, tag = "12")]
+    Loans(LoansMsg),
+    /// Asks for, or gives, a description of the process for people, as JSON.
+    #[prost(message, tag = "13")]
+    Status(StatusMsg),
+}
+
+/// Who speaks.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Hello {
+    /// Host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Distinguishes restarts of the process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Shared secret of the deployment's links, from the settings.
+    #[prost(string, tag = "3")]
+    pub secret: String,
+}
+
+/// Names one attempt of one request; its entry is the one that said [`Hello`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct KeyMsg {
+    /// Id of the request.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Attempt number, from 1.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+}
+
+/// Asks for a ticket.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct AcquireMsg {
+    /// Which attempt.
+    #[prost(message, required, tag = "1")]
+    pub key: KeyMsg,
+    /// Engine on which it is to run.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// Model it names: `base/adapter@version`.
+    #[prost(string, tag = "3")]
+    pub model: String,
+    /// Who sent it.
+    #[prost(string, tag = "4")]
+    pub caller: String,
+    /// Class: live, interactive or background.
+    #[prost(string, tag = "5")]
+    pub class: String,
+    /// Milliseconds until its deadline.
+    #[prost(uint64, tag = "6")]
+    pub remaining_ms: u64,
+    /// Fingerprint of its content.
+    #[prost(fixed64, tag = "7")]
+    pub fingerprint: u64,
+    /// True when its content was on a target that crashed.
+    #[prost(bool, tag = "8")]
+    pub suspect: bool,
+    /// Engines on which the entry believes the model resident.
+    #[prost(uint32, tag = "9")]
+    pub copies: u32,
+}
+
+/// A ticket.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct GrantMsg {
+    /// Fencing number of the keeper's claim.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// Milliseconds that the request waited for a load.
+    #[prost(uint64, tag = "2")]
+    pub stall_ms: u64,
+}
+
+/// No ticket.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RefuseMsg {
+    /// Code of the reason.
+    #[prost(string, tag = "1")]
+    pub reason: String,
+    /// When it may help to come back, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub retry_after_ms: u64,
+}
+
+/// Gives a ticket back.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReleaseMsg {
+    /// Which attempt.
+    #[prost(message, required, tag = "1")]
+    pub key: KeyMsg,
+    /// Engine it was for.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// How it ended: done, unused, `not_resident` or broken.
+    #[prost(string, tag = "3")]
+    pub end: String,
+    /// Fingerprint of its content.
+    #[prost(fixed64, tag = "4")]
+    pub fingerprint: u64,
+}
+
+/// A ticket that is open at an entry.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TicketMsg {
+    /// Which attempt.
+    #[prost(message, required, tag = "1")]
+    pub key: KeyMsg,
+    /// Model it names.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// Who sent it.
+    #[prost(string, tag = "3")]
+    pub caller: String,
+    /// Fingerprint of its content.
+    #[prost(fixed64, tag = "4")]
+    pub fingerprint: u64,
+}
+
+/// Heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct BeatMsg {
+    /// True from an entry, false from a keeper.
+    #[prost(bool, tag = "1")]
+    pub entry: bool,
+    /// Revision of the configuration that the sender has in force.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Engines whose descriptions the sender has, with the version of each.
+    #[prost(btree_map = "string, uint64", tag = "3")]
+    pub known: std::collections::BTreeMap<String, u64>,
+    /// A newer configuration, as JSON, when the other side's last answer named an older one.
+    #[prost(bytes = "vec", tag = "4")]
+    pub config: Vec<u8>,
+    /// Contents that are or may be crash suspects.
+    #[prost(message, repeated, tag = "5")]
+    pub suspects: Vec<SuspectMsg>,
+    /// All requests that are open at this entry under tickets of this keeper, now and then.
+    #[prost(message, repeated, tag = "6")]
+    pub open: Vec<KeyMsg>,
+    /// True when `open` is filled in.
+    #[prost(bool, tag = "7")]
+    pub lists_open: bool,
+}
+
+/// A crash suspect.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct SuspectMsg {
+    /// Fingerprint of the content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Crashes it was part of.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+    /// Milliseconds until it is forgotten.
+    #[prost(uint64, tag = "3")]
+    pub remaining_ms: u64,
+}
+
+/// An engine as its keeper describes it.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EngineViewMsg {
+    /// Host name.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Fencing number of the keeper's claim.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Requests that run on it.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait for it.
+    #[prost(uint32, tag = "4")]
+    pub queued: u32,
+    /// Typical time a request runs, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub service_ms: u64,
+    /// Adapters waiting to be loaded.
+    #[prost(uint32, tag = "6")]
+    pub loads_waiting: u32,
+    /// Typical time from wanting an adapter to having it, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub load_ms: u64,
+    /// Slots that hold nothing.
+    #[prost(uint32, tag = "8")]
+    pub free_slots: u32,
+    /// True when loads may be ordered.
+    #[prost(bool, tag = "9")]
+    pub can_load: bool,
+    /// True when it is to get no new work, or takes none.
+    #[prost(bool, tag = "10")]
+    pub leaving: bool,
+    /// Version of the list of residents.
+    #[prost(uint64, tag = "11")]
+    pub version: u64,
+    /// True when this entry has registered its open tickets under this claim.
+    #[prost(bool, tag = "12")]
+    pub registered: bool,
+    /// Adapters resident or being loaded; left out when the receiver has this version.
+    #[prost(message, optional, tag = "13")]
+    pub resident: Option<ResidentMsg>,
+}
+
+/// Adapters on an engine.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ResidentMsg {
+    /// Their names.
+    #[prost(string, repeated, tag = "1")]
+    pub models: Vec<String>,
+}
+
+/// Answer to a heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct ViewMsg {
+    /// Engines that the keeper holds.
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<EngineViewMsg>,
+    /// Revision of the configuration that the keeper has in force.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Its configuration as JSON, when the sender's is older.
+    #[prost(bytes = "vec", tag = "3")]
+    pub config: Vec<u8>,
+    /// Contents that are or may be crash suspects.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: Vec<SuspectMsg>,
+}
+
+/// Registers open tickets after a takeover.
+#[derive(Clone, PartialEq, Message)]
+pub struct RegisterMsg {
+    /// Engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Fencing number under which they are registered; the entry starts nothing more under
+    /// an older one.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// The tickets.
+    #[prost(message, repeated, tag = "3")]
+    pub tickets: Vec<TicketMsg>,
+}
+
+/// Asks another keeper for permits of the weight store.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct BorrowMsg {
+    /// How many could be used.
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+}
+
+/// A permit lent.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LoanMsg {
+    /// Its number.
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    /// Milliseconds for which it may be used.
+    #[prost(uint64, tag = "2")]
+    pub use_ms: u64,
+    /// Milliseconds before the first load may start.
+    #[prost(uint64, tag = "3")]
+    pub ready_in_ms: u64,
+}
+
+/// Permits lent.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LoansMsg {
+    /// The permits.
+    #[prost(message, repeated, tag = "1")]
+    pub loans: Vec<LoanMsg>,
+}
+
+/// A description for people.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StatusMsg {
+    /// JSON; empty in the question.
+    #[prost(string, tag = "1")]
+    pub json: String,
+}
--- /dev/null
+++ b/crates/runtime/src/link/mod.rs
@@ -0,0 +1,26 @@
+//! Links between the system's own processes: length-delimited frames of prost messages.
+
+mod client;
+mod message;
+mod server;
+
+pub use {
+    client::{Link, LinkError},
+    message::{
+        AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg,
+        LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg,
+        TicketMsg, ViewMsg,
+    },
+    server::serve_links,
+};
+
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame, in bytes.
+const FRAME_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES_MAX)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/runtime/src/link/server.rs
@@ -0,0 +1,128 @@
+//! The answering side of links.
+
+use {
+    super::{
+        codec,
+        message::{Body, Frame, Hello},
+    },
+    crate::event::events,
+    bytes::Bytes,
+    egret_core::{Time, digest},
+    futures::{SinkExt, StreamExt, future::BoxFuture},
+    prost::Message,
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        task::JoinSet,
+    },
+    tokio_util::codec::{FramedRead, FramedWrite},
+};
+
+/// Answers that may wait to be written.
+const WRITE_QUEUE_FRAMES: usize = 4096;
+
+/// How long a new connection may take to say who it is, in milliseconds.
+const HELLO_MS: u64 = 2000;
+
+/// What answers a question; the first argument tells who asks.
+pub(super) type Answerer =
+    Arc<dyn Fn(Arc<Hello>, Body) -> BoxFuture<'static, Option<Body>> + Send + Sync>;
+
+/// Serves links on `address`. Each question is answered by its own task; when a connection
+/// ends, its tasks are cancelled.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn serve_links(
+    address: SocketAddr,
+    secret: String,
+    answerer: Answerer,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            continue;
+        };
+        let (secret, answerer) = (secret.clone(), answerer.clone());
+        tokio::spawn(async move {
+            if let Err(problem) = serve_link(stream, &secret, answerer).await {
+                events::LINK_REFUSED.warn(format_args!("peer={peer} {problem}"));
+            }
+        });
+    }
+}
+
+async fn serve_link(
+    stream: TcpStream,
+    secret: &str,
+    answerer: Answerer,
+) -> Result<(), &'static str> {
+    stream.set_nodelay(true).map_err(|_| "no such connection")?;
+    let (read, write) = stream.into_split();
+    let mut source = FramedRead::new(read, codec());
+    let mut sink = FramedWrite::new(write, codec());
+    let hello_by = crate::now().after_ms(HELLO_MS);
+    let (id, hello) = hello(&mut source, secret, hello_by).await?;
+    let (tx, mut rx) = mpsc::channel::<Frame>(WRITE_QUEUE_FRAMES);
+    let welcome = Frame {
+        id,
+        body: Some(Body::Ok(Hello::default())),
+    };
+    tx.try_send(welcome).map_err(|_| "closed")?;
+    let writer = tokio::spawn(async move {
+        while let Some(frame) = rx.recv().await {
+            if sink.send(Bytes::from(frame.encode_to_vec())).await.is_err() {
+                break;
+            }
+        }
+    });
+    let mut tasks = JoinSet::new();
+    while let Some(Ok(bytes)) = source.next().await {
+        let Ok(Frame {
+            id,
+            body: Some(body),
+        }) = Frame::decode(bytes)
+        else {
+            // a frame of an unknown kind: nothing on this connection can be trusted
+            events::LINK_BROKEN.warn(format_args!("peer={} frame not understood", hello.host));
+            break;
+        };
+        let (tx, answer) = (tx.clone(), answerer(hello.clone(), body));
+        tasks.spawn(async move {
+            if let Some(body) = answer.await {
+                let _ = tx
+                    .send(Frame {
+                        id,
+                        body: Some(body),
+                    })
+                    .await;
+            }
+        });
+        while tasks.try_join_next().is_some() {}
+    }
+    writer.abort();
+    Ok(())
+}
+
+async fn hello(
+    source: &mut FramedRead<
+        tokio::net::tcp::OwnedReadHalf,
+        tokio_util::codec::LengthDelimitedCodec,
+    >,
+    secret: &str,
+    deadline: Time,
+) -> Result<(u64, Arc<Hello>), &'static str> {
+    let first = crate::web::before(deadline, source.next()).await;
+    let bytes = first.flatten().and_then(Result::ok).ok_or("said nothing")?;
+    let frame = Frame::decode(bytes).map_err(|_| "frame not understood")?;
+    let Some(Body::Hello(hello)) = frame.body else {
+        return Err("did not say who it is");
+    };
+    // digests are of one length and do not tell how much of a guess was right
+    if digest(hello.secret.as_bytes()) != digest(secret.as_bytes()) {
+        return Err("wrong or missing link secret");
+    }
+    Ok((frame.id, Arc::new(hello)))
+}
--- /dev/null
+++ b/crates/runtime/src/watch/config.rs
@@ -0,0 +1,141 @@
+//! The configuration in force, from the log or from peers.
+
+use {
+    crate::{LogClient, Tail, event::events},
+    egret_core::{Config, ConfigLog, ConfigRecord, Snapshot},
+    parking_lot::Mutex,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    tokio::sync::watch,
+};
+
+/// Stream of the platform's log that carries the configuration.
+const CONFIG_STREAM: &str = "config";
+
+/// Follows the configuration. It only ever moves to a newer revision.
+#[derive(Debug)]
+pub struct ConfigWatch {
+    fold: Mutex<ConfigLog>,
+    in_force: watch::Sender<Arc<Config>>,
+    read: AtomicBool,
+    snapshot_at: AtomicU64,
+    read_to: AtomicU64,
+}
+
+impl Default for ConfigWatch {
+    fn default() -> Self {
+        Self {
+            fold: Mutex::default(),
+            in_force: watch::Sender::new(Arc::default()),
+            read: AtomicBool::new(false),
+            snapshot_at: AtomicU64::new(0),
+            read_to: AtomicU64::new(0),
+        }
+    }
+}
+
+impl ConfigWatch {
+    /// The configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<Config> {
+        self.in_force.borrow().clone()
+    }
+
+    /// Tells of each newer configuration.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
+        self.in_force.subscribe()
+    }
+
+    /// True once there is a configuration, from the log or from a peer.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.in_force.borrow().revision > 0
+    }
+
+    /// True once the stream was read to its end.
+    #[must_use]
+    pub fn read(&self) -> bool {
+        self.read.load(Ordering::Acquire)
+    }
+
+    /// The configuration in force as JSON for a peer, if it is newer than `revision`.
+    #[must_use]
+    pub fn newer_than(&self, revision: u64) -> Vec<u8> {
+        if self.in_force.borrow().revision <= revision {
+            return Vec::new();
+        }
+        let snapshot = self.fold.lock().snapshot();
+        serde_json::to_vec(&snapshot).unwrap_or_default()
+    }
+
+    /// Takes a configuration from a peer, if it is newer.
+    pub fn adopt(&self, json: &[u8]) {
+        let Ok(snapshot) = serde_json::from_slice::<Snapshot>(json) else {
+            return;
+        };
+        self.fold.lock().adopt(&snapshot);
+        self.publish("peer");
+    }
+
+    /// The configuration to be appended again, if no snapshot stands among the newest
+    /// `most_records` records of the stream.
+    #[must_use]
+    pub fn snapshot_due(&self, most_records: u64) -> Option<ConfigRecord> {
+        let read_to = self.read_to.load(Ordering::Acquire);
+        let age = read_to.saturating_sub(self.snapshot_at.load(Ordering::Acquire));
+        if !self.ready() || !self.read() || age < most_records {
+            return None;
+        }
+        Some(ConfigRecord::Snapshot(self.fold.lock().snapshot()))
+    }
+
+    /// Follows the stream for ever.
+    pub async fn follow(&self, log: LogClient) {
+        let mut tail = Tail::new(log, CONFIG_STREAM);
+        loop {
+            let (_, batch) = tail.next().await;
+            let (at_end, next) = (batch.reaches_end(), batch.next());
+            self.fold.lock().starts_at(batch.start);
+            for (offset, record) in batch.decode::<ConfigRecord>() {
+                self.observe(offset, record);
+            }
+            self.read_to.store(next, Ordering::Release);
+            self.publish("log");
+            if at_end {
+                self.read.store(true, Ordering::Release);
+            }
+        }
+    }
+
+    fn observe(&self, offset: u64, record: Option<ConfigRecord>) {
+        let Some(record) = record else {
+            let stream = CONFIG_STREAM;
+            events::LOG_RECORD_UNKNOWN.warn(format_args!("stream={stream} offset={offset}"));
+            return;
+        };
+        if matches!(record, ConfigRecord::Snapshot(_)) {
+            self.snapshot_at.store(offset, Ordering::Release);
+        }
+        self.fold.lock().observe(offset, record);
+    }
+
+    fn publish(&self, source: &str) {
+        let newest = self.fold.lock().current().clone();
+        let published = self.in_force.send_if_modified(|current| {
+            let newer = newest.revision > current.revision;
+            if newer {
+                *current = newest.clone();
+            }
+            newer
+        });
+        if published {
+            let (revision, operator) = (newest.revision, &newest.operator);
+            events::CONFIG_IN_FORCE.info(format_args!(
+                "revision={revision} operator={operator} source={source}"
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/web/client.rs
@@ -0,0 +1,251 @@
+//! The HTTP client: each call names its address and its deadline.
+
+use {
+    super::server::read_limited,
+    bytes::Bytes,
+    egret_core::Time,
+    http::{HeaderMap, Method, StatusCode, Uri},
+    std::{error::Error, future::Future, io, net::SocketAddr, time::Duration},
+    thiserror::Error,
+    volo::net::Address,
+    volo_http::{body::Body, client::Client, error::ClientError, response::Response},
+};
+
+/// Headers that tie an engine's answer to the request it belongs to.
+pub const ENGINE_HEADERS: [&str; 4] = ["x-request-id", "x-attempt", "x-adapter", "x-engine-epoch"];
+
+/// Longest time to open a connection, in milliseconds.
+const CONNECT_MS: u64 = 1500;
+
+/// Largest answer read into memory, in bytes.
+const REPLY_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// Why a call got no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection was made: the target can't have seen the request.
+    #[error("not connected: {0}")]
+    NotConnected(String),
+    /// The deadline passed before the answer came.
+    #[error("no answer before the deadline")]
+    Late,
+    /// The connection broke: the target may have seen the request.
+    #[error("connection broke: {0}")]
+    Broken(String),
+}
+
+impl CallError {
+    /// True when the target can't have seen the request.
+    #[must_use]
+    pub fn not_sent(&self) -> bool {
+        matches!(self, Self::NotConnected(_))
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// A header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// When it is not JSON of the type asked for.
+    pub fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// An HTTP client that follows no redirects and repeats nothing by itself.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+}
+
+impl std::fmt::Debug for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Caller")
+    }
+}
+
+impl Caller {
+    /// A client that keeps idle connections for later calls.
+    ///
+    /// # Panics
+    ///
+    /// When the library can't build a client, which depends on nothing outside.
+    #[must_use]
+    pub fn pooled() -> Self {
+        Self::build(64)
+    }
+
+    /// A client that opens a new connection for each call. A call that may not be repeated goes
+    /// by one of these: on a kept connection that the target is just closing, its fate would
+    /// not be known.
+    ///
+    /// # Panics
+    ///
+    /// When the library can't build a client, which depends on nothing outside.
+    #[must_use]
+    pub fn unpooled() -> Self {
+        Self::build(0)
+    }
+
+    fn build(idle_max: usize) -> Self {
+        let mut builder = Client::builder();
+        builder.set_max_idle_per_host(idle_max);
+        builder.set_connect_timeout(Duration::from_millis(CONNECT_MS));
+        let client = builder
+            .build()
+            .expect("a client without TLS needs nothing outside");
+        Self { client }
+    }
+
+    /// Sends a request and returns once the head of the answer is there.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer before `deadline`.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+        deadline: Time,
+    ) -> Result<Response, CallError> {
+        let uri: Uri = path
+            .parse()
+            .map_err(|_| CallError::NotConnected("bad path".to_owned()))?;
+        let mut request = self
+            .client
+            .request_builder()
+            .method(method)
+            .uri(uri)
+            .address(Address::from(address))
+            .body(Body::from(body));
+        request.headers_mut().extend(headers.clone());
+        let sent = before(deadline, request.send::<Body>())
+            .await
+            .ok_or(CallError::Late)?;
+        sent.map_err(|e| classify(&e))
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no whole answer before `deadline`.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+        deadline: Time,
+    ) -> Result<Reply, CallError> {
+        let response = self
+            .open(address, method, path, headers, body, deadline)
+            .await?;
+        let (head, body) = response.into_parts();
+        let read = before(deadline, read_limited(body, REPLY_BYTES_MAX)).await;
+        let body = read
+            .ok_or(CallError::Late)?
+            .map_err(|e| CallError::Broken(e.to_string()))?;
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    /// Gets `path`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Time,
+    ) -> Result<Reply, CallError> {
+        self.call(
+            address,
+            Method::GET,
+            path,
+            &HeaderMap::new(),
+            Bytes::new(),
+            deadline,
+        )
+        .await
+    }
+
+    /// Posts `value` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn post_json<T: serde::Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        value: &T,
+        deadline: Time,
+    ) -> Result<Reply, CallError> {
+        let mut headers = HeaderMap::new();
+        let json = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+        let body = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+        self.call(address, Method::POST, path, &headers, body, deadline)
+            .await
+    }
+}
+
+/// Runs `work` until `deadline`; none when it passed first.
+pub(crate) async fn before<F: Future>(deadline: Time, work: F) -> Option<F::Output> {
+    let left = Duration::from_millis(crate::now().ms_until(deadline));
+    tokio::time::timeout(left, work).await.ok()
+}
+
+fn classify(error: &ClientError) -> CallError {
+    let text = error.to_string();
+    let mut cause: Option<&(dyn Error + 'static)> = Some(error);
+    while let Some(inner) = cause {
+        let refused = inner
+            .downcast_ref::<io::Error>()
+            .is_some_and(|e| never_connected(e.kind()));
+        if refused {
+            return CallError::NotConnected(text);
+        }
+        cause = inner.source();
+    }
+    CallError::Broken(text)
+}
+
+// only connect(2) reports these: an open connection never does
+fn never_connected(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::AddrNotAvailable
+    )
+}
--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,233 @@
+//! Completions: OpenAI-style JSON or server-sent events.
+
+use {
+    super::{Engine, Sequence, batch::Step},
+    crate::frame::{bad, read_json, take},
+    bytes::Bytes,
+    egret_runtime::json_response,
+    futures::{Stream, StreamExt},
+    http::{HeaderName, HeaderValue, StatusCode, header},
+    http_body_util::StreamBody,
+    serde::Deserialize,
+    serde_json::{Value, json},
+    std::{fmt::Write, io, sync::Arc},
+    tokio::sync::mpsc,
+    volo_http::{body::Body, request::Request, response::Response},
+};
+
+/// Tokens of an answer that does not say how many.
+const TOKENS: u64 = 16;
+
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    messages: Value,
+    #[serde(default = "default_tokens")]
+    max_tokens: u64,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority: u8,
+}
+
+fn default_tokens() -> u64 {
+    TOKENS
+}
+
+/// How one answer is disturbed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Disturbed {
+    truncate: bool,
+    duplicate: bool,
+}
+
+/// What labels the parts of an answer.
+#[derive(Clone)]
+struct Label {
+    request: String,
+    attempt: String,
+    model: String,
+}
+
+/// Runs a request and answers with its tokens.
+pub(super) async fn complete(engine: Arc<Engine>, req: Request) -> Response {
+    let request = header_text(&req, "x-request-id");
+    let attempt = header_text(&req, "x-attempt");
+    let completion: Completion = match read_json(req.into_body()).await {
+        Ok(completion) => completion,
+        Err(response) => return response,
+    };
+    if completion.max_tokens == 0 {
+        return bad("max_tokens must be at least 1");
+    }
+    if !engine.resident.lock().contains(&completion.model) {
+        let answer = json!({ "error": { "code": "adapter_not_loaded", "epoch": engine.epoch } });
+        return json_response(StatusCode::NOT_FOUND, &answer);
+    }
+    let stream = completion.stream;
+    let (label, disturbed) = disturb(&engine, &completion.model, request.clone(), attempt.clone());
+    let (tx, rx) = mpsc::unbounded_channel();
+    engine.batch.lock().waiting.push_back(Sequence {
+        request,
+        attempt,
+        poison: poisonous(&engine, &completion),
+        model: completion.model,
+        priority: completion.priority,
+        tokens_left: completion.max_tokens,
+        silent: false,
+        tx,
+    });
+    engine.work.notify_one();
+    let mut response = if stream {
+        streamed(&label, disturbed, rx)
+    } else {
+        whole(&label, disturbed, rx).await
+    };
+    let labels = [
+        ("x-request-id", label.request),
+        ("x-attempt", label.attempt),
+        ("x-adapter", label.model),
+        ("x-engine-epoch", engine.epoch.to_string()),
+    ];
+    for (name, value) in labels {
+        let value = HeaderValue::from_str(&value).unwrap_or(HeaderValue::from_static(""));
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+    response
+}
+
+fn header_text(req: &Request, name: &str) -> String {
+    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+fn poisonous(engine: &Engine, completion: &Completion) -> bool {
+    let mark = engine.lasting.faults.lock().crash_on.clone();
+    let prompt = format!("{}{}", completion.prompt, completion.messages);
+    mark.is_some_and(|mark| prompt.contains(&mark))
+}
+
+fn disturb(engine: &Engine, model: &str, request: String, attempt: String) -> (Label, Disturbed) {
+    let mut faults = engine.lasting.faults.lock();
+    let mut label = Label {
+        request,
+        attempt,
+        model: model.to_owned(),
+    };
+    if take(&mut faults.cross) {
+        label.request.push_str("-other");
+    }
+    if take(&mut faults.wrong_version) {
+        label.model.push('0');
+    }
+    let disturbed = Disturbed {
+        truncate: take(&mut faults.truncate),
+        duplicate: take(&mut faults.duplicate),
+    };
+    (label, disturbed)
+}
+
+fn chunk(label: &Label, index: u64, last: bool) -> Value {
+    json!({
+        "id": label.request,
+        "attempt": label.attempt,
+        "object": "text_completion",
+        "model": label.model,
+        "index": index,
+        "choices": [{
+            "index": 0,
+            "text": format!("{}#{index} ", label.model),
+            "finish_reason": last.then_some("stop"),
+        }],
+    })
+}
+
+fn event(value: &Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
+
+/// The events of a sequence, and an error when it breaks off.
+fn events(
+    label: Label,
+    disturbed: Disturbed,
+    rx: mpsc::UnboundedReceiver<Step>,
+) -> impl Stream<Item = io::Result<Bytes>> + Send + Sync {
+    let broken = || io::Error::other("broke off");
+    futures::stream::unfold((rx, 0_u64, false), move |(mut rx, index, ended)| {
+        let label = label.clone();
+        async move {
+            if ended {
+                return None;
+            }
+            let step = rx.recv().await.unwrap_or(Step::Aborted);
+            let ends = step != Step::Token;
+            let mut bytes = event(&chunk(&label, index, step == Step::Last)).to_vec();
+            if disturbed.duplicate {
+                bytes.extend_from_within(..);
+            }
+            let item = match step {
+                Step::Aborted => return Some((Err(broken()), (rx, index, true))),
+                _ if disturbed.truncate && (index > 0 || ends) => {
+                    return Some((Err(broken()), (rx, index, true)));
+                }
+                Step::Token => bytes,
+                Step::Last => {
+                    bytes.extend_from_slice(b"data: [DONE]\n\n");
+                    bytes
+                }
+            };
+            Some((Ok(Bytes::from(item)), (rx, index + 1, ends)))
+        }
+    })
+}
+
+fn streamed(label: &Label, disturbed: Disturbed, rx: mpsc::UnboundedReceiver<Step>) -> Response {
+    let frames = events(label.clone(), disturbed, rx);
+    let frames = frames.map(|item| item.map(http_body::Frame::data));
+    let mut response = Response::new(Body::from_body(StreamBody::new(frames)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+async fn whole(
+    label: &Label,
+    disturbed: Disturbed,
+    mut rx: mpsc::UnboundedReceiver<Step>,
+) -> Response {
+    let mut text = String::new();
+    let mut index = 0_u64;
+    loop {
+        let step = rx.recv().await.unwrap_or(Step::Aborted);
+        if step == Step::Aborted {
+            let answer = json!({ "error": { "code": "aborted" } });
+            return json_response(StatusCode::BAD_GATEWAY, &answer);
+        }
+        let _ = write!(text, "{}#{index} ", label.model);
+        index += 1;
+        if step == Step::Last {
+            break;
+        }
+    }
+    let answer = json!({
+        "id": label.request,
+        "attempt": label.attempt,
+        "object": "text_completion",
+        "model": label.model,
+        "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
+        "usage": { "completion_tokens": index },
+    });
+    if disturbed.truncate {
+        let half = answer.to_string().into_bytes();
+        let cut = Bytes::copy_from_slice(&half[..half.len() / 2]);
+        let items = [Ok(cut), Err(io::Error::other("broke off"))];
+        let frames = futures::stream::iter(items).map(|i| i.map(http_body::Frame::data));
+        return Response::new(Body::from_body(StreamBody::new(frames)));
+    }
+    json_response(StatusCode::OK, &answer)
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,144 @@
+//! Continuous batching: every step gives one token to each running sequence.
+
+use {
+    super::Engine,
+    indexmap::IndexSet,
+    std::{
+        collections::VecDeque,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Load reports kept.
+const REPORTS_MAX: usize = 4096;
+
+/// One request in the engine.
+pub(super) struct Sequence {
+    pub(super) request: String,
+    pub(super) attempt: String,
+    pub(super) model: String,
+    pub(super) priority: u8,
+    pub(super) tokens_left: u64,
+    pub(super) silent: bool,
+    pub(super) poison: bool,
+    pub(super) tx: mpsc::UnboundedSender<Step>,
+}
+
+/// What a sequence gets from a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Step {
+    /// A token.
+    Token,
+    /// The last token.
+    Last,
+    /// The sequence was ended from outside.
+    Aborted,
+}
+
+/// Sequences that run and that wait.
+#[derive(Default)]
+pub(super) struct Batch {
+    pub(super) running: Vec<Sequence>,
+    pub(super) waiting: VecDeque<Sequence>,
+}
+
+impl Batch {
+    /// Silences all sequences that are in the engine now.
+    pub(super) fn silence(&mut self) {
+        for sequence in self.running.iter_mut().chain(&mut self.waiting) {
+            sequence.silent = true;
+        }
+    }
+
+    /// Ends the sequences that `which` picks. Returns how many there were.
+    pub(super) fn abort(&mut self, which: impl Fn(&Sequence) -> bool) -> usize {
+        let before = self.running.len() + self.waiting.len();
+        let end = |sequence: &Sequence| {
+            let picked = which(sequence);
+            if picked {
+                let _ = sequence.tx.send(Step::Aborted);
+            }
+            !picked
+        };
+        self.running.retain(&end);
+        self.waiting.retain(&end);
+        before - self.running.len() - self.waiting.len()
+    }
+
+    fn admit(&mut self, most: usize) {
+        self.waiting.make_contiguous().sort_by_key(|s| s.priority);
+        while self.running.len() < most {
+            let Some(next) = self.waiting.pop_front() else {
+                return;
+            };
+            self.running.push(next);
+        }
+    }
+}
+
+/// Runs steps as long as the engine lives.
+pub(super) async fn run_steps(engine: Arc<Engine>) {
+    loop {
+        let Some(took) = begin_step(&engine) else {
+            let idle = Duration::from_millis(20);
+            let _ = tokio::time::timeout(idle, engine.work.notified()).await;
+            continue;
+        };
+        tokio::time::sleep(took).await;
+        end_step(&engine);
+    }
+}
+
+/// Admits what waits; the time that the step takes, none when there is nothing to run.
+fn begin_step(engine: &Engine) -> Option<Duration> {
+    let args = &engine.lasting.args;
+    let frozen = engine.lasting.faults.lock().freeze;
+    let mut batch = engine.batch.lock();
+    batch.running.retain(|s| !s.tx.is_closed());
+    batch.waiting.retain(|s| !s.tx.is_closed());
+    report(engine, &batch);
+    batch.admit(args.batch);
+    if batch.running.is_empty() || frozen {
+        return None;
+    }
+    let adapters: IndexSet<&str> = batch.running.iter().map(|s| s.model.as_str()).collect();
+    let (sequences, adapters) = (batch.running.len() as u64, adapters.len() as u64);
+    let mut stats = engine.lasting.stats.lock();
+    stats.steps += 1;
+    stats.sequences += sequences;
+    stats.adapters += adapters;
+    let us = args.step_ms * 1000 + sequences * args.sequence_us + adapters * args.adapter_us;
+    Some(Duration::from_micros(us))
+}
+
+fn report(engine: &Engine, batch: &Batch) {
+    let mut reports = engine.reports.lock();
+    reports.push_back((Instant::now(), batch.running.len(), batch.waiting.len()));
+    if reports.len() > REPORTS_MAX {
+        reports.pop_front();
+    }
+}
+
+fn end_step(engine: &Engine) {
+    let mut poisoned = false;
+    let mut answered = 0;
+    engine.batch.lock().running.retain_mut(|sequence| {
+        poisoned |= sequence.poison;
+        if sequence.silent {
+            return true;
+        }
+        sequence.tokens_left = sequence.tokens_left.saturating_sub(1);
+        let last = sequence.tokens_left == 0;
+        let _ = sequence
+            .tx
+            .send(if last { Step::Last } else { Step::Token });
+        answered += u64::from(last);
+        !last
+    });
+    engine.lasting.stats.lock().answered += answered;
+    if poisoned {
+        engine.crash();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,180 @@
+//! A model engine: adapter slots, continuous batching, orders with fencing numbers.
+
+mod answer;
+mod batch;
+mod faults;
+mod orders;
+
+use {
+    crate::{
+        cli::EngineArgs,
+        frame::{not_found, ok, read_json, serve_lives},
+    },
+    batch::{Batch, Sequence},
+    egret_runtime::{Caller, unix_ms},
+    faults::Faults,
+    http::Method,
+    indexmap::{IndexMap, IndexSet},
+    parking_lot::Mutex,
+    serde_json::json,
+    std::{collections::VecDeque, sync::Arc, time::Instant},
+    tokio::sync::Notify,
+    volo::net::Address,
+    volo_http::{request::Request, response::Response},
+};
+
+/// Counts over all lives of the engine.
+#[derive(Clone, Debug, Default)]
+struct Stats {
+    steps: u64,
+    sequences: u64,
+    adapters: u64,
+    loads: u64,
+    unloads: u64,
+    unloads_in_use: u64,
+    fenced: u64,
+    crashes: u64,
+    answered: u64,
+}
+
+/// What outlives a crash: settings, switches and counts.
+struct Lasting {
+    args: EngineArgs,
+    faults: Mutex<Faults>,
+    stats: Mutex<Stats>,
+    fence: Mutex<u64>,
+}
+
+/// One life of the engine.
+struct Engine {
+    lasting: Arc<Lasting>,
+    epoch: u64,
+    crash: Arc<Notify>,
+    caller: Caller,
+    resident: Mutex<IndexSet<String>>,
+    batch: Mutex<Batch>,
+    work: Notify,
+    peers: Mutex<IndexMap<String, bool>>,
+    reports: Mutex<VecDeque<(Instant, usize, usize)>>,
+}
+
+/// Serves the engine.
+pub(crate) fn run(args: &EngineArgs) -> std::io::Result<()> {
+    let lasting = Arc::new(Lasting {
+        args: args.clone(),
+        faults: Mutex::default(),
+        stats: Mutex::default(),
+        fence: Mutex::new(0),
+    });
+    serve_lives(args.listen, args.restart_ms, move |crash| {
+        let engine = Arc::new(Engine::new(lasting.clone(), crash));
+        tokio::spawn(batch::run_steps(engine.clone()));
+        move |peer, req| {
+            let engine = engine.clone();
+            Box::pin(async move { engine.answer(&peer, req).await })
+        }
+    })
+}
+
+impl Engine {
+    fn new(lasting: Arc<Lasting>, crash: Arc<Notify>) -> Self {
+        Self {
+            lasting,
+            epoch: unix_ms(),
+            crash,
+            caller: Caller::pooled(),
+            resident: Mutex::default(),
+            batch: Mutex::default(),
+            work: Notify::new(),
+            peers: Mutex::default(),
+            reports: Mutex::default(),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, peer: &Address, req: Request) -> Response {
+        let path = req.uri().path().to_owned();
+        match (req.method(), path.as_str()) {
+            (&Method::POST, "/faults") => return self.set_faults(req).await,
+            (&Method::GET, "/stats") => return self.stats(),
+            (&Method::GET, "/healthz") => return ok(&json!({})),
+            _ => {}
+        }
+        if self.silenced(peer) {
+            return crate::frame::silence().await;
+        }
+        match (req.method(), path.as_str()) {
+            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+                answer::complete(self, req).await
+            }
+            (&Method::POST, "/v1/load_lora_adapter") => orders::load(&self, req).await,
+            (&Method::POST, "/v1/unload_lora_adapter") => orders::unload(&self, req).await,
+            (&Method::POST, "/v1/cancel") => orders::cancel(&self, req).await,
+            (&Method::GET, "/v1/models") => self.models(),
+            (&Method::GET, "/v1/load") => self.load_report(),
+            _ => not_found(),
+        }
+    }
+
+    async fn set_faults(&self, req: Request) -> Response {
+        let faults = match read_json::<Faults>(req.into_body()).await {
+            Ok(faults) => faults,
+            Err(response) => return response,
+        };
+        if faults.silence_open {
+            self.peers
+                .lock()
+                .values_mut()
+                .for_each(|silent| *silent = true);
+            self.batch.lock().silence();
+        }
+        if faults.crash {
+            self.crash();
+        }
+        *self.lasting.faults.lock() = faults;
+        ok(&json!({}))
+    }
+
+    /// True when this connection was open when connections were silenced.
+    fn silenced(&self, peer: &Address) -> bool {
+        let mut peers = self.peers.lock();
+        *peers.entry(peer.to_string()).or_insert(false)
+    }
+
+    fn crash(&self) {
+        self.lasting.stats.lock().crashes += 1;
+        self.crash.notify_one();
+    }
+
+    fn stats(&self) -> Response {
+        let stats = self.lasting.stats.lock().clone();
+        ok(&json!({
+            "epoch": self.epoch,
+            "steps": stats.steps,
+            "sequences": stats.sequences,
+            "adapters": stats.adapters,
+            "loads": stats.loads,
+            "unloads": stats.unloads,
+            "unloads_in_use": stats.unloads_in_use,
+            "fenced": stats.fenced,
+            "crashes": stats.crashes,
+            "answered": stats.answered,
+            "running": self.batch.lock().running.len(),
+            "resident": self.resident.lock().len(),
+        }))
+    }
+
+    fn models(&self) -> Response {
+        let resident = self.resident.lock();
+        let data: Vec<_> = resident.iter().map(|id| json!({ "id": id })).collect();
+        ok(&json!({ "object": "list", "data": data, "epoch": self.epoch }))
+    }
+
+    /// Running and waiting sequences as they were a while ago.
+    fn load_report(&self) -> Response {
+        let lag = std::time::Duration::from_millis(self.lasting.args.report_lag_ms);
+        let reports = self.reports.lock();
+        let old = reports.iter().rev().find(|(at, _, _)| at.elapsed() >= lag);
+        let (running, waiting) = old.map_or((0, 0), |(_, running, waiting)| (*running, *waiting));
+        ok(&json!({ "running": running, "waiting": waiting }))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/frame.rs
@@ -0,0 +1,97 @@
+//! What all stand-ins share: a server that can crash, JSON requests, fault switches.
+
+use {
+    egret_runtime::{json_response, read_limited, serve_http},
+    futures::future::BoxFuture,
+    http::StatusCode,
+    serde::de::DeserializeOwned,
+    serde_json::{Value, json},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{runtime::Runtime, sync::Notify},
+    volo::net::Address,
+    volo_http::{body::Body, request::Request, response::Response},
+};
+
+/// Largest body of a request, in bytes.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Serves until SIGTERM, on as many threads as the library chooses.
+pub(crate) fn serve<H>(address: SocketAddr, handler: H) -> std::io::Result<()>
+where
+    H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
+{
+    let runtime = Runtime::new()?;
+    runtime.block_on(serve_http(address, handler, || Box::pin(async {})))
+}
+
+/// Serves until SIGTERM. Each time `start` is called a new life begins; it gets the switch
+/// that ends this life like a crash: all connections break, none is taken for `restart_ms`.
+pub(crate) fn serve_lives<H>(
+    address: SocketAddr,
+    restart_ms: u64,
+    start: impl Fn(Arc<Notify>) -> H,
+) -> std::io::Result<()>
+where
+    H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
+{
+    loop {
+        let runtime = Runtime::new()?;
+        let crash = Arc::new(Notify::new());
+        let stopped = runtime.block_on(async {
+            let handler = start(crash.clone());
+            tokio::select! {
+                served = serve_http(address, handler, || Box::pin(async {})) => Some(served),
+                () = crash.notified() => None,
+            }
+        });
+        runtime.shutdown_background();
+        if let Some(served) = stopped {
+            return served;
+        }
+        std::thread::sleep(Duration::from_millis(restart_ms));
+    }
+}
+
+/// Reads a JSON body.
+pub(crate) async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, Response> {
+    let bytes = read_limited(body, BODY_BYTES_MAX)
+        .await
+        .map_err(|e| bad(&e.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|e| bad(&e.to_string()))
+}
+
+/// A client's error.
+pub(crate) fn bad(problem: &str) -> Response {
+    json_response(StatusCode::BAD_REQUEST, &json!({ "error": problem }))
+}
+
+/// An answer of success.
+pub(crate) fn ok(value: &Value) -> Response {
+    json_response(StatusCode::OK, value)
+}
+
+/// There is nothing at this path.
+pub(crate) fn not_found() -> Response {
+    json_response(StatusCode::NOT_FOUND, &json!({ "error": "no such path" }))
+}
+
+/// Never answers.
+pub(crate) async fn silence() -> Response {
+    futures::future::pending().await
+}
+
+/// A parameter of the query string.
+pub(crate) fn query<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    let pairs = req.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, v)| v)
+}
+
+/// Counts a switch that holds for a number of times down. True while it holds.
+pub(crate) fn take(count: &mut u32) -> bool {
+    let holds = *count > 0;
+    *count = count.saturating_sub(1);
+    holds
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,5 @@
+//! Runs one stand-in.
+
+fn main() -> std::process::ExitCode {
+    egret_standin::cli::run()
+}
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,147 @@
+//! A TCP relay that can cut connections, or silence those that are open.
+
+use {
+    crate::{
+        cli::RelayArgs,
+        frame::{not_found, ok, read_json},
+    },
+    egret_runtime::serve_http,
+    http::Method,
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+    volo_http::{request::Request, response::Response},
+};
+
+/// Bytes passed on at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// No connection is taken and all open ones break.
+    cut: bool,
+    /// Connections that are open when this is set pass nothing on any more; new ones work.
+    silence_open: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Switches {
+    cut: bool,
+    /// Connections numbered below this one are silent.
+    silent_below: u64,
+}
+
+struct Relay {
+    switches: watch::Sender<Switches>,
+    opened: Mutex<u64>,
+}
+
+/// Relays connections until SIGTERM.
+pub(crate) fn run(args: &RelayArgs) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let relay = Arc::new(Relay {
+        switches: watch::Sender::default(),
+        opened: Mutex::new(0),
+    });
+    let (listen, to) = (args.listen, args.to);
+    let control = {
+        let relay = relay.clone();
+        move |_, req| {
+            let relay = relay.clone();
+            Box::pin(async move { relay.answer(req).await }) as _
+        }
+    };
+    runtime.block_on(async {
+        let listener = TcpListener::bind(listen).await?;
+        tokio::spawn(accept(relay, listener, to));
+        serve_http(args.control, control, || Box::pin(async {})).await
+    })
+}
+
+impl Relay {
+    async fn answer(&self, req: Request) -> Response {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/healthz") => ok(&json!({})),
+            (&Method::POST, "/faults") => match read_json::<Faults>(req.into_body()).await {
+                Ok(faults) => {
+                    let opened = *self.opened.lock();
+                    self.switches.send_modify(|switches| {
+                        switches.cut = faults.cut;
+                        if faults.silence_open {
+                            switches.silent_below = opened;
+                        }
+                    });
+                    ok(&json!({ "opened": opened }))
+                }
+                Err(response) => response,
+            },
+            _ => not_found(),
+        }
+    }
+}
+
+async fn accept(relay: Arc<Relay>, listener: TcpListener, to: SocketAddr) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if relay.switches.borrow().cut {
+            continue;
+        }
+        let number = {
+            let mut opened = relay.opened.lock();
+            *opened += 1;
+            *opened - 1
+        };
+        let switches = relay.switches.subscribe();
+        tokio::spawn(pass(number, stream, to, switches));
+    }
+}
+
+async fn pass(number: u64, inner: TcpStream, to: SocketAddr, switches: watch::Receiver<Switches>) {
+    let Ok(outer) = TcpStream::connect(to).await else {
+        return;
+    };
+    let (inner_read, inner_write) = inner.into_split();
+    let (outer_read, outer_write) = outer.into_split();
+    tokio::select! {
+        () = copy(number, inner_read, outer_write, switches.clone()) => {}
+        () = copy(number, outer_read, inner_write, switches) => {}
+    }
+}
+
+async fn copy(
+    number: u64,
+    mut read: tokio::net::tcp::OwnedReadHalf,
+    mut write: tokio::net::tcp::OwnedWriteHalf,
+    mut switches: watch::Receiver<Switches>,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let state = *switches.borrow_and_update();
+        if state.cut {
+            return;
+        }
+        let silent = number < state.silent_below;
+        tokio::select! {
+            got = read.read(&mut chunk), if !silent => match got {
+                Ok(count) if count > 0 => {
+                    if write.write_all(&chunk[..count]).await.is_err() {
+                        return;
+                    }
+                }
+                _ => return,
+            },
+            changed = switches.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,115 @@
+//! A plain service that records every effect.
+
+use {
+    crate::{
+        cli::ServiceArgs,
+        frame::{not_found, ok, read_json, serve_lives, silence, take},
+    },
+    egret_runtime::{json_response, read_limited},
+    http::{Method, StatusCode},
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+    tokio::sync::Notify,
+    volo_http::{request::Request, response::Response},
+};
+
+/// Largest body of a request, in bytes.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// The next so many requests take effect but are not answered.
+    lose_answers: u32,
+    /// The next so many requests take effect, then the service crashes.
+    crash_after_effect: u32,
+    /// The next so many requests crash the service before any effect.
+    crash_before_effect: u32,
+    /// A request takes this much longer, in milliseconds.
+    slow_ms: u64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Effect {
+    key: String,
+    path: String,
+    body: String,
+}
+
+#[derive(Default)]
+struct Service {
+    work_ms: u64,
+    effects: Mutex<Vec<Effect>>,
+    faults: Mutex<Faults>,
+}
+
+/// Serves the service. Its effects outlive its crashes.
+pub(crate) fn run(args: &ServiceArgs) -> std::io::Result<()> {
+    let service = Arc::new(Service {
+        work_ms: args.work_ms,
+        ..Service::default()
+    });
+    serve_lives(args.listen, args.restart_ms, move |crash: Arc<Notify>| {
+        let service = service.clone();
+        move |_, req| {
+            let (service, crash) = (service.clone(), crash.clone());
+            Box::pin(async move { service.answer(req, &crash).await })
+        }
+    })
+}
+
+impl Service {
+    async fn answer(&self, req: Request, crash: &Notify) -> Response {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/healthz") => ok(&json!({})),
+            (&Method::GET, "/stats") => {
+                let effects = self.effects.lock();
+                ok(&json!({ "effects": *effects }))
+            }
+            (&Method::POST, "/faults") => match read_json(req.into_body()).await {
+                Ok(faults) => {
+                    *self.faults.lock() = faults;
+                    ok(&json!({}))
+                }
+                Err(response) => response,
+            },
+            (&Method::POST | &Method::PUT, _) => self.perform(req, crash).await,
+            (&Method::GET, _) => ok(&json!({ "status": "on air" })),
+            _ => not_found(),
+        }
+    }
+
+    async fn perform(&self, req: Request, crash: &Notify) -> Response {
+        let key = req
+            .headers()
+            .get("idempotency-key")
+            .and_then(|v| v.to_str().ok());
+        let key = key.unwrap_or_default().to_owned();
+        let path = req.uri().path().to_owned();
+        let Ok(body) = read_limited(req.into_body(), BODY_BYTES_MAX).await else {
+            return json_response(StatusCode::BAD_REQUEST, &json!({ "error": "bad body" }));
+        };
+        let slow_ms = self.faults.lock().slow_ms;
+        tokio::time::sleep(Duration::from_millis(self.work_ms + slow_ms)).await;
+        if take(&mut self.faults.lock().crash_before_effect) {
+            crash.notify_one();
+            return silence().await;
+        }
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let number = {
+            let mut effects = self.effects.lock();
+            effects.push(Effect { key, path, body });
+            effects.len()
+        };
+        if take(&mut self.faults.lock().crash_after_effect) {
+            crash.notify_one();
+            return silence().await;
+        }
+        if take(&mut self.faults.lock().lose_answers) {
+            return silence().await;
+        }
+        ok(&json!({ "effect": number }))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,147 @@
+//! The platform's weight store.
+
+use {
+    crate::{
+        cli::StoreArgs,
+        frame::{not_found, ok, read_json, serve, silence},
+    },
+    egret_runtime::json_response,
+    http::{Method, StatusCode},
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    volo_http::{request::Request, response::Response},
+};
+
+/// How often a transfer moves on.
+const SLICE_MS: u64 = 5;
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// All loads fail.
+    outage: bool,
+    /// No load is answered.
+    silent: bool,
+    /// A load takes this many times as long, in thousandths; 0 counts as 1000.
+    slow_milli: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    in_transit: usize,
+    in_transit_max: usize,
+    loads: u64,
+    first: Option<Instant>,
+    last: Option<Instant>,
+}
+
+struct Store {
+    load_ms: u64,
+    full_speed_max: usize,
+    state: Mutex<State>,
+    faults: Mutex<Faults>,
+}
+
+/// Serves the weight store.
+pub(crate) fn run(args: &StoreArgs) -> std::io::Result<()> {
+    let store = Arc::new(Store {
+        load_ms: args.load_ms,
+        full_speed_max: args.full_speed_max,
+        state: Mutex::default(),
+        faults: Mutex::default(),
+    });
+    serve(args.listen, move |_, req| {
+        let store = store.clone();
+        Box::pin(async move { store.answer(req).await })
+    })
+}
+
+/// One transfer; counts as in transit until dropped.
+struct Transfer<'a>(&'a Store);
+
+impl Drop for Transfer<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().in_transit -= 1;
+    }
+}
+
+impl Store {
+    async fn answer(&self, req: Request) -> Response {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/healthz") => ok(&json!({})),
+            (&Method::GET, "/stats") => self.stats(),
+            (&Method::POST, "/faults") => match read_json(req.into_body()).await {
+                Ok(faults) => {
+                    *self.faults.lock() = faults;
+                    ok(&json!({}))
+                }
+                Err(response) => response,
+            },
+            (&Method::GET, path) if path.starts_with("/v1/weights/") => self.load().await,
+            _ => not_found(),
+        }
+    }
+
+    fn stats(&self) -> Response {
+        let state = self.state.lock();
+        let span = state
+            .first
+            .zip(state.last)
+            .map(|(first, last)| last - first);
+        ok(&json!({
+            "loads": state.loads,
+            "in_transit": state.in_transit,
+            "in_transit_max": state.in_transit_max,
+            "span_ms": span.unwrap_or_default().as_millis(),
+        }))
+    }
+
+    fn begin(&self) -> Transfer<'_> {
+        let mut state = self.state.lock();
+        state.in_transit += 1;
+        state.in_transit_max = state.in_transit_max.max(state.in_transit);
+        state.loads += 1;
+        state.first.get_or_insert_with(Instant::now);
+        state.last = Some(Instant::now());
+        drop(state);
+        Transfer(self)
+    }
+
+    async fn load(&self) -> Response {
+        let faults = self.faults.lock().clone();
+        if faults.outage {
+            return json_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &json!({ "error": "outage" }),
+            );
+        }
+        let transfer = self.begin();
+        if faults.silent {
+            return silence().await;
+        }
+        // in parts of a load, times 1e6
+        let mut left = 1_000_000_u64;
+        while left > 0 {
+            tokio::time::sleep(Duration::from_millis(SLICE_MS)).await;
+            left = left.saturating_sub(self.progress());
+        }
+        drop(transfer);
+        ok(&json!({ "weights": "" }))
+    }
+
+    /// What one transfer moves in a slice: less when more than `full_speed_max` share the way.
+    fn progress(&self) -> u64 {
+        let slow_milli = match self.faults.lock().slow_milli {
+            0 => 1000,
+            slow => slow,
+        };
+        let sharing = self.state.lock().in_transit.max(self.full_speed_max);
+        let at_full_speed = SLICE_MS * 1_000_000 / self.load_ms.max(1);
+        at_full_speed * self.full_speed_max as u64 * 1000 / (sharing as u64 * slow_milli)
+    }
+}
