Keeper: tickets, loads, evictions under claims on the log

Cause: the slots of an engine need one holder at a time. The keeper follows the claim stream, holds engines and permits, answers entries over framed links and sends fenced orders.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -37,6 +37,7 @@
     heard: Option<Time>,
     listed_since: Time,
     absent_since: Option<Time>,
+    stopping: bool,
 }
 
 /// The entry hosts by name.
@@ -58,6 +59,7 @@
                     heard: None,
                     listed_since: now,
                     absent_since: None,
+                    stopping: false,
                 });
             seen.member = member.clone();
             seen.absent_since = None;
@@ -75,10 +77,11 @@
         self.seen.retain(|_, seen| !forgotten(seen));
     }
 
-    /// Notes a sign of life of `host`.
-    pub fn heard(&mut self, now: Time, host: &str) {
+    /// Notes a sign of life of `host`, and whether it says that it is about to stop.
+    pub fn heard(&mut self, now: Time, host: &str, stopping: bool) {
         if let Some(seen) = self.seen.get_mut(host) {
             seen.heard = Some(now);
+            seen.stopping = stopping;
         }
     }
 
@@ -96,15 +99,20 @@
         all
     }
 
-    /// Names of the members that are listed live and were heard of within `suspect_ms`.
-    /// A member that was never heard of counts as live for `suspect_ms` after it was first
-    /// listed. `me` always counts while it is not leaving.
+    /// Names of the members that are listed live and not about to stop. Those among the first
+    /// `watched` that `me` sends heartbeats to must have been heard of within `suspect_ms`, or
+    /// have been listed no longer than that.
     #[must_use]
-    pub fn live(&self, now: Time, me: &str, suspect_ms: u64) -> Vec<FastStr> {
+    pub fn live(&self, now: Time, me: &str, suspect_ms: u64, watched: usize) -> Vec<FastStr> {
+        let silent: Vec<&FastStr> = self
+            .watched(me, watched)
+            .into_iter()
+            .map(|member| &member.host)
+            .filter(|host| self.silent(now, host, suspect_ms))
+            .collect();
         let is_live = |seen: &&Seen| {
-            let last = seen.heard.unwrap_or(seen.listed_since);
-            let heard = seen.member.host == me || now.ms_since(last) < suspect_ms;
-            heard && seen.absent_since.is_none() && seen.member.state == HostState::Live
+            let in_service = seen.member.state == HostState::Live && !seen.stopping;
+            in_service && seen.absent_since.is_none() && !silent.contains(&&seen.member.host)
         };
         let mut hosts: Vec<FastStr> = self
             .seen
@@ -116,6 +124,13 @@
         hosts
     }
 
+    fn silent(&self, now: Time, host: &str, suspect_ms: u64) -> bool {
+        let Some(seen) = self.seen.get(host) else {
+            return true;
+        };
+        now.ms_since(seen.heard.unwrap_or(seen.listed_since)) >= suspect_ms
+    }
+
     /// The members that `me` sends heartbeats to: at most `most`, the same few on each call,
     /// so that the cost of heartbeats does not grow with the number of hosts.
     #[must_use]
--- a/crates/core/src/ownership/claims.rs
+++ b/crates/core/src/ownership/claims.rs
@@ -83,6 +83,7 @@
 pub struct Claims {
     holdings: IndexMap<Resource, Holding>,
     position: Position<ClaimRecord>,
+    snapshot_at: u64,
 }
 
 impl Claims {
@@ -108,14 +109,24 @@
         self.position.starts_at(start);
     }
 
-    /// A record that repeats all holdings.
+    /// A record that repeats all holdings, none while records are missing.
     #[must_use]
-    pub fn snapshot(&self) -> ClaimRecord {
-        let pairs = self.holdings.iter();
-        ClaimRecord::Snapshot {
-            as_of: self.position.folded_to(),
-            holdings: pairs.map(|(r, h)| (r.clone(), h.clone())).collect(),
+    pub fn snapshot(&self) -> Option<ClaimRecord> {
+        if !self.contiguous() {
+            return None;
         }
+        let pairs = self.holdings.iter().map(|(r, h)| (r.clone(), h.clone()));
+        Some(ClaimRecord::Snapshot {
+            as_of: self.position.folded_to(),
+            holdings: pairs.collect(),
+        })
+    }
+
+    /// Offset of the newest snapshot read, and how many records came after it.
+    #[must_use]
+    pub fn snapshot_age(&self) -> (u64, u64) {
+        let age = self.position.folded_to().saturating_sub(self.snapshot_at);
+        (self.snapshot_at, age)
     }
 
     /// Takes the record at `offset`. Returns the resources whose holding changed, each with
@@ -125,6 +136,7 @@
             ClaimRecord::Snapshot { as_of, holdings } => {
                 let changed = self.adopt(as_of, holdings);
                 self.position.pass(offset);
+                self.snapshot_at = self.snapshot_at.max(offset);
                 changed
             }
             ClaimRecord::Reset => self.reset(offset),
--- a/crates/core/src/ownership/rights.rs
+++ b/crates/core/src/ownership/rights.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Sets the lengths of time, for claims made from now on.
+    pub fn set_times(&mut self, times: OwnershipTimes) {
+        self.times = times;
+    }
+
     /// The claims as far as they were read.
     #[must_use]
     pub fn claims(&self) -> &Claims {
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -1,6 +1,9 @@
 //! The weight store's limits, shared by all keepers without a coordinator.
 
-use {crate::Time, indexmap::IndexMap};
+use {
+    crate::{Time, ownership::LOAN_LOAD_TIMEOUTS},
+    indexmap::IndexMap,
+};
 
 /// Limits that all permits together keep.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/core/src/slots/engine.rs
+++ b/crates/core/src/slots/engine.rs
@@ -279,6 +279,30 @@
         }
     }
 
+    /// Tickets of an entry that are older than `after_ms` and that it does not list as open: it
+    /// never heard of the grant.
+    #[must_use]
+    pub fn unlisted(
+        &self,
+        now: Time,
+        entry: &str,
+        incarnation: u64,
+        open: &IndexSet<RequestKey>,
+        after_ms: u64,
+    ) -> Vec<RequestKey> {
+        let lost = |(key, ticket): &(&RequestKey, &Ticket)| {
+            key.entry == entry
+                && key.incarnation == incarnation
+                && now.ms_since(ticket.granted) >= after_ms
+                && !open.contains(*key)
+        };
+        self.tickets
+            .iter()
+            .filter(lost)
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
     /// Ends what has run out of time: waiting requests past their deadline, those that need a
     /// load that can't be ordered, and lapsed tickets, which are cancelled at the engine first.
     pub fn tick(&mut self, now: Time, can_load: bool, leaving: bool) -> Vec<Effect> {
--- /dev/null
+++ b/crates/keeper/src/cli/mod.rs
@@ -0,0 +1,88 @@
+//! Command line and start.
+
+mod args;
+
+use {
+    crate::{conf::Settings, links, loader, ownership, peers, snapshots, state::Keeper, web},
+    args::Args,
+    clap::Parser,
+    egret_runtime::{HostsClient, LogClient, events, load_settings, serve_links, start_logs},
+    std::{process::ExitCode, sync::Arc},
+};
+
+/// Exit code for settings that were refused.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs the keeper until it is told to stop.
+#[must_use]
+pub fn run() -> ExitCode {
+    let args = Args::parse();
+    let cfg = match load_settings(&args.common.config, Settings::faults) {
+        Ok(cfg) => cfg,
+        Err(e) => {
+            eprintln!("egret-keeper: {e}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.common.check {
+        println!("{}: settings are right", args.common.config.display());
+        return ExitCode::SUCCESS;
+    }
+    start_logs(&cfg.logs);
+    match serve(cfg) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("egret-keeper: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(cfg: Settings) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        let keeper = Arc::new(Keeper::new(cfg));
+        start_tasks(&keeper);
+        events::STARTED.info(format_args!(
+            "host={} incarnation={}",
+            keeper.host, keeper.incarnation
+        ));
+        web::serve(keeper.clone()).await?;
+        events::STOPPED.info(format_args!("host={}", keeper.host));
+        Ok(())
+    })
+}
+
+fn start_tasks(keeper: &Arc<Keeper>) {
+    let platform = &keeper.cfg.platform;
+    let log = LogClient::new(platform.log);
+    let hosts = HostsClient::new(platform.hosts);
+    spawn(keeper, move |k| async move { k.config.follow(log).await });
+    spawn(keeper, move |k| async move { k.hosts.follow(hosts).await });
+    spawn(keeper, ownership::follow_claims);
+    spawn(keeper, ownership::plan_claims);
+    spawn(keeper, ownership::follow_config);
+    spawn(keeper, peers::beat);
+    spawn(keeper, snapshots::run);
+    spawn(keeper, loader::run);
+    spawn(keeper, |k| async move {
+        k.audit
+            .pass_on(k.log.clone(), k.cfg.audit.interval_ms)
+            .await;
+    });
+    spawn(keeper, |k| async move {
+        let answerer = links::answerer(k.clone());
+        let served = serve_links(k.cfg.links, k.cfg.secret.clone(), answerer).await;
+        if let Err(e) = served {
+            eprintln!("egret-keeper: links at {}: {e}", k.cfg.links);
+            std::process::exit(1);
+        }
+    });
+}
+
+fn spawn<F>(keeper: &Arc<Keeper>, task: impl FnOnce(Arc<Keeper>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(task(keeper.clone()));
+}
--- /dev/null
+++ b/crates/keeper/src/engines/mod.rs
@@ -0,0 +1,12 @@
+//! The engines that this keeper holds.
+
+mod effects;
+mod orders;
+mod probe;
+mod shard;
+
+pub(crate) use {
+    effects::run_effects,
+    probe::{probe, probe_all},
+    shard::{EngineShard, Verdict},
+};
--- /dev/null
+++ b/crates/keeper/src/engines/shard.rs
@@ -0,0 +1,91 @@
+//! One engine: its slots, the entries that wait for an answer, the version of its residents.
+
+use {
+    egret_core::{EngineLimits, EngineSlots, EngineSpec, Grant, ModelName, Refusal, RequestKey},
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+    parking_lot::Mutex,
+    std::sync::atomic::AtomicBool,
+    tokio::sync::oneshot,
+};
+
+/// The answer to a request for a ticket.
+#[derive(Clone, Debug)]
+pub(crate) enum Verdict {
+    /// It may run.
+    Granted(Grant),
+    /// It gets no ticket.
+    Refused(Refusal),
+}
+
+#[derive(Debug, Default)]
+struct Residents {
+    version: u64,
+    models: IndexSet<ModelName>,
+}
+
+/// One engine that this keeper holds.
+#[derive(Debug)]
+pub(crate) struct EngineShard {
+    pub(crate) name: FastStr,
+    pub(crate) spec: EngineSpec,
+    pub(crate) slots: Mutex<EngineSlots>,
+    pub(crate) probing: AtomicBool,
+    waiters: Mutex<IndexMap<RequestKey, oneshot::Sender<Verdict>>>,
+    residents: Mutex<Residents>,
+}
+
+impl EngineShard {
+    /// A shard for an engine just taken over.
+    pub(crate) fn new(name: FastStr, spec: EngineSpec, slots: EngineSlots) -> Self {
+        Self {
+            name,
+            spec,
+            slots: Mutex::new(slots),
+            probing: AtomicBool::new(false),
+            waiters: Mutex::default(),
+            residents: Mutex::default(),
+        }
+    }
+
+    /// Sizes of an engine.
+    pub(crate) fn limits(spec: &EngineSpec) -> EngineLimits {
+        EngineLimits {
+            adapter_slots: usize::from(spec.adapter_slots),
+            batch: usize::from(spec.batch),
+        }
+    }
+
+    /// Registers who waits for the answer to `key`.
+    pub(crate) fn wait(&self, key: RequestKey) -> oneshot::Receiver<Verdict> {
+        let (tx, rx) = oneshot::channel();
+        self.waiters.lock().insert(key, tx);
+        rx
+    }
+
+    /// Forgets who waits for `key`.
+    pub(crate) fn forget(&self, key: &RequestKey) {
+        self.waiters.lock().swap_remove(key);
+    }
+
+    /// Passes a verdict on. False when nobody waits for it any more.
+    pub(crate) fn tell(&self, key: &RequestKey, verdict: Verdict) -> bool {
+        let waiter = self.waiters.lock().swap_remove(key);
+        waiter.is_some_and(|tx| tx.send(verdict).is_ok())
+    }
+
+    /// The residents and their version, which grows with each change.
+    pub(crate) fn residents(&self) -> (u64, Vec<String>) {
+        let models: IndexSet<ModelName> = self.slots.lock().resident().cloned().collect();
+        let mut last = self.residents.lock();
+        let changed = last.version == 0 || last.models != models;
+        if changed {
+            last.version += 1;
+            last.models = models;
+        }
+        (
+            last.version,
+            last.models.iter().map(ModelName::to_string).collect(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/links/mod.rs
@@ -0,0 +1,143 @@
+//! Questions from entries and other keepers.
+
+mod acquire;
+mod beat;
+
+use {
+    crate::{engines::run_effects, state::Keeper},
+    egret_core::{Fingerprint, ModelName, RequestKey, TicketEnd},
+    egret_runtime::{
+        Body, BorrowMsg, Hello, KeyMsg, LoanMsg, LoansMsg, RegisterMsg, ReleaseMsg, StatusMsg,
+        events, now,
+    },
+    faststr::FastStr,
+    futures::future::BoxFuture,
+    std::sync::Arc,
+};
+
+/// What answers questions on links.
+pub(crate) type Answerer =
+    Arc<dyn Fn(Arc<Hello>, Body) -> BoxFuture<'static, Option<Body>> + Send + Sync>;
+
+/// Answers with the state of `keeper`.
+pub(crate) fn answerer(keeper: Arc<Keeper>) -> Answerer {
+    Arc::new(move |hello, body| {
+        let keeper = keeper.clone();
+        Box::pin(async move { answer(&keeper, &hello, body).await })
+    })
+}
+
+async fn answer(keeper: &Arc<Keeper>, hello: &Arc<Hello>, body: Body) -> Option<Body> {
+    match body {
+        Body::Acquire(msg) => Some(acquire::acquire(keeper, hello, msg).await),
+        Body::Release(msg) => {
+            release(keeper, hello, &msg);
+            Some(Body::Ok(Hello::default()))
+        }
+        Body::Beat(msg) => Some(beat::beat(keeper, hello, &msg)),
+        Body::Register(msg) => {
+            register(keeper, hello, msg);
+            Some(Body::Ok(Hello::default()))
+        }
+        Body::Borrow(msg) => Some(lend(keeper, hello, msg)),
+        Body::Status(_) => {
+            let json = crate::status::status(keeper).to_string();
+            Some(Body::Status(StatusMsg { json }))
+        }
+        // answers make no sense as questions
+        Body::Hello(_)
+        | Body::Grant(_)
+        | Body::Refuse(_)
+        | Body::View(_)
+        | Body::Ok(_)
+        | Body::Loans(_) => None,
+    }
+}
+
+/// The key of an attempt of the entry that speaks.
+fn key_of(hello: &Hello, key: &KeyMsg) -> RequestKey {
+    RequestKey {
+        entry: FastStr::new(&hello.host),
+        incarnation: hello.incarnation,
+        request: FastStr::new(&key.request),
+        attempt: key.attempt,
+    }
+}
+
+fn release(keeper: &Arc<Keeper>, hello: &Hello, msg: &ReleaseMsg) {
+    let Some(shard) = keeper.engine(&msg.engine) else {
+        return;
+    };
+    let content = Fingerprint(msg.fingerprint);
+    let end = match msg.end.as_str() {
+        "done" => TicketEnd::Done,
+        "not_resident" => TicketEnd::NotResident,
+        "broken" => TicketEnd::Broken,
+        _ => TicketEnd::Unused,
+    };
+    match end {
+        TicketEnd::Done => keeper.suspects.lock().cleared(content),
+        TicketEnd::Broken => {
+            let keep_ms = keeper.cfg.slots.suspect_ms;
+            keeper.suspects.lock().possible(now(), &[content], keep_ms);
+        }
+        TicketEnd::Unused | TicketEnd::NotResident => {}
+    }
+    let key = key_of(hello, &msg.key);
+    let effects = shard.slots.lock().release(now(), &key, end);
+    run_effects(keeper, &shard, effects);
+}
+
+fn register(keeper: &Arc<Keeper>, hello: &Hello, msg: RegisterMsg) {
+    let Some(shard) = keeper.engine(&msg.engine) else {
+        return;
+    };
+    let entry = FastStr::new(&hello.host);
+    let count = msg.tickets.len();
+    let mut open = Vec::new();
+    for ticket in msg.tickets {
+        let Ok(model) = ticket.model.parse::<ModelName>() else {
+            continue;
+        };
+        let key = key_of(hello, &ticket.key);
+        let caller = FastStr::from_string(ticket.caller);
+        open.push((key, model, caller, Fingerprint(ticket.fingerprint)));
+    }
+    let effects = {
+        let mut slots = shard.slots.lock();
+        if slots.fence() != msg.fence {
+            return;
+        }
+        slots.register(now(), &entry, hello.incarnation, open)
+    };
+    let detail = format!(
+        "engine={} entry={entry} fence={} open={count}",
+        shard.name, msg.fence
+    );
+    keeper.audit.record(events::REGISTERED, &detail);
+    run_effects(keeper, &shard, effects);
+}
+
+fn lend(keeper: &Keeper, hello: &Hello, msg: BorrowMsg) -> Body {
+    let mut own = 0;
+    for shard in keeper.shards() {
+        own += shard.slots.lock().wants(now()).len();
+    }
+    let usable = keeper.ownership.lock().usable_permits(now());
+    let count = usize::try_from(msg.count).unwrap_or(usize::MAX);
+    let loans = keeper
+        .permits
+        .lock()
+        .lend(now(), count, own, |n| usable.contains(&n));
+    if !loans.is_empty() {
+        events::PERMITS_LENT.debug(format_args!("to={} count={}", hello.host, loans.len()));
+    }
+    let message = |loan: egret_core::Loan| LoanMsg {
+        number: u32::from(loan.number),
+        use_ms: loan.use_ms,
+        ready_in_ms: loan.ready_in_ms,
+    };
+    Body::Loans(LoansMsg {
+        loans: loans.into_iter().map(message).collect(),
+    })
+}
--- /dev/null
+++ b/crates/keeper/src/loader.rs
@@ -0,0 +1,112 @@
+//! Loads: which waiting adapter gets the next permit, and borrowing permits from others.
+
+use {
+    crate::{
+        engines::{EngineShard, probe_all, run_effects},
+        peers,
+        state::Keeper,
+    },
+    egret_core::{Effect, Want},
+    egret_runtime::now,
+    indexmap::IndexSet,
+    std::{sync::Arc, time::Duration},
+};
+
+/// How often queues are looked through, in milliseconds.
+const TICK_MS: u64 = 20;
+
+/// Ticks between two probes of all engines.
+const PROBE_TICKS: u64 = 50;
+
+/// Ticks between two attempts to borrow permits.
+const BORROW_TICKS: u64 = 10;
+
+/// Time that a load takes at full speed, in milliseconds.
+const LOAD_MS: u64 = 300;
+
+/// Looks after the queues for ever.
+pub(crate) async fn run(keeper: Arc<Keeper>) {
+    let mut tick = 0_u64;
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        tick += 1;
+        tick_engines(&keeper);
+        let left = start_loads(&keeper);
+        estimate_loads(&keeper, left);
+        if left > 0 && tick.is_multiple_of(BORROW_TICKS) {
+            tokio::spawn(peers::borrow(keeper.clone(), left));
+        }
+        if tick.is_multiple_of(PROBE_TICKS) {
+            probe_all(&keeper);
+        }
+    }
+}
+
+fn tick_engines(keeper: &Arc<Keeper>) {
+    let config = keeper.config.current();
+    let required: IndexSet<_> = {
+        let members = keeper.hosts.members().lock();
+        members
+            .known()
+            .into_iter()
+            .map(|m| m.host.clone())
+            .collect()
+    };
+    for shard in keeper.shards() {
+        let can_load = keeper.may_order(&shard.name).is_some();
+        let leaving =
+            config.manifest.hosts.leaving(&shard.name) || keeper.hosts.leaving(&shard.name);
+        let effects = {
+            let mut slots = shard.slots.lock();
+            slots.require(required.clone());
+            slots.tick(now(), can_load, leaving)
+        };
+        run_effects(keeper, &shard, effects);
+    }
+}
+
+/// Starts as many loads as there are permits. Returns how many adapters still wait for one.
+fn start_loads(keeper: &Arc<Keeper>) -> usize {
+    let mut wants = collect_wants(keeper);
+    wants.sort_by_key(|(_, w)| (w.class, std::cmp::Reverse(w.waiting), w.since));
+    let usable: Vec<u16> = keeper.ownership.lock().usable_permits(now());
+    let mut left = 0;
+    for (shard, want) in wants {
+        let permit = keeper.permits.lock().start(now(), |n| usable.contains(&n));
+        let Some(permit) = permit else {
+            left += 1;
+            continue;
+        };
+        let effects = begin(&shard, &want, permit);
+        if effects.is_empty() {
+            keeper.permits.lock().not_started(now(), permit);
+        }
+        run_effects(keeper, &shard, effects);
+    }
+    left
+}
+
+fn collect_wants(keeper: &Keeper) -> Vec<(Arc<EngineShard>, Want)> {
+    let mut all = Vec::new();
+    for shard in keeper.shards() {
+        let wants = shard.slots.lock().wants(now());
+        all.extend(wants.into_iter().map(|want| (shard.clone(), want)));
+    }
+    all
+}
+
+fn begin(shard: &EngineShard, want: &Want, permit: u16) -> Vec<Effect> {
+    shard.slots.lock().begin_load(now(), &want.model, permit)
+}
+
+/// Tells the engines how long a new load would take, given what waits for permits.
+fn estimate_loads(keeper: &Keeper, waiting: usize) {
+    let (spacing_ms, permits) = {
+        let permits = keeper.permits.lock();
+        (permits.limits().spacing_ms(), permits.len() as u64)
+    };
+    let estimate = LOAD_MS + waiting as u64 * spacing_ms / permits.max(1);
+    for shard in keeper.shards() {
+        shard.slots.lock().set_load_ms(estimate);
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/main.rs
@@ -0,0 +1,5 @@
+//! Runs a keeper.
+
+fn main() -> std::process::ExitCode {
+    egret_keeper::cli::run()
+}
--- /dev/null
+++ b/crates/keeper/src/ownership.rs
@@ -0,0 +1,250 @@
+//! Claims on the log: following them, making them, and what a change of holder means here.
+
+use {
+    crate::{
+        engines::{EngineShard, probe, run_effects},
+        state::Keeper,
+    },
+    egret_core::{ClaimRecord, Config, EngineSlots, Reason, Resource, StoreLimits, Time},
+    egret_runtime::{Batch, Tail, events, now},
+    faststr::FastStr,
+    indexmap::IndexSet,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Stream of the platform's log that carries the claims.
+pub(crate) const CLAIM_STREAM: &str = "claims";
+
+/// How often claims are planned, in milliseconds.
+const PLAN_MS: u64 = 250;
+
+/// How long one append may take, in milliseconds.
+const APPEND_MS: u64 = 1500;
+
+/// Follows the claim stream for ever.
+pub(crate) async fn follow_claims(keeper: Arc<Keeper>) {
+    let mut tail = Tail::new(keeper.log.clone(), CLAIM_STREAM);
+    loop {
+        let (read_start, batch) = tail.next().await;
+        for resource in observe(&keeper, read_start, batch) {
+            holding_changed(&keeper, &resource);
+        }
+    }
+}
+
+fn observe(keeper: &Keeper, read_start: Time, batch: Batch) -> Vec<Resource> {
+    let at_end = batch.reaches_end();
+    let mut ownership = keeper.ownership.lock();
+    ownership.starts_at(batch.start);
+    let mut changed = Vec::new();
+    for (offset, record) in batch.decode::<ClaimRecord>() {
+        match record {
+            Some(record) => changed.extend(ownership.observe(now(), offset, record)),
+            None => events::LOG_RECORD_UNKNOWN
+                .warn(format_args!("stream={CLAIM_STREAM} offset={offset}")),
+        }
+    }
+    if at_end {
+        ownership.reached_end(read_start);
+    }
+    changed
+}
+
+fn holding_changed(keeper: &Arc<Keeper>, resource: &Resource) {
+    let (fence, holder) = {
+        let ownership = keeper.ownership.lock();
+        let holder = ownership
+            .claims()
+            .get(resource)
+            .map(|h| (h.keeper.clone(), h.released));
+        (ownership.fence(resource), holder)
+    };
+    let holder = match holder {
+        Some((host, false)) => host,
+        _ => FastStr::from_static_str("-"),
+    };
+    let detail = format!(
+        "resource={resource} holder={holder} fence={}",
+        fence.unwrap_or(0)
+    );
+    if fence.is_some() {
+        keeper.audit.record(events::HOLDING_CHANGED, &detail);
+    } else {
+        events::HOLDING_CHANGED.debug(format_args!("{detail}"));
+    }
+    match (resource, fence) {
+        (Resource::Permit(number), Some(_)) => keeper.permits.lock().own(now(), *number),
+        (Resource::Permit(number), None) => keeper.permits.lock().disown(*number),
+        (Resource::Engine(name), Some(fence)) => gain(keeper, name, fence),
+        (Resource::Engine(name), None) => lose(keeper, name),
+    }
+}
+
+fn gain(keeper: &Arc<Keeper>, name: &FastStr, fence: u64) {
+    let config = keeper.config.current();
+    let Some(spec) = config.manifest.engines.get(name) else {
+        return;
+    };
+    let store = &config.manifest.weight_store;
+    let settings = keeper.cfg.slot_settings(store.load_timeout_ms);
+    let slots = EngineSlots::new(EngineShard::limits(spec), settings, fence);
+    let shard = Arc::new(EngineShard::new(name.clone(), spec.clone(), slots));
+    keeper.engines.lock().insert(name.clone(), shard.clone());
+    tokio::spawn(probe(keeper.clone(), shard));
+}
+
+fn lose(keeper: &Arc<Keeper>, name: &FastStr) {
+    let Some(shard) = keeper.engines.lock().shift_remove(name) else {
+        return;
+    };
+    let effects = shard.slots.lock().refuse_all(Reason::NoTarget, 0);
+    run_effects(keeper, &shard, effects);
+}
+
+/// Claims what should be this keeper's and gives up what is too much, for ever.
+pub(crate) async fn plan_claims(keeper: Arc<Keeper>) {
+    let mut live = Vec::new();
+    let mut live_since = now();
+    loop {
+        tokio::time::sleep(Duration::from_millis(PLAN_MS)).await;
+        let seen = keeper.live();
+        if seen != live {
+            live = seen;
+            live_since = now();
+        }
+        if keeper.stopping() || !keeper.config.ready() {
+            continue;
+        }
+        let settled = now().ms_since(live_since) >= keeper.cfg.ownership.settle_ms;
+        let resources = resources(&keeper.config.current());
+        let records = keeper
+            .ownership
+            .lock()
+            .plan(now(), &live, settled, &resources);
+        if !records.is_empty() {
+            append_claims(&keeper, &records).await;
+        }
+    }
+}
+
+fn resources(config: &Config) -> Vec<Resource> {
+    let engines = config
+        .manifest
+        .engines
+        .keys()
+        .cloned()
+        .map(Resource::Engine);
+    let permits = (0..config.manifest.weight_store.in_transit_max).map(Resource::Permit);
+    engines.chain(permits).collect()
+}
+
+async fn append_claims(keeper: &Keeper, records: &[ClaimRecord]) {
+    let deadline = now().after_ms(APPEND_MS);
+    // a lost answer is settled by reading: the claim shows up in the stream or it does not
+    let appended = keeper.log.append(CLAIM_STREAM, records, deadline).await;
+    for record in records {
+        let detail = match record {
+            ClaimRecord::Claim {
+                resource, follows, ..
+            } => {
+                format!("claim resource={resource} follows={follows}")
+            }
+            ClaimRecord::Release { resource, fence } => {
+                format!("release resource={resource} fence={fence}")
+            }
+            ClaimRecord::Snapshot { .. } => continue,
+            ClaimRecord::Reset => "reset".to_owned(),
+        };
+        let result = if appended.is_ok() {
+            "appended"
+        } else {
+            "no answer"
+        };
+        keeper
+            .audit
+            .record(events::CLAIM_APPENDED, &format!("{detail} {result}"));
+    }
+}
+
+/// Takes each newer configuration into account.
+pub(crate) async fn follow_config(keeper: Arc<Keeper>) {
+    let mut news = keeper.config.subscribe();
+    loop {
+        let config = news.borrow_and_update().clone();
+        if config.revision > 0 {
+            apply_config(&keeper, &config);
+        }
+        if news.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn apply_config(keeper: &Arc<Keeper>, config: &Config) {
+    let store = &config.manifest.weight_store;
+    let limits = StoreLimits {
+        in_transit_max: store.in_transit_max,
+        loads_per_1000_s: store.loads_per_1000_s,
+        load_timeout_ms: store.load_timeout_ms,
+    };
+    keeper.permits.lock().set_limits(limits);
+    let held: Vec<(Resource, Option<u64>)> = {
+        let mut ownership = keeper.ownership.lock();
+        ownership.set_times(keeper.cfg.times(store.load_timeout_ms));
+        let held: Vec<Resource> = ownership.held().cloned().collect();
+        held.into_iter()
+            .map(|r| (r.clone(), ownership.fence(&r)))
+            .collect()
+    };
+    for (resource, fence) in held {
+        match (resource, fence) {
+            (Resource::Permit(number), _) => keeper.permits.lock().own(now(), number),
+            (Resource::Engine(name), Some(fence)) => engine_changed(keeper, config, &name, fence),
+            (Resource::Engine(_), None) => {}
+        }
+    }
+    if config.manifest.hosts.stop.contains(&keeper.host) {
+        stop_process();
+    }
+}
+
+fn engine_changed(keeper: &Arc<Keeper>, config: &Config, name: &FastStr, fence: u64) {
+    let shard = keeper.engine(name);
+    match (config.manifest.engines.get(name), shard) {
+        (None, _) => lose(keeper, name),
+        (Some(_), None) => gain(keeper, name, fence),
+        (Some(spec), Some(shard)) if *spec != shard.spec => {
+            lose(keeper, name);
+            gain(keeper, name, fence);
+        }
+        (Some(_), Some(_)) => {}
+    }
+}
+
+/// Asks this process to stop as a signal from outside would.
+fn stop_process() {
+    let _ = nix::sys::signal::raise(nix::sys::signal::Signal::SIGTERM);
+}
+
+/// Gives up everything held and waits until others hold it, at most `wait_ms`.
+pub(crate) async fn hand_over(keeper: &Arc<Keeper>, wait_ms: u64) {
+    let records = keeper.ownership.lock().release_all();
+    let given: IndexSet<Resource> = keeper.ownership.lock().held().cloned().collect();
+    append_claims(keeper, &records).await;
+    let deadline = now().after_ms(wait_ms);
+    while now() < deadline && !taken_over(keeper, &given) {
+        tokio::time::sleep(Duration::from_millis(PLAN_MS)).await;
+    }
+    keeper
+        .audit
+        .record(events::HOLDING_RELEASED, &format!("count={}", given.len()));
+}
+
+fn taken_over(keeper: &Keeper, given: &IndexSet<Resource>) -> bool {
+    let ownership = keeper.ownership.lock();
+    let taken = |resource: &Resource| {
+        let holding = ownership.claims().get(resource);
+        holding.is_some_and(|h| !h.released && h.keeper != keeper.host)
+    };
+    given.iter().all(taken)
+}
--- /dev/null
+++ b/crates/keeper/src/status.rs
@@ -0,0 +1,64 @@
+//! A description of the keeper for people and for `egretctl`.
+
+use {
+    crate::state::Keeper,
+    egret_core::Resource,
+    egret_runtime::now,
+    serde_json::{Value, json},
+};
+
+/// The keeper's state as JSON.
+pub(crate) fn status(keeper: &Keeper) -> Value {
+    let config = keeper.config.current();
+    let (right_ms, held) = {
+        let ownership = keeper.ownership.lock();
+        let held: Vec<Resource> = ownership.held().cloned().collect();
+        (now().ms_until(ownership.confirmed_until()), held)
+    };
+    let permits = {
+        let permits = keeper.permits.lock();
+        json!({ "usable": permits.len(), "free": permits.free(now()) })
+    };
+    let engines: Vec<Value> = keeper
+        .shards()
+        .iter()
+        .map(|shard| {
+            let (_, resident) = shard.residents();
+            let slots = shard.slots.lock();
+            let counters = slots.counters();
+            json!({
+                "engine": shard.name,
+                "data_centre": shard.spec.data_centre,
+                "fence": slots.fence(),
+                "can_load": slots.can_load(),
+                "may_evict": slots.may_evict(),
+                "unregistered": slots.unregistered().collect::<Vec<_>>(),
+                "leaving": slots.leaving(),
+                "down": slots.down(),
+                "running": slots.running(),
+                "queued": slots.queued(),
+                "free_slots": slots.free_slots(),
+                "resident": resident,
+                "granted": counters.granted,
+                "stalled": counters.stalled,
+                "loads": counters.loads,
+                "loads_failed": counters.loads_failed,
+                "evictions": counters.evictions,
+            })
+        })
+        .collect();
+    json!({
+        "program": "egret-keeper",
+        "host": keeper.host,
+        "data_centre": keeper.cfg.data_centre,
+        "up_ms": now().ms_since(keeper.started),
+        "stopping": keeper.stopping(),
+        "revision": config.revision,
+        "right_ms": right_ms,
+        "live": keeper.live(),
+        "held": held.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        "permits": permits,
+        "engines": engines,
+        "audit_dropped": keeper.audit.dropped(),
+    })
+}
--- /dev/null
+++ b/crates/keeper/src/web.rs
@@ -0,0 +1,59 @@
+//! Health, metrics, status, and the graceful stop.
+
+use {
+    crate::{ownership, state::Keeper, status},
+    egret_runtime::{events, json_response, serve_http, text_response},
+    http::StatusCode,
+    serde_json::json,
+    std::sync::Arc,
+    volo_http::{request::Request, response::Response},
+};
+
+/// Longest wait for others to take over, in milliseconds.
+const HAND_OVER_MS: u64 = 15_000;
+
+/// Serves HTTP until a stop; then hands over what is held.
+pub(crate) async fn serve(keeper: Arc<Keeper>) -> std::io::Result<()> {
+    let address = keeper.cfg.http;
+    let answering = keeper.clone();
+    let handler = move |_, req| {
+        let keeper = answering.clone();
+        Box::pin(async move { answer(&keeper, &req) }) as _
+    };
+    serve_http(address, handler, move || Box::pin(stop(keeper))).await
+}
+
+async fn stop(keeper: Arc<Keeper>) {
+    events::STOPPING.info(format_args!("host={}", keeper.host));
+    keeper.stop();
+    ownership::hand_over(&keeper, HAND_OVER_MS).await;
+    keeper.audit.flush(&keeper.log).await;
+}
+
+fn answer(keeper: &Keeper, req: &Request) -> Response {
+    match req.uri().path() {
+        "/healthz" => text_response(StatusCode::OK, "ok\n"),
+        "/readyz" => ready(keeper),
+        "/metrics" => text_response(StatusCode::OK, &keeper.metrics.render()),
+        "/status" => json_response(StatusCode::OK, &status::status(keeper)),
+        "/audit" => {
+            let about = req
+                .uri()
+                .query()
+                .and_then(|q| q.strip_prefix("about="))
+                .unwrap_or("");
+            json_response(StatusCode::OK, &keeper.audit.about(about))
+        }
+        _ => json_response(StatusCode::NOT_FOUND, &json!({ "error": "no such path" })),
+    }
+}
+
+fn ready(keeper: &Keeper) -> Response {
+    if keeper.stopping() {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    }
+    if !keeper.config.ready() {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+    }
+    text_response(StatusCode::OK, "ready\n")
+}
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -192,6 +192,9 @@
     /// True when `open` is filled in.
     #[prost(bool, tag = "7")]
     pub lists_open: bool,
+    /// True when the sender is about to stop.
+    #[prost(bool, tag = "8")]
+    pub stopping: bool,
 }
 
 /// A crash suspect.
@@ -275,6 +278,9 @@
     /// Contents that are or may be crash suspects.
     #[prost(message, repeated, tag = "4")]
     pub suspects: Vec<SuspectMsg>,
+    /// True when the keeper is about to stop.
+    #[prost(bool, tag = "5")]
+    pub stopping: bool,
 }
 
 /// Registers open tickets after a takeover.
--- a/crates/runtime/src/watch/config.rs
+++ b/crates/runtime/src/watch/config.rs
@@ -80,18 +80,22 @@
         self.publish("peer");
     }
 
-    /// The configuration to be appended again, if no snapshot stands among the newest
-    /// `most_records` records of the stream.
+    /// The configuration as a record to be appended again, none before it was read.
     #[must_use]
-    pub fn snapshot_due(&self, most_records: u64) -> Option<ConfigRecord> {
-        let read_to = self.read_to.load(Ordering::Acquire);
-        let age = read_to.saturating_sub(self.snapshot_at.load(Ordering::Acquire));
-        if !self.ready() || !self.read() || age < most_records {
+    pub fn snapshot(&self) -> Option<ConfigRecord> {
+        if !self.ready() || !self.read() {
             return None;
         }
         Some(ConfigRecord::Snapshot(self.fold.lock().snapshot()))
     }
 
+    /// Offset of the newest snapshot read, and how many records came after it.
+    #[must_use]
+    pub fn snapshot_age(&self) -> (u64, u64) {
+        let at = self.snapshot_at.load(Ordering::Acquire);
+        (at, self.read_to.load(Ordering::Acquire).saturating_sub(at))
+    }
+
     /// Follows the stream for ever.
     pub async fn follow(&self, log: LogClient) {
         let mut tail = Tail::new(log, CONFIG_STREAM);
