--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod config;
+mod course;
 mod hash;
 mod journal;
 mod membership;
@@ -26,6 +27,7 @@
     ManifestError, Op, Rejection, ServiceSpec, ServiceTarget, Snapshot, Verdict, WeightStoreSpec,
     diff, validate,
 };
+pub use course::{AttemptEnd, Course, Next};
 pub use hash::{Fingerprint, digest, fingerprint, mix, rendezvous};
 pub use journal::{
     Attempt, BeginError, Entry as JournalEntry, Journal, JournalRecord, KeyDigest, Lookup,
--- a/crates/core/src/placement/views.rs
+++ b/crates/core/src/placement/views.rs
@@ -124,6 +124,15 @@
         }
     }
 
+    /// Forgets an engine.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(view) = self.engines.shift_remove(name) {
+            for model in &view.resident {
+                self.unlink(model, name);
+            }
+        }
+    }
+
     /// Forgets engines that are not in `names`.
     pub fn retain(&mut self, names: &IndexSet<FastStr>) {
         let (kept, gone) = std::mem::take(&mut self.engines)
--- a/crates/core/src/slots/engine.rs
+++ b/crates/core/src/slots/engine.rs
@@ -2,8 +2,8 @@
 
 use {
     super::types::{
-        Effect, EngineLimits, Grant, Refusal, RequestKey, SlotCounters, SlotSettings, Ticket,
-        TicketEnd, Waiting,
+        Cancel, Effect, EngineLimits, Grant, Refusal, RequestKey, SlotCounters, SlotSettings,
+        Ticket, TicketEnd, Waiting,
     },
     crate::{Class, Demand, Fingerprint, ModelName, Reason, Time},
     faststr::FastStr,
@@ -246,29 +246,58 @@
         self.queue.shift_remove(key);
     }
 
-    /// Takes a ticket back.
+    /// Takes a ticket back. One under which the engine may still be running goes only after
+    /// the engine has confirmed that it cancelled the request.
     pub fn release(&mut self, now: Time, key: &RequestKey, end: TicketEnd) -> Vec<Effect> {
-        let Some(ticket) = self.tickets.shift_remove(key) else {
-            self.withdraw(key);
-            return Vec::new();
-        };
-        let mut effects = Vec::new();
-        match end {
+        self.withdraw(key);
+        let mut effects = match end {
             TicketEnd::Done => {
-                let took_ms = now.ms_since(ticket.granted);
-                self.service_ms = running_mean(self.service_ms, took_ms);
+                self.finished(now, key);
+                Vec::new()
+            }
+            TicketEnd::Unused => {
+                self.tickets.shift_remove(key);
+                Vec::new()
             }
-            TicketEnd::NotResident => effects.push(Effect::Probe),
+            TicketEnd::NotResident => {
+                self.tickets.shift_remove(key);
+                vec![Effect::Probe]
+            }
+            TicketEnd::Abandoned => self.cancel(now, key),
             TicketEnd::Broken => {
-                self.broken.push((ticket.fingerprint, now));
+                let content = self.tickets.get(key).map(|t| t.fingerprint);
+                self.broken
+                    .extend(content.map(|fingerprint| (fingerprint, now)));
+                let mut effects = self.cancel(now, key);
                 effects.push(Effect::Probe);
+                effects
             }
-            TicketEnd::Unused => {}
-        }
+        };
         effects.extend(self.pump(now));
         effects
     }
 
+    fn finished(&mut self, now: Time, key: &RequestKey) {
+        if let Some(ticket) = self.tickets.shift_remove(key) {
+            let took_ms = now.ms_since(ticket.granted);
+            self.service_ms = running_mean(self.service_ms, took_ms);
+        }
+    }
+
+    /// Asks the engine to cancel, unless it has just been asked.
+    pub(super) fn cancel(&mut self, now: Time, key: &RequestKey) -> Vec<Effect> {
+        let Some(ticket) = self.tickets.get_mut(key) else {
+            return Vec::new();
+        };
+        if ticket.cancelling && now < ticket.expires {
+            return Vec::new();
+        }
+        ticket.cancelling = true;
+        // asked again then, until the engine confirms: the pin stays as long
+        ticket.expires = now.after_ms(self.cfg.order_ms);
+        vec![Effect::Cancel(Cancel { key: key.clone() })]
+    }
+
     /// Extends the tickets of one entry.
     pub fn renew(&mut self, now: Time, entry: &str, incarnation: u64) {
         let expires = now.after_ms(self.cfg.ticket_ms);
--- a/crates/core/src/slots/takeover.rs
+++ b/crates/core/src/slots/takeover.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         engine::{EngineSlots, Slot, SlotState},
-        types::{Cancel, Effect, RequestKey, Ticket},
+        types::{Effect, RequestKey, Ticket},
     },
     crate::{Fingerprint, ModelName, Reason, Time},
     faststr::FastStr,
@@ -51,18 +51,18 @@
         for (key, model, caller, fingerprint) in open {
             self.adopt_ticket(now, key, model, caller, fingerprint);
         }
-        let mut effects = Vec::new();
-        for (key, ticket) in &mut self.tickets {
-            let stale = key.entry == *entry && key.incarnation != incarnation;
-            if stale && !ticket.cancelling {
-                ticket.cancelling = true;
-                ticket.expires = now.after_ms(self.cfg.order_ms);
-                effects.push(Effect::Cancel(Cancel { key: key.clone() }));
-            }
-        }
         let stale = |key: &RequestKey| key.entry == *entry && key.incarnation != incarnation;
+        let stale_open: Vec<RequestKey> = self
+            .tickets
+            .keys()
+            .filter(|key| stale(key))
+            .cloned()
+            .collect();
         self.queue.retain(|key, _| !stale(key));
-        effects
+        stale_open
+            .iter()
+            .flat_map(|key| self.cancel(now, key))
+            .collect()
     }
 
     fn adopt_ticket(
@@ -132,6 +132,8 @@
             return (Vec::new(), Vec::new());
         }
         self.down = true;
+        // the start that follows belongs to the same crash
+        self.epoch = None;
         let crashed = self.crash_contents(now);
         self.slots.clear();
         (
@@ -183,16 +185,15 @@
     }
 
     pub(super) fn cancel_lapsed(&mut self, now: Time) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let again = now.after_ms(self.cfg.order_ms);
-        for (key, ticket) in &mut self.tickets {
-            if now >= ticket.expires {
-                // asked again until the engine confirms: the pin stays as long
-                ticket.cancelling = true;
-                ticket.expires = again;
-                effects.push(Effect::Cancel(Cancel { key: key.clone() }));
-            }
-        }
-        effects
+        let lapsed: Vec<RequestKey> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| now >= ticket.expires)
+            .map(|(key, _)| key.clone())
+            .collect();
+        lapsed
+            .iter()
+            .flat_map(|key| self.cancel(now, key))
+            .collect()
     }
 }
--- a/crates/core/src/slots/types.rs
+++ b/crates/core/src/slots/types.rs
@@ -67,7 +67,9 @@
     Unused,
     /// The engine said that the adapter is not resident.
     NotResident,
-    /// The connection broke as it does when an engine crashes.
+    /// The request was sent and given up: it is cancelled before the ticket goes.
+    Abandoned,
+    /// The connection broke as it does when an engine crashes: as [`Self::Abandoned`].
     Broken,
 }
 
--- /dev/null
+++ b/crates/ctl/src/command/apply.rs
@@ -0,0 +1,144 @@
+//! Bringing a manifest into force.
+
+use {
+    crate::{
+        cli::ApplyArgs,
+        conf::Settings,
+        exit::Exit,
+        manifest,
+        query::check::print_faults,
+        reach::{call_by, config},
+    },
+    egret_core::{Change, ConfigRecord, Op, Rejection, Verdict, diff, digest},
+    egret_runtime::{LogClient, LogError, unix_ms},
+    faststr::FastStr,
+    serde_json::json,
+    std::time::Duration,
+};
+
+/// Tries to settle a lost answer by reading, before the desk is told.
+const SETTLE_TRIES: u32 = 5;
+
+/// Wait between two of them, in milliseconds.
+const SETTLE_WAIT_MS: u64 = 300;
+
+/// Runs `egretctl apply`.
+pub(crate) async fn run(cfg: &Settings, args: &ApplyArgs, json: bool) -> Exit {
+    let log = LogClient::new(cfg.platform.log);
+    if let Some(id) = &args.resume {
+        return settle(&log, id, json).await;
+    }
+    let Some(path) = &args.manifest else {
+        return Exit::Wrong;
+    };
+    let manifest = match manifest::read(path) {
+        Ok(manifest) => manifest,
+        Err(faults) => return print_faults(path, &faults, json),
+    };
+    let fold = match config(&log).await {
+        Ok(fold) => fold,
+        Err(e) => return unreachable(&e, json),
+    };
+    let current = fold.current();
+    if let Some(base) = args.base
+        && base != current.revision
+    {
+        let rejection = Rejection::Lost {
+            revision: current.revision,
+            operator: current.operator.clone(),
+        };
+        return report("-", &Err(rejection), json);
+    }
+    let ops = diff(&current.manifest, &manifest);
+    print_plan(&ops, current.revision, json);
+    if ops.is_empty() || args.dry_run {
+        return Exit::Done;
+    }
+    let id = change_id(&args.operator);
+    let change = Change {
+        id: FastStr::new(&id),
+        operator: FastStr::new(&args.operator),
+        base_revision: current.revision,
+        ops,
+    };
+    match log
+        .append("config", &[ConfigRecord::Change(change)], call_by())
+        .await
+    {
+        Err(e @ LogError::Refused(_)) => unreachable(&e, json),
+        // also after a lost answer: reading shows whether the record is there
+        Ok(_) | Err(LogError::Unknown(_)) => settle(&log, &id, json).await,
+    }
+}
+
+fn change_id(operator: &str) -> String {
+    let seed = format!("{operator} {} {}", unix_ms(), std::process::id());
+    digest(seed.as_bytes())[..16].to_owned()
+}
+
+async fn settle(log: &LogClient, id: &str, json: bool) -> Exit {
+    for _ in 0..SETTLE_TRIES {
+        if let Ok(fold) = config(log).await
+            && let Some(verdict) = fold.verdict(id)
+        {
+            return report(id, verdict, json);
+        }
+        tokio::time::sleep(Duration::from_millis(SETTLE_WAIT_MS)).await;
+    }
+    let advice = format!("egretctl apply --resume {id}");
+    if json {
+        println!(
+            "{}",
+            json!({ "result": "unknown", "id": id, "settle_with": advice })
+        );
+    } else {
+        println!("unknown: the log did not show this change yet; settle with: {advice}");
+    }
+    Exit::Unknown
+}
+
+fn report(id: &str, verdict: &Verdict, json: bool) -> Exit {
+    let (result, text, exit) = match verdict {
+        Ok(revision) => (
+            "accepted",
+            format!("accepted: revision {revision}"),
+            Exit::Done,
+        ),
+        Err(e @ Rejection::Lost { .. }) => ("lost", e.to_string(), Exit::Lost),
+        Err(e @ Rejection::Invalid(_)) => ("invalid", e.to_string(), Exit::Wrong),
+    };
+    if json {
+        let revision = verdict.as_ref().ok();
+        println!(
+            "{}",
+            json!({ "result": result, "id": id, "revision": revision, "text": text })
+        );
+    } else {
+        println!("{text}");
+    }
+    exit
+}
+
+fn unreachable(error: &LogError, json: bool) -> Exit {
+    if json {
+        println!(
+            "{}",
+            json!({ "result": "unreachable", "text": error.to_string() })
+        );
+    } else {
+        println!("not applied: {error}; nothing was changed");
+    }
+    Exit::Unreachable
+}
+
+fn print_plan(ops: &[Op], base: u64, json: bool) {
+    if json {
+        let steps: Vec<String> = ops.iter().map(ToString::to_string).collect();
+        println!("{}", json!({ "base_revision": base, "plan": steps }));
+        return;
+    }
+    println!("plan against revision {base}: {} steps", ops.len());
+    for op in ops {
+        println!("  {op}");
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,3 @@
+//! Commands that change something.
+
+pub(crate) mod apply;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,5 @@
+//! Runs egretctl.
+
+fn main() -> std::process::ExitCode {
+    egretctl::cli::run()
+}
--- /dev/null
+++ b/crates/ctl/src/query/mod.rs
@@ -0,0 +1,6 @@
+//! Commands that only ask.
+
+pub(crate) mod audit;
+pub(crate) mod check;
+pub(crate) mod explain;
+pub(crate) mod status;
--- /dev/null
+++ b/crates/ctl/src/reach.rs
@@ -0,0 +1,89 @@
+//! Reaching the log and the hosts.
+
+use {
+    crate::conf::Settings,
+    egret_core::{ConfigLog, ConfigRecord, Time},
+    egret_runtime::{Caller, HostEntry, HostsClient, LogClient, LogError, now},
+    serde_json::Value,
+    std::net::SocketAddr,
+};
+
+/// How long one call may take, in milliseconds.
+const CALL_MS: u64 = 2000;
+
+/// The deadline of a call that begins now.
+pub(crate) fn call_by() -> Time {
+    now().after_ms(CALL_MS)
+}
+
+/// Reads the configuration stream to its end.
+pub(crate) async fn config(log: &LogClient) -> Result<ConfigLog, LogError> {
+    let mut fold = ConfigLog::default();
+    let mut from = 0;
+    loop {
+        let batch = log.read("config", from, 0, call_by()).await?;
+        fold.starts_at(batch.start);
+        let at_end = batch.reaches_end();
+        from = batch.next();
+        for (offset, record) in batch.decode::<ConfigRecord>() {
+            if let Some(record) = record {
+                fold.observe(offset, record);
+            }
+        }
+        if at_end {
+            return Ok(fold);
+        }
+    }
+}
+
+/// What one program on one host says.
+#[derive(Clone, Debug)]
+pub(crate) struct Said {
+    /// Host.
+    pub(crate) host: String,
+    /// Program.
+    pub(crate) program: &'static str,
+    /// Its answer, none when it could not be reached.
+    pub(crate) answer: Option<Value>,
+}
+
+/// The host list, none when it could not be reached.
+pub(crate) async fn hosts(cfg: &Settings) -> Option<Vec<HostEntry>> {
+    let mut list = HostsClient::new(cfg.platform.hosts).list(call_by()).await?;
+    list.sort_by(|a, b| a.host.cmp(&b.host));
+    Some(list)
+}
+
+/// Asks the entry and the keeper of each entry host, in the order of the hosts' names.
+pub(crate) async fn ask_all(cfg: &Settings, hosts: &[HostEntry], path: &str) -> Vec<Said> {
+    let caller = Caller::pooled();
+    let mut asked = Vec::new();
+    for host in hosts.iter().filter(|h| h.role == "entry") {
+        for (program, port) in [
+            ("egret-entry", cfg.entry_port),
+            ("egret-keeper", cfg.keeper_port),
+        ] {
+            let address = SocketAddr::new(host.ip, port);
+            let (caller, path) = (caller.clone(), path.to_owned());
+            let asking = tokio::spawn(async move {
+                let reply = caller.get(address, &path, call_by()).await.ok()?;
+                reply
+                    .status
+                    .is_success()
+                    .then(|| reply.json().ok())
+                    .flatten()
+            });
+            asked.push((host.host.to_string(), program, asking));
+        }
+    }
+    let mut all = Vec::new();
+    for (host, program, asking) in asked {
+        let answer = asking.await.ok().flatten();
+        all.push(Said {
+            host,
+            program,
+            answer,
+        });
+    }
+    all
+}
--- /dev/null
+++ b/crates/entry/src/calls/attempt.rs
@@ -0,0 +1,295 @@
+//! One attempt: a ticket, the engine, the check of its answer.
+
+use {
+    super::{check::Expected, parse::ModelRequest, stream::EngineStream},
+    crate::{
+        keepers::{OpenTicket, TicketRecord},
+        state::Entry,
+    },
+    egret_core::{AttemptEnd, Candidates, Course, Reason, Standing, Time, choose},
+    egret_runtime::{
+        AcquireMsg, Body, CallError, KeyMsg, LinkError, RefuseMsg, events, now, read_limited,
+    },
+    faststr::FastStr,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    volo_http::response::Response,
+};
+
+/// Largest answer that is not streamed, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// How long a keeper may take beyond a request's deadline to say that it got no ticket, in
+/// milliseconds.
+const VERDICT_GRACE_MS: u64 = 500;
+
+/// What an attempt brought.
+pub(crate) enum Brought {
+    /// A whole JSON answer, checked.
+    Whole(bytes::Bytes),
+    /// The head of a stream, with its first part checked.
+    Stream(Box<EngineStream>),
+}
+
+/// Who answered and how.
+pub(crate) struct Served {
+    pub(crate) brought: Brought,
+    pub(crate) target: FastStr,
+    pub(crate) attempt: u32,
+    pub(crate) stall_ms: u64,
+}
+
+/// One attempt of a request.
+pub(crate) struct Attempt<'a> {
+    pub(crate) entry: &'a Arc<Entry>,
+    pub(crate) req: &'a ModelRequest,
+    pub(crate) request: &'a FastStr,
+    pub(crate) caller: &'a FastStr,
+    pub(crate) number: u32,
+    pub(crate) suspect: bool,
+}
+
+struct Granted {
+    ticket: OpenTicket,
+    stall_ms: u64,
+}
+
+impl Attempt<'_> {
+    /// The engine to try, none when no known engine takes the request.
+    pub(crate) fn choose(&self, course: &Course) -> Option<FastStr> {
+        let entry = self.entry;
+        let standing = entry.suspects.lock().standing(now(), self.req.fingerprint);
+        let alone = self.suspect || standing != Standing::Clear;
+        let ask = Candidates {
+            model: &self.req.model,
+            tried: course.tried(),
+            data_centre: &entry.cfg.data_centre,
+            far_ms: entry.cfg.routing.far_ms,
+            suspect: alone.then_some(self.req.fingerprint.0),
+            seed: egret_core::mix(self.req.fingerprint.0, now().as_millis()),
+        };
+        let routing = &entry.cfg.routing;
+        let mut views = entry.views.lock();
+        let engine = choose(routing.policy, &routing.weights, &views, &ask)?;
+        views.count_sent(&engine, &self.req.model);
+        Some(engine)
+    }
+
+    /// Runs the request on `engine`.
+    pub(crate) async fn run(&self, engine: &FastStr) -> Result<Served, AttemptEnd> {
+        let granted = self.acquire(engine).await?;
+        let config = self.entry.config.current();
+        let Some(spec) = config.manifest.engines.get(engine) else {
+            return Err(AttemptEnd::Moved);
+        };
+        let brought = self.dispatch(spec.address, granted.ticket, engine).await?;
+        Ok(Served {
+            brought,
+            target: engine.clone(),
+            attempt: self.number,
+            stall_ms: granted.stall_ms,
+        })
+    }
+
+    async fn acquire(&self, engine: &FastStr) -> Result<Granted, AttemptEnd> {
+        let (keeper, copies) = {
+            let views = self.entry.views.lock();
+            let keeper = views
+                .get(engine)
+                .map(|v| v.keeper.clone())
+                .ok_or(AttemptEnd::Moved)?;
+            (keeper, views.holders(&self.req.model).len())
+        };
+        let message = AcquireMsg {
+            key: KeyMsg {
+                request: self.request.to_string(),
+                attempt: self.number,
+            },
+            engine: engine.to_string(),
+            model: self.req.model.to_string(),
+            caller: self.caller.to_string(),
+            class: self.req.class.as_str().to_owned(),
+            remaining_ms: now().ms_until(self.req.deadline),
+            fingerprint: self.req.fingerprint.0,
+            suspect: self.suspect,
+            copies: u32::try_from(copies).unwrap_or(u32::MAX),
+        };
+        let deadline = self.req.deadline.after_ms(VERDICT_GRACE_MS);
+        match self
+            .entry
+            .links
+            .call(&keeper, Body::Acquire(message), deadline)
+            .await
+        {
+            Ok(Body::Grant(grant)) => {
+                let ticket = OpenTicket::new(self.entry, self.record(engine, grant.fence));
+                let ticket = ticket.ok_or(AttemptEnd::Moved)?;
+                Ok(Granted {
+                    ticket,
+                    stall_ms: grant.stall_ms,
+                })
+            }
+            Ok(Body::Refuse(refusal)) => Err(refused(&refusal)),
+            // nothing was sent to the engine; a ticket that was granted on the way is not in the
+            // list of open ones, so the keeper takes it back
+            Ok(_) | Err(LinkError::NotConnected | LinkError::Broken) => Err(AttemptEnd::Moved),
+            Err(LinkError::Late) => Err(AttemptEnd::NoTicket {
+                reason: Reason::Deadline,
+                retry_after_ms: 1000,
+            }),
+        }
+    }
+
+    fn record(&self, engine: &FastStr, fence: u64) -> TicketRecord {
+        TicketRecord {
+            request: self.request.clone(),
+            attempt: self.number,
+            engine: engine.clone(),
+            fence,
+            model: self.req.model.clone(),
+            caller: self.caller.clone(),
+            fingerprint: self.req.fingerprint,
+        }
+    }
+
+    async fn dispatch(
+        &self,
+        address: SocketAddr,
+        mut ticket: OpenTicket,
+        engine: &FastStr,
+    ) -> Result<Brought, AttemptEnd> {
+        let expected = Expected::new(self.request, self.number, &self.req.model);
+        let head_by = self.head_by();
+        ticket.sent();
+        let path = self.req.kind.path();
+        let headers = Self::headers(&expected);
+        let body = self.req.body.clone();
+        let caller = &self.entry.engine_caller;
+        let opened = caller
+            .open(address, Method::POST, path, &headers, body, head_by)
+            .await;
+        let response = match opened {
+            Ok(response) => response,
+            Err(e) => return Err(Self::no_head(&mut ticket, &e)),
+        };
+        if !response.status().is_success() {
+            return Err(self.not_success(&mut ticket, response, engine).await);
+        }
+        if !expected.head(response.headers()) {
+            self.entry.counts.answers_dropped.inc();
+            events::ANSWER_DROPPED.warn(format_args!(
+                "request={} target={engine} head",
+                self.request
+            ));
+            return Err(AttemptEnd::Broken(Reason::BadAnswer));
+        }
+        if self.req.streams {
+            let stream = EngineStream::begin(self.entry, expected, response, ticket).await?;
+            return Ok(Brought::Stream(Box::new(stream)));
+        }
+        self.whole(&expected, response, ticket).await
+    }
+
+    /// A streamed answer shows signs of life; a whole one comes when it is done.
+    fn head_by(&self) -> Time {
+        let first_part = now().after_ms(self.entry.cfg.times.first_part_ms);
+        if self.req.streams {
+            first_part
+        } else {
+            self.req.deadline.max(first_part)
+        }
+    }
+
+    fn headers(expected: &Expected) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+        for (name, value) in [
+            ("x-request-id", expected.request.as_str()),
+            ("x-attempt", &expected.attempt),
+        ] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        headers
+    }
+
+    fn no_head(ticket: &mut OpenTicket, error: &CallError) -> AttemptEnd {
+        match error {
+            CallError::NotConnected(_) => {
+                ticket.unused();
+                AttemptEnd::NotConnected
+            }
+            CallError::Late => AttemptEnd::Broken(Reason::TargetFailed),
+            CallError::Broken(_) => {
+                ticket.broken();
+                AttemptEnd::Broken(Reason::TargetFailed)
+            }
+        }
+    }
+
+    async fn not_success(
+        &self,
+        ticket: &mut OpenTicket,
+        response: Response,
+        engine: &FastStr,
+    ) -> AttemptEnd {
+        let status = response.status();
+        let _ = tokio::time::timeout(
+            Duration::from_millis(self.entry.cfg.times.silence_ms),
+            read_limited(response.into_body(), ANSWER_BYTES_MAX),
+        )
+        .await;
+        match status {
+            StatusCode::NOT_FOUND => {
+                ticket.not_resident();
+                self.entry
+                    .views
+                    .lock()
+                    .count_missing(engine, &self.req.model);
+                AttemptEnd::Refused
+            }
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                ticket.unused();
+                AttemptEnd::Refused
+            }
+            // it may have run in part
+            _ => AttemptEnd::Broken(Reason::TargetFailed),
+        }
+    }
+
+    async fn whole(
+        &self,
+        expected: &Expected,
+        response: Response,
+        mut ticket: OpenTicket,
+    ) -> Result<Brought, AttemptEnd> {
+        let silence = Duration::from_millis(self.entry.cfg.times.silence_ms);
+        let read = read_limited(response.into_body(), ANSWER_BYTES_MAX);
+        let Ok(read) = tokio::time::timeout(silence, read).await else {
+            return Err(AttemptEnd::Broken(Reason::TargetFailed));
+        };
+        let Ok(body) = read else {
+            ticket.broken();
+            return Err(AttemptEnd::Broken(Reason::BadAnswer));
+        };
+        if !expected.whole(&body) {
+            self.entry.counts.answers_dropped.inc();
+            events::ANSWER_DROPPED.warn(format_args!("request={} whole", self.request));
+            return Err(AttemptEnd::Broken(Reason::BadAnswer));
+        }
+        ticket.done();
+        Ok(Brought::Whole(body))
+    }
+}
+
+fn refused(refusal: &RefuseMsg) -> AttemptEnd {
+    match Reason::from_code(&refusal.reason) {
+        Some(reason) => AttemptEnd::NoTicket {
+            reason,
+            retry_after_ms: refusal.retry_after_ms,
+        },
+        None => AttemptEnd::Moved,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/cli/mod.rs
@@ -0,0 +1,78 @@
+//! Command line and start.
+
+mod args;
+
+use {
+    crate::{conf::Settings, keepers, services, state::Entry, web},
+    args::Args,
+    clap::Parser,
+    egret_runtime::{HostsClient, LogClient, events, load_settings, start_logs},
+    std::{process::ExitCode, sync::Arc},
+};
+
+/// Exit code for settings that were refused.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs the entry until it is told to stop.
+#[must_use]
+pub fn run() -> ExitCode {
+    let args = Args::parse();
+    let cfg = match load_settings(&args.common.config, Settings::faults) {
+        Ok(cfg) => cfg,
+        Err(e) => {
+            eprintln!("egret-entry: {e}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.common.check {
+        println!("{}: settings are right", args.common.config.display());
+        return ExitCode::SUCCESS;
+    }
+    start_logs(&cfg.logs);
+    match serve(cfg) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("egret-entry: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(cfg: Settings) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        let entry = Arc::new(Entry::new(cfg));
+        start_tasks(&entry);
+        events::STARTED.info(format_args!(
+            "host={} incarnation={}",
+            entry.host, entry.incarnation
+        ));
+        web::serve(entry.clone()).await?;
+        events::STOPPED.info(format_args!("host={}", entry.host));
+        Ok(())
+    })
+}
+
+fn start_tasks(entry: &Arc<Entry>) {
+    let platform = &entry.cfg.platform;
+    let log = LogClient::new(platform.log);
+    let hosts = HostsClient::new(platform.hosts);
+    spawn(entry, move |e| async move { e.config.follow(log).await });
+    spawn(entry, move |e| async move { e.hosts.follow(hosts).await });
+    spawn(entry, keepers::beat_all);
+    spawn(entry, keepers::follow_config);
+    spawn(entry, services::follow_journal);
+    spawn(entry, services::append_journal);
+    spawn(entry, |e| async move {
+        e.audit
+            .pass_on(e.log.clone(), e.cfg.audit.interval_ms)
+            .await;
+    });
+}
+
+fn spawn<F>(entry: &Arc<Entry>, task: impl FnOnce(Arc<Entry>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(task(entry.clone()));
+}
--- /dev/null
+++ b/crates/entry/src/keepers/beat.rs
@@ -0,0 +1,246 @@
+//! Heartbeats to keepers, and what their answers say of the engines.
+
+use {
+    crate::state::Entry,
+    egret_core::{Config, EngineView, Fingerprint, Member, ModelName, SuspectRecord, Time},
+    egret_runtime::{
+        BeatMsg, Body, EngineViewMsg, Link, RegisterMsg, SuspectMsg, ViewMsg, events, now,
+    },
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// Heartbeats between two that list all open tickets.
+const LIST_OPEN_EVERY: u64 = 10;
+
+/// What this entry remembers of one keeper between heartbeats.
+#[derive(Debug, Default)]
+struct Keeper {
+    revision: u64,
+    versions: BTreeMap<String, u64>,
+    fences: IndexMap<FastStr, u64>,
+    residents: IndexMap<FastStr, IndexSet<ModelName>>,
+    heard: Time,
+    beats: u64,
+}
+
+/// Starts a task for each entry host that the host list shows, for ever.
+pub(crate) async fn beat_all(entry: Arc<Entry>) {
+    let mut followed: IndexMap<FastStr, tokio::task::JoinHandle<()>> = IndexMap::new();
+    loop {
+        let members: Vec<Member> = {
+            let members = entry.hosts.members().lock();
+            members.known().into_iter().cloned().collect()
+        };
+        for member in members {
+            let running = followed
+                .get(&member.host)
+                .is_some_and(|task| !task.is_finished());
+            if !running {
+                let task = tokio::spawn(beat(entry.clone(), member.clone()));
+                followed.insert(member.host, task);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(entry.cfg.routing.beat_ms)).await;
+    }
+}
+
+/// Sends heartbeats to one keeper as long as its host is known.
+async fn beat(entry: Arc<Entry>, member: Member) {
+    let mut keeper = Keeper {
+        heard: now(),
+        ..Keeper::default()
+    };
+    loop {
+        let known = entry.hosts.members().lock().get(&member.host).cloned();
+        let Some(member) = known else {
+            forget(&entry, &member.host, &mut keeper);
+            return;
+        };
+        if let Some(link) = entry.links.open(&entry, &member).await {
+            beat_once(&entry, &member, &mut keeper, &link).await;
+        }
+        let silent_ms = now().ms_since(keeper.heard);
+        if silent_ms >= entry.cfg.routing.keeper_silence_ms {
+            forget(&entry, &member.host, &mut keeper);
+        }
+        tokio::time::sleep(Duration::from_millis(entry.cfg.routing.beat_ms)).await;
+    }
+}
+
+async fn beat_once(entry: &Arc<Entry>, member: &Member, keeper: &mut Keeper, link: &Arc<Link>) {
+    keeper.beats += 1;
+    let lists_open = keeper.beats.is_multiple_of(LIST_OPEN_EVERY);
+    let message = BeatMsg {
+        entry: true,
+        revision: entry.config.current().revision,
+        known: keeper.versions.clone(),
+        config: entry.config.newer_than(keeper.revision),
+        suspects: suspects(entry),
+        open: if lists_open {
+            entry.tickets.keys()
+        } else {
+            Vec::new()
+        },
+        lists_open,
+        stopping: entry.stopping(),
+    };
+    let deadline = now().after_ms(entry.cfg.routing.keeper_silence_ms);
+    match link.call(Body::Beat(message), deadline).await {
+        Ok(Body::View(view)) => {
+            keeper.heard = now();
+            take_view(entry, member, keeper, link, view);
+        }
+        // silent or broken: the next heartbeat opens a new link
+        _ => entry.links.close(&member.host),
+    }
+}
+
+fn take_view(
+    entry: &Arc<Entry>,
+    member: &Member,
+    keeper: &mut Keeper,
+    link: &Arc<Link>,
+    view: ViewMsg,
+) {
+    keeper.revision = view.revision;
+    entry.config.adopt(&view.config);
+    merge_suspects(entry, &view.suspects);
+    let config = entry.config.current();
+    let mut held = IndexSet::new();
+    for engine in view.engines {
+        let name = FastStr::new(&engine.engine);
+        held.insert(name.clone());
+        if !engine.registered {
+            register(entry, link, &name, engine.fence);
+        }
+        take_engine(entry, &config, member, keeper, &name, engine);
+    }
+    let lost: Vec<FastStr> = keeper
+        .fences
+        .keys()
+        .filter(|name| !held.contains(*name))
+        .cloned()
+        .collect();
+    for name in lost {
+        drop_engine(entry, &member.host, keeper, &name);
+    }
+}
+
+/// Registers the open tickets of an engine with the keeper that now holds it.
+fn register(entry: &Arc<Entry>, link: &Arc<Link>, engine: &FastStr, fence: u64) {
+    let tickets = entry.tickets.promise(engine, fence);
+    let open = tickets.len();
+    events::REGISTERED.debug(format_args!("engine={engine} fence={fence} open={open}"));
+    link.tell(Body::Register(RegisterMsg {
+        engine: engine.to_string(),
+        fence,
+        tickets,
+    }));
+}
+
+fn take_engine(
+    entry: &Entry,
+    config: &Config,
+    member: &Member,
+    keeper: &mut Keeper,
+    name: &FastStr,
+    engine: EngineViewMsg,
+) {
+    let Some(spec) = config.manifest.engines.get(name) else {
+        return;
+    };
+    if let Some(resident) = engine.resident {
+        let models = resident
+            .models
+            .iter()
+            .filter_map(|m| m.parse().ok())
+            .collect();
+        keeper.residents.insert(name.clone(), models);
+        keeper.versions.insert(name.to_string(), engine.version);
+    }
+    keeper.fences.insert(name.clone(), engine.fence);
+    let view = EngineView {
+        base: spec.base.clone(),
+        data_centre: spec.data_centre.clone(),
+        keeper: member.host.clone(),
+        fence: engine.fence,
+        batch: u32::from(spec.batch),
+        running: engine.running,
+        queued: engine.queued,
+        service_ms: engine.service_ms,
+        loads_waiting: engine.loads_waiting,
+        load_ms: engine.load_ms,
+        free_slots: engine.free_slots,
+        can_load: engine.can_load,
+        leaving: engine.leaving || config.manifest.hosts.leaving(name),
+        resident: keeper.residents.get(name).cloned().unwrap_or_default(),
+    };
+    entry.views.lock().update(name, view);
+}
+
+/// Forgets all that a keeper held: it is silent.
+fn forget(entry: &Entry, host: &FastStr, keeper: &mut Keeper) {
+    let names: Vec<FastStr> = keeper.fences.keys().cloned().collect();
+    for name in names {
+        drop_engine(entry, host, keeper, &name);
+    }
+}
+
+fn drop_engine(entry: &Entry, host: &FastStr, keeper: &mut Keeper, name: &FastStr) {
+    keeper.fences.shift_remove(name);
+    keeper.versions.remove(name.as_str());
+    keeper.residents.shift_remove(name);
+    let mut views = entry.views.lock();
+    let theirs = views.get(name).is_some_and(|view| view.keeper == *host);
+    if theirs {
+        views.remove(name);
+    }
+}
+
+fn suspects(entry: &Entry) -> Vec<SuspectMsg> {
+    let records = entry.suspects.lock().records(now());
+    let message = |record: SuspectRecord| SuspectMsg {
+        fingerprint: record.fingerprint.0,
+        crashes: u32::from(record.crashes),
+        remaining_ms: record.remaining_ms,
+    };
+    records.into_iter().map(message).collect()
+}
+
+fn merge_suspects(entry: &Entry, messages: &[SuspectMsg]) {
+    let mut suspects = entry.suspects.lock();
+    for message in messages {
+        suspects.merge(
+            now(),
+            SuspectRecord {
+                fingerprint: Fingerprint(message.fingerprint),
+                crashes: u8::try_from(message.crashes).unwrap_or(u8::MAX),
+                remaining_ms: message.remaining_ms,
+            },
+        );
+    }
+}
+
+/// Takes each newer configuration into account.
+pub(crate) async fn follow_config(entry: Arc<Entry>) {
+    let mut news = entry.config.subscribe();
+    loop {
+        let config = news.borrow_and_update().clone();
+        let names: IndexSet<FastStr> = config.manifest.engines.keys().cloned().collect();
+        {
+            let mut views = entry.views.lock();
+            views.retain(&names);
+            for name in &config.manifest.hosts.retire {
+                views.set_leaving(name, true);
+            }
+        }
+        if config.manifest.hosts.stop.contains(&entry.host) {
+            let _ = nix::sys::signal::raise(nix::sys::signal::Signal::SIGTERM);
+        }
+        if news.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/keepers/tickets.rs
@@ -0,0 +1,172 @@
+//! Tickets that are open at this entry, and the promises it made about older ones.
+
+use {
+    crate::state::Entry,
+    egret_core::{Fingerprint, ModelName},
+    egret_runtime::{Body, KeyMsg, ReleaseMsg, TicketMsg},
+    faststr::FastStr,
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    std::sync::Arc,
+};
+
+/// What is known of an open ticket.
+#[derive(Clone, Debug)]
+pub(crate) struct TicketRecord {
+    /// Id of the request.
+    pub(crate) request: FastStr,
+    /// Attempt number.
+    pub(crate) attempt: u32,
+    /// Engine on which it may run.
+    pub(crate) engine: FastStr,
+    /// Fencing number under which it was granted.
+    pub(crate) fence: u64,
+    /// What it names.
+    pub(crate) model: ModelName,
+    /// Who sent the request.
+    pub(crate) caller: FastStr,
+    /// Its content.
+    pub(crate) fingerprint: Fingerprint,
+}
+
+impl TicketRecord {
+    fn key(&self) -> KeyMsg {
+        KeyMsg {
+            request: self.request.to_string(),
+            attempt: self.attempt,
+        }
+    }
+
+    fn message(&self) -> TicketMsg {
+        TicketMsg {
+            key: self.key(),
+            model: self.model.to_string(),
+            caller: self.caller.to_string(),
+            fingerprint: self.fingerprint.0,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    open: IndexMap<(FastStr, u32), TicketRecord>,
+    promised: IndexMap<FastStr, u64>,
+}
+
+/// The open tickets and, for each engine, the fencing number below which nothing is started.
+#[derive(Debug, Default)]
+pub(crate) struct OpenTickets {
+    state: Mutex<State>,
+}
+
+impl OpenTickets {
+    /// Opens a ticket. False when a promise forbids to start under its fencing number.
+    fn open(&self, record: &TicketRecord) -> bool {
+        let mut state = self.state.lock();
+        let promised = state.promised.get(&record.engine).copied().unwrap_or(0);
+        if record.fence < promised {
+            return false;
+        }
+        let key = (record.request.clone(), record.attempt);
+        state.open.insert(key, record.clone());
+        true
+    }
+
+    fn close(&self, record: &TicketRecord) {
+        let key = (record.request.clone(), record.attempt);
+        self.state.lock().open.swap_remove(&key);
+    }
+
+    /// Promises to start nothing on `engine` under a number below `fence`, and lists the tickets
+    /// that are open there.
+    pub(crate) fn promise(&self, engine: &FastStr, fence: u64) -> Vec<TicketMsg> {
+        let mut state = self.state.lock();
+        let promised = state.promised.entry(engine.clone()).or_insert(0);
+        *promised = (*promised).max(fence);
+        let open = state.open.values().filter(|t| t.engine == *engine);
+        open.map(TicketRecord::message).collect()
+    }
+
+    /// Keys of all tickets that are open.
+    pub(crate) fn keys(&self) -> Vec<KeyMsg> {
+        self.state
+            .lock()
+            .open
+            .values()
+            .map(TicketRecord::key)
+            .collect()
+    }
+
+    /// Number of tickets that are open.
+    pub(crate) fn len(&self) -> usize {
+        self.state.lock().open.len()
+    }
+}
+
+/// A ticket, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct OpenTicket {
+    entry: Arc<Entry>,
+    record: TicketRecord,
+    end: &'static str,
+}
+
+impl OpenTicket {
+    /// Opens a granted ticket; none when the engine was taken over meanwhile.
+    pub(crate) fn new(entry: &Arc<Entry>, record: TicketRecord) -> Option<Self> {
+        let opened = entry.tickets.open(&record);
+        let ticket = Self {
+            entry: entry.clone(),
+            record,
+            end: "unused",
+        };
+        // dropping it gives it back unused
+        opened.then_some(ticket)
+    }
+
+    /// The request has been sent: unless something else is said, it was given up.
+    pub(crate) fn sent(&mut self) {
+        self.end = "abandoned";
+    }
+
+    /// The request was not sent after all, or the engine proved that it refused it.
+    pub(crate) fn unused(&mut self) {
+        self.end = "unused";
+    }
+
+    /// The answer is whole.
+    pub(crate) fn done(&mut self) {
+        self.end = "done";
+    }
+
+    /// The engine does not have the adapter.
+    pub(crate) fn not_resident(&mut self) {
+        self.end = "not_resident";
+    }
+
+    /// The connection broke.
+    pub(crate) fn broken(&mut self) {
+        self.end = "broken";
+    }
+}
+
+impl Drop for OpenTicket {
+    fn drop(&mut self) {
+        self.entry.tickets.close(&self.record);
+        let holder = {
+            let views = self.entry.views.lock();
+            views.get(&self.record.engine).map(|v| v.keeper.clone())
+        };
+        // without a holder the next one learns from the list of open tickets
+        let Some(holder) = holder else {
+            return;
+        };
+        let release = ReleaseMsg {
+            key: self.record.key(),
+            engine: self.record.engine.to_string(),
+            end: self.end.to_owned(),
+            fingerprint: self.record.fingerprint.0,
+        };
+        self.entry.links.tell(&holder, Body::Release(release));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/services/call.rs
@@ -0,0 +1,300 @@
+//! A request to a plain service.
+
+use {
+    super::{
+        keyed::{Keyed, keyed},
+        target::{Outgoing, ServiceHost, targets},
+    },
+    crate::{
+        calls::caller,
+        state::{Admitted, Entry},
+    },
+    egret_core::{AttemptEnd, Course, Next, Outcome, Reason},
+    egret_runtime::{Answer, Reply, events, now, read_limited},
+    faststr::FastStr,
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
+    std::{sync::Arc, time::Duration},
+    volo_http::{body::Body, request::Request, response::Response},
+};
+
+/// When a caller is told to come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// Headers of the caller that are passed on to a service.
+const PASSED_ON: [HeaderName; 3] = [
+    header::CONTENT_TYPE,
+    header::ACCEPT,
+    HeaderName::from_static("idempotency-key"),
+];
+
+/// What a service's answer is passed on with.
+pub(super) struct Served {
+    pub(super) status: StatusCode,
+    pub(super) content_type: String,
+    pub(super) body: bytes::Bytes,
+    pub(super) target: FastStr,
+    pub(super) repeated: bool,
+}
+
+/// Answers a request under `/services/{name}/{path}`.
+pub(crate) async fn serve(entry: Arc<Entry>, peer: String, req: Request) -> Response {
+    let request = entry.next_request();
+    let (head, body) = req.into_parts();
+    let caller = caller(&head.headers, &peer);
+    let refusal = |status, reason, message: &str, after| Answer {
+        status,
+        outcome: Outcome::NotRun,
+        reason,
+        message: message.to_owned(),
+        retry_after_ms: after,
+        request: request.clone(),
+    };
+    let path = head
+        .uri
+        .path()
+        .strip_prefix("/services/")
+        .unwrap_or_default();
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let service = FastStr::new(service);
+    if !entry.config.ready() || entry.leaving() {
+        let (reason, message) = if entry.leaving() {
+            (
+                Reason::Leaving,
+                "this host is leaving; another one takes the request",
+            )
+        } else {
+            (Reason::NotReady, "no configuration is in force here yet")
+        };
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        // with a key the request may have run through another host before
+        let answer = refusal(status, reason, message, Some(RETRY_AFTER_MS));
+        return refuse(&entry, unknown_if_keyed(&head.headers, answer));
+    }
+    let Some(admitted) = Admitted::new(&entry, &caller) else {
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        let message = "too many requests of this caller are open";
+        let answer = refusal(status, Reason::CallerLimit, message, Some(RETRY_AFTER_MS));
+        return refuse(&entry, unknown_if_keyed(&head.headers, answer));
+    };
+    let body = match read_limited(body, entry.cfg.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(e) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return refuse(
+                &entry,
+                refusal(status, Reason::TooLarge, &e.to_string(), None),
+            );
+        }
+    };
+    let config = entry.config.current();
+    let Some(hosts) = targets(&entry, &config, &service, &request) else {
+        let message = format!("no such service: {service}");
+        return refuse(
+            &entry,
+            refusal(StatusCode::NOT_FOUND, Reason::UnknownModel, &message, None),
+        );
+    };
+    entry
+        .traces
+        .begin(&request, &format!("service {service}"), &caller);
+    let query = head
+        .uri
+        .query()
+        .map(|q| format!("?{q}"))
+        .unwrap_or_default();
+    let outgoing = Outgoing {
+        method: head.method.clone(),
+        path: format!("/{rest}{query}"),
+        headers: passed_on(&head.headers, &request),
+        body,
+    };
+    let call = Call {
+        entry: entry.clone(),
+        request: request.clone(),
+        hosts,
+        outgoing,
+    };
+    let repeatable = matches!(head.method, Method::GET | Method::HEAD);
+    let served = if repeatable {
+        call.repeatable().await
+    } else {
+        let asked = Keyed {
+            service,
+            caller,
+            headers: head.headers,
+        };
+        keyed(call, asked, admitted).await
+    };
+    match served {
+        Ok(served) => respond(&entry, &request, served),
+        Err(answer) => refuse(&entry, answer),
+    }
+}
+
+/// A refusal before the journal was looked into says nothing of earlier requests with the key.
+fn unknown_if_keyed(headers: &HeaderMap, mut answer: Answer) -> Answer {
+    if headers.contains_key("idempotency-key") {
+        answer.outcome = Outcome::Unknown;
+        answer
+            .message
+            .push_str("; whether an earlier request with this key ran is not known here");
+    }
+    answer
+}
+
+fn passed_on(headers: &HeaderMap, request: &FastStr) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for name in &PASSED_ON {
+        if let Some(value) = headers.get(name) {
+            passed.insert(name.clone(), value.clone());
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(request) {
+        passed.insert(HeaderName::from_static("x-request-id"), value);
+    }
+    passed
+}
+
+/// One request to a service.
+pub(super) struct Call {
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: FastStr,
+    pub(super) hosts: Vec<ServiceHost>,
+    pub(super) outgoing: Outgoing,
+}
+
+impl Call {
+    /// The final answer to this request when it gets no answer of the service.
+    pub(super) fn answer(&self, outcome: Outcome, reason: Reason, retry_after_ms: u64) -> Answer {
+        let status = match (outcome, reason) {
+            (Outcome::Unknown, Reason::KeyOpen) | (_, Reason::KeyReused) => StatusCode::CONFLICT,
+            (Outcome::Unknown, Reason::KeyExpired) => StatusCode::GONE,
+            (Outcome::Unknown, Reason::LogDown) => StatusCode::SERVICE_UNAVAILABLE,
+            (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let said = match outcome {
+            Outcome::NotRun => "the request did not run",
+            Outcome::Unknown => "whether the request ran is not known",
+            Outcome::Done => "the request ran",
+        };
+        Answer {
+            status,
+            outcome,
+            reason,
+            message: format!("{said} ({reason})"),
+            retry_after_ms: Some(retry_after_ms),
+            request: self.request.clone(),
+        }
+    }
+
+    /// Sends a request that may be repeated, to one target after another.
+    async fn repeatable(&self) -> Result<Served, Answer> {
+        let deadline = now().after_ms(self.entry.cfg.times.service_ms);
+        let mut course = Course::new(now(), deadline);
+        self.entry.retries.lock().first_attempt();
+        loop {
+            let next = match self
+                .hosts
+                .iter()
+                .find(|h| !course.tried().contains(&h.name))
+            {
+                None => course.no_target(now()),
+                Some(host) => {
+                    let part = now()
+                        .after_ms(self.entry.cfg.times.first_part_ms)
+                        .min(deadline);
+                    let end = match self.outgoing.send(&self.entry, host, part).await {
+                        Ok(reply) => return Ok(served(reply, host)),
+                        Err(e) if e.not_sent() => AttemptEnd::NotConnected,
+                        Err(_) => AttemptEnd::Broken(Reason::TargetFailed),
+                    };
+                    self.entry
+                        .traces
+                        .step(&self.request, format!("{}: {end:?}", host.name));
+                    let mut budget = self.entry.retries.lock();
+                    course.ended(now(), &host.name, end, &mut budget)
+                }
+            };
+            match next {
+                Next::Try => {}
+                Next::Wait(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+                Next::GiveUp {
+                    outcome,
+                    reason,
+                    retry_after_ms,
+                } => {
+                    return Err(self.answer(outcome, reason, retry_after_ms));
+                }
+            }
+        }
+    }
+}
+
+pub(super) fn served(reply: Reply, host: &ServiceHost) -> Served {
+    let content_type = reply
+        .header("content-type")
+        .unwrap_or("application/octet-stream");
+    Served {
+        status: reply.status,
+        content_type: content_type.to_owned(),
+        body: reply.body,
+        target: host.name.clone(),
+        repeated: false,
+    }
+}
+
+fn respond(entry: &Entry, request: &FastStr, served: Served) -> Response {
+    let labels = vec![
+        ("outcome", "done".to_owned()),
+        ("reason", "done".to_owned()),
+    ];
+    entry.counts.answers.get_or_create(&labels).inc();
+    entry
+        .traces
+        .step(request, format!("answered by {}", served.target));
+    events::REQUEST_DONE.debug(format_args!("request={request}"));
+    let mut response = Response::new(Body::from(served.body));
+    *response.status_mut() = served.status;
+    let headers = [
+        (header::CONTENT_TYPE, served.content_type),
+        (HeaderName::from_static("x-request-id"), request.to_string()),
+        (
+            HeaderName::from_static("x-target"),
+            served.target.to_string(),
+        ),
+        (
+            HeaderName::from_static("x-egret-outcome"),
+            "done".to_owned(),
+        ),
+        (
+            HeaderName::from_static("x-egret-repeated"),
+            served.repeated.to_string(),
+        ),
+    ];
+    for (name, value) in headers {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    response
+}
+
+fn refuse(entry: &Entry, answer: Answer) -> Response {
+    let labels = vec![
+        ("outcome", answer.outcome.as_str().to_owned()),
+        ("reason", answer.reason.as_str().to_owned()),
+    ];
+    entry.counts.answers.get_or_create(&labels).inc();
+    let (request, reason) = (&answer.request, answer.reason);
+    entry.traces.step(
+        request,
+        format!("final answer {} {reason}", answer.outcome.as_str()),
+    );
+    if answer.outcome == Outcome::Unknown {
+        events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
+    } else {
+        events::REQUEST_REFUSED.debug(format_args!("request={request} reason={reason}"));
+    }
+    answer.into_response()
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,154 @@
+//! State of the entry, in parts that each have their own lock. No two are held at once.
+
+use {
+    crate::{
+        conf::Settings,
+        keepers::{KeeperLinks, OpenTickets},
+        services::JournalState,
+        trace::Traces,
+    },
+    egret_core::{CallerLimits, RetryBudget, Suspects, Time, Views},
+    egret_runtime::{Audit, Caller, ConfigWatch, HostsWatch, LogClient, Metrics, now, unix_ms},
+    faststr::FastStr,
+    parking_lot::Mutex,
+    prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+type Labels = Vec<(&'static str, String)>;
+
+/// Counts for the collector.
+#[derive(Debug)]
+pub(crate) struct Counts {
+    pub(crate) answers: Family<Labels, Counter>,
+    pub(crate) attempts_failed: Family<Labels, Counter>,
+    pub(crate) answers_dropped: Counter,
+    pub(crate) first_part_ms: Histogram,
+    pub(crate) stalls_ms: Histogram,
+}
+
+impl Counts {
+    fn new(metrics: &Metrics) -> Self {
+        Self {
+            answers: metrics.counters("egret_answers", "Final answers by outcome and reason"),
+            attempts_failed: metrics
+                .counters("egret_attempts_failed", "Attempts that failed, by reason"),
+            answers_dropped: metrics.counter(
+                "egret_answers_dropped",
+                "Parts of answers that match no open attempt",
+            ),
+            first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
+            stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
+        }
+    }
+}
+
+/// The entry.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) cfg: Settings,
+    pub(crate) host: FastStr,
+    pub(crate) incarnation: u64,
+    pub(crate) started: Time,
+    pub(crate) config: ConfigWatch,
+    pub(crate) hosts: HostsWatch,
+    pub(crate) views: Mutex<Views>,
+    pub(crate) links: KeeperLinks,
+    pub(crate) tickets: OpenTickets,
+    pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) limits: Mutex<CallerLimits>,
+    pub(crate) journal: JournalState,
+    pub(crate) traces: Traces,
+    pub(crate) log: LogClient,
+    pub(crate) engine_caller: Caller,
+    pub(crate) service_caller: Caller,
+    pub(crate) metrics: Metrics,
+    pub(crate) counts: Counts,
+    pub(crate) audit: Audit,
+    stopping: AtomicBool,
+    requests: AtomicU64,
+}
+
+impl Entry {
+    /// An entry that knows nothing yet.
+    pub(crate) fn new(cfg: Settings) -> Self {
+        let metrics = Metrics::default();
+        let limits = &cfg.limits;
+        Self {
+            host: cfg.host.clone(),
+            incarnation: unix_ms(),
+            started: now(),
+            config: ConfigWatch::default(),
+            hosts: HostsWatch::default(),
+            views: Mutex::default(),
+            links: KeeperLinks::default(),
+            tickets: OpenTickets::default(),
+            suspects: Mutex::default(),
+            retries: Mutex::default(),
+            limits: Mutex::new(CallerLimits::new(limits.requests, limits.caller_requests)),
+            journal: JournalState::new(cfg.journal.key_max_ms),
+            traces: Traces::default(),
+            log: LogClient::new(cfg.platform.log),
+            engine_caller: Caller::pooled(),
+            service_caller: Caller::unpooled(),
+            counts: Counts::new(&metrics),
+            metrics,
+            audit: Audit::new(cfg.host.clone()),
+            stopping: AtomicBool::new(false),
+            requests: AtomicU64::new(0),
+            cfg,
+        }
+    }
+
+    /// True once a stop was asked for.
+    pub(crate) fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a stop.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// True when this host is to get no new work.
+    pub(crate) fn leaving(&self) -> bool {
+        let config = self.config.current();
+        self.stopping()
+            || config.manifest.hosts.leaving(&self.host)
+            || self.hosts.leaving(&self.host)
+    }
+
+    /// A request id that no other request of the deployment has.
+    pub(crate) fn next_request(&self) -> FastStr {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        FastStr::from_string(format!("{}-{:x}-{number}", self.host, self.incarnation))
+    }
+}
+
+/// Counts a request of a caller as open until dropped.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    entry: Arc<Entry>,
+    caller: FastStr,
+}
+
+impl Admitted {
+    /// Admits a request of `caller`, none when it is over its share.
+    pub(crate) fn new(entry: &Arc<Entry>, caller: &FastStr) -> Option<Self> {
+        let admitted = entry.limits.lock().open(caller);
+        admitted.then(|| Self {
+            entry: entry.clone(),
+            caller: caller.clone(),
+        })
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.entry.limits.lock().close(&self.caller);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/status.rs
@@ -0,0 +1,59 @@
+//! A description of the entry for people and for `egretctl`.
+
+use {
+    crate::state::Entry,
+    egret_runtime::now,
+    serde_json::{Value, json},
+};
+
+/// The entry's state as JSON.
+pub(crate) fn status(entry: &Entry) -> Value {
+    let (keys, unsettled) = entry.journal.sizes();
+    let engines: Vec<Value> = {
+        let views = entry.views.lock();
+        let engine = |(name, view): (&faststr::FastStr, &egret_core::EngineView)| {
+            json!({
+                "engine": name,
+                "keeper": view.keeper,
+                "fence": view.fence,
+                "running": view.running,
+                "queued": view.queued,
+                "can_load": view.can_load,
+                "leaving": view.leaving,
+            })
+        };
+        views.iter().map(engine).collect()
+    };
+    json!({
+        "program": "egret-entry",
+        "host": entry.host,
+        "data_centre": entry.cfg.data_centre,
+        "up_ms": now().ms_since(entry.started),
+        "stopping": entry.stopping(),
+        "leaving": entry.leaving(),
+        "ready": ready(entry).is_ok(),
+        "revision": entry.config.current().revision,
+        "requests_open": entry.limits.lock().total(),
+        "tickets_open": entry.tickets.len(),
+        "journal_ready": entry.journal.ready(),
+        "journal_keys": keys,
+        "journal_unsettled": unsettled,
+        "suspects": entry.suspects.lock().records(now()).len(),
+        "engines": engines,
+        "audit_dropped": entry.audit.dropped(),
+    })
+}
+
+/// Whether the balancer should send requests here, and if not why.
+pub(crate) fn ready(entry: &Entry) -> Result<(), &'static str> {
+    if entry.stopping() {
+        return Err("stopping");
+    }
+    if entry.leaving() {
+        return Err("leaving");
+    }
+    if !entry.config.ready() {
+        return Err("no configuration yet");
+    }
+    Ok(())
+}
--- a/crates/keeper/src/engines/shard.rs
+++ b/crates/keeper/src/engines/shard.rs
@@ -9,6 +9,9 @@
     tokio::sync::oneshot,
 };
 
+/// Versions of the list of residents under one claim.
+const VERSIONS_PER_CLAIM: u64 = 1 << 24;
+
 /// The answer to a request for a ticket.
 #[derive(Clone, Debug)]
 pub(crate) enum Verdict {
@@ -18,7 +21,7 @@
     Refused(Refusal),
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Residents {
     version: u64,
     models: IndexSet<ModelName>,
@@ -38,13 +41,18 @@
 impl EngineShard {
     /// A shard for an engine just taken over.
     pub(crate) fn new(name: FastStr, spec: EngineSpec, slots: EngineSlots) -> Self {
+        // versions under one claim lie above those under all earlier ones
+        let first_version = slots.fence() * VERSIONS_PER_CLAIM;
         Self {
             name,
             spec,
             slots: Mutex::new(slots),
             probing: AtomicBool::new(false),
             waiters: Mutex::default(),
-            residents: Mutex::default(),
+            residents: Mutex::new(Residents {
+                version: first_version,
+                models: IndexSet::new(),
+            }),
         }
     }
 
@@ -78,7 +86,7 @@
     pub(crate) fn residents(&self) -> (u64, Vec<String>) {
         let models: IndexSet<ModelName> = self.slots.lock().resident().cloned().collect();
         let mut last = self.residents.lock();
-        let changed = last.version == 0 || last.models != models;
+        let changed = last.models != models;
         if changed {
             last.version += 1;
             last.models = models;
--- a/crates/keeper/src/links/beat.rs
+++ b/crates/keeper/src/links/beat.rs
@@ -50,7 +50,7 @@
             let open: IndexSet<RequestKey> = msg.open.iter().map(|k| key_of(hello, k)).collect();
             let lost = slots.unlisted(now(), &hello.host, hello.incarnation, &open, UNLISTED_MS);
             for key in lost {
-                effects.extend(slots.release(now(), &key, TicketEnd::Unused));
+                effects.extend(slots.release(now(), &key, TicketEnd::Abandoned));
             }
         }
     }
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -73,6 +73,7 @@
         "done" => TicketEnd::Done,
         "not_resident" => TicketEnd::NotResident,
         "broken" => TicketEnd::Broken,
+        "abandoned" => TicketEnd::Abandoned,
         _ => TicketEnd::Unused,
     };
     match end {
@@ -81,7 +82,7 @@
             let keep_ms = keeper.cfg.slots.suspect_ms;
             keeper.suspects.lock().possible(now(), &[content], keep_ms);
         }
-        TicketEnd::Unused | TicketEnd::NotResident => {}
+        TicketEnd::Unused | TicketEnd::NotResident | TicketEnd::Abandoned => {}
     }
     let key = key_of(hello, &msg.key);
     let effects = shard.slots.lock().release(now(), &key, end);
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -143,7 +143,7 @@
     /// Engine it was for.
     #[prost(string, tag = "2")]
     pub engine: String,
-    /// How it ended: done, unused, `not_resident` or broken.
+    /// How it ended: done, unused, `not_resident`, abandoned or broken.
     #[prost(string, tag = "3")]
     pub end: String,
     /// Fingerprint of its content.
