Whole path runs: 4 entry hosts, 9 engines, real sockets

Cause: the parts had never met. egret-load sends seeded Zipf load and compares each answer with the adapter and version named; the scenarios crate starts a deployment of real processes on loopback.

--- a/crates/ctl/src/query/explain.rs
+++ b/crates/ctl/src/query/explain.rs
@@ -46,10 +46,12 @@
             json!({ "subject": subject, "facts": facts, "changes": changes })
         );
     } else {
-        facts.iter().for_each(|fact| println!("{fact}"));
-        changes
-            .iter()
-            .for_each(|record| audit::print(record, false));
+        for fact in &facts {
+            println!("{fact}");
+        }
+        for record in &changes {
+            audit::print(record, false);
+        }
     }
     Exit::Done
 }
--- /dev/null
+++ b/crates/load/src/cli/mod.rs
@@ -0,0 +1,46 @@
+//! Command line.
+
+mod args;
+
+use {
+    crate::{
+        bench,
+        live::{LoadPlan, run_load},
+    },
+    args::{Args, Verb},
+    clap::Parser,
+    std::process::ExitCode,
+};
+
+pub(crate) use args::{BenchArgs, RunArgs};
+
+/// Runs the command that the arguments name.
+#[must_use]
+pub fn run() -> ExitCode {
+    match Args::parse().verb {
+        Verb::Run(args) => run_live(&args),
+        Verb::Bench(args) => bench::run(&args),
+    }
+}
+
+fn run_live(args: &RunArgs) -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("egret-load: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = runtime.block_on(run_load(LoadPlan::from(args)));
+    if args.json {
+        println!("{}", report.json());
+    } else {
+        print!("{}", report.text());
+    }
+    // a wrong output is never acceptable, whatever else was measured
+    if report.wrong == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/load/src/live/mod.rs
@@ -0,0 +1,12 @@
+//! Load on running entries.
+
+mod plan;
+mod report;
+mod request;
+mod run;
+
+pub use {
+    plan::{LoadPlan, Shape},
+    report::LoadReport,
+    run::run_load,
+};
--- /dev/null
+++ b/crates/load/src/live/plan.rs
@@ -0,0 +1,79 @@
+//! What is sent.
+
+use {
+    clap::ValueEnum, egret_core::Class, rand::Rng, rand_chacha::ChaCha8Rng, std::net::SocketAddr,
+};
+
+/// Share of live requests in Meteora's load.
+const LIVE_SHARE: f64 = 0.3;
+
+/// Share of interactive requests in Cronometría's load.
+const DRIFT_SHARE: f64 = 0.1;
+
+/// The deployment whose load is imitated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum Shape {
+    /// Weather graphics: live and interactive requests, short answers.
+    Meteora,
+    /// Calibration certificates: mostly background requests, longer answers.
+    Cronometria,
+}
+
+impl Shape {
+    /// Draws the urgency of a request.
+    pub(crate) fn class(self, rng: &mut ChaCha8Rng) -> Class {
+        let draw: f64 = rng.random();
+        match self {
+            Self::Meteora if draw < LIVE_SHARE => Class::Live,
+            Self::Meteora => Class::Interactive,
+            Self::Cronometria if draw < DRIFT_SHARE => Class::Interactive,
+            Self::Cronometria => Class::Background,
+        }
+    }
+
+    /// Draws the number of tokens of an answer.
+    pub(crate) fn tokens(self, rng: &mut ChaCha8Rng) -> u64 {
+        match self {
+            Self::Meteora => rng.random_range(8..40),
+            Self::Cronometria => rng.random_range(20..80),
+        }
+    }
+
+    /// The name used in reports.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Meteora => "meteora",
+            Self::Cronometria => "cronometria",
+        }
+    }
+}
+
+/// A run of load. The same plan sends the same requests at the same times.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Entries to send to, in turn.
+    pub entries: Vec<SocketAddr>,
+    /// Engine stand-ins whose steps are counted.
+    pub engines: Vec<SocketAddr>,
+    /// Shape of the load.
+    pub shape: Shape,
+    /// Base model that requests name.
+    pub base: String,
+    /// Adapters that requests name.
+    pub adapters: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// Seconds of load.
+    pub seconds: u64,
+    /// Exponent of the popularity.
+    pub exponent: f64,
+    /// Seconds after which popularity shifts; 0 for never.
+    pub shift_every: u64,
+    /// Share of requests that go to a plain service.
+    pub publications: f64,
+    /// That service.
+    pub service: String,
+    /// Seed of everything random.
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/load/src/live/run.rs
@@ -0,0 +1,110 @@
+//! Sending the load.
+
+use {
+    super::{
+        plan::LoadPlan,
+        report::LoadReport,
+        request::{Ask, send},
+    },
+    crate::popularity::Popularity,
+    egret_runtime::{Caller, now},
+    parking_lot::Mutex,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// Requests open at once at most; beyond that the load waits.
+const OPEN_MAX: usize = 1000;
+
+/// Share of model requests that are streamed.
+const STREAM_SHARE: f64 = 0.5;
+
+/// How long the counts of an engine may take, in milliseconds.
+const STATS_MS: u64 = 2000;
+
+/// Sends the load of `plan` and waits for every answer.
+pub async fn run_load(plan: LoadPlan) -> LoadReport {
+    let caller = Caller::pooled();
+    let before = engine_counts(&caller, &plan.engines).await;
+    let report = Arc::new(Mutex::new(LoadReport::default()));
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+    let mut popularity = Popularity::new(plan.adapters, plan.exponent, &mut rng);
+    let mut open = JoinSet::new();
+    let begun = Instant::now();
+    let mut at = 0.0;
+    let mut next_shift = plan.shift_every;
+    let mut number = 0;
+    loop {
+        // exponential gaps make a Poisson process
+        at += -(1.0 - rng.random::<f64>()).ln() / plan.rate;
+        if at >= Duration::from_secs(plan.seconds).as_secs_f64() {
+            break;
+        }
+        if plan.shift_every > 0 && Duration::from_secs_f64(at).as_secs() >= next_shift {
+            popularity.shuffle(&mut rng, 1.0 / 3.0);
+            next_shift += plan.shift_every;
+        }
+        let ask = draw(&plan, &popularity, &mut rng, number);
+        let entry = plan.entries[number % plan.entries.len()];
+        number += 1;
+        let due = begun + Duration::from_secs_f64(at);
+        tokio::time::sleep_until(due.into()).await;
+        while open.len() >= OPEN_MAX {
+            open.join_next().await;
+        }
+        let (caller, report) = (caller.clone(), report.clone());
+        open.spawn(async move {
+            let got = send(&caller, entry, &ask).await;
+            report.lock().count(&got);
+        });
+    }
+    while open.join_next().await.is_some() {}
+    let after = engine_counts(&caller, &plan.engines).await;
+    let mut report = report.lock().clone();
+    report.steps = after[0] - before[0];
+    report.sequences = after[1] - before[1];
+    report.adapters = after[2] - before[2];
+    report
+}
+
+fn draw(plan: &LoadPlan, popularity: &Popularity, rng: &mut ChaCha8Rng, number: usize) -> Ask {
+    if rng.random::<f64>() < plan.publications {
+        return Ask::Publish {
+            service: plan.service.clone(),
+            key: format!("key-{}-{number}", plan.seed),
+            body: format!("{{\"package\":{number}}}"),
+        };
+    }
+    let adapter = popularity.draw(rng);
+    Ask::Model {
+        model: format!("{}/a{adapter}@1", plan.base),
+        class: plan.shape.class(rng),
+        tokens: plan.shape.tokens(rng),
+        streams: rng.random::<f64>() < STREAM_SHARE,
+        prompt: format!("request {number} of seed {}", plan.seed),
+    }
+}
+
+/// Steps, sequences and adapters, summed over engine stand-ins.
+async fn engine_counts(caller: &Caller, engines: &[SocketAddr]) -> [u64; 3] {
+    let mut sums = [0; 3];
+    for engine in engines {
+        let reply = caller
+            .get(*engine, "/stats", now().after_ms(STATS_MS))
+            .await;
+        let Some(stats) = reply.ok().and_then(|r| r.json::<Value>().ok()) else {
+            continue;
+        };
+        for (sum, name) in sums.iter_mut().zip(["steps", "sequences", "adapters"]) {
+            *sum += stats[name].as_u64().unwrap_or(0);
+        }
+    }
+    sums
+}
--- /dev/null
+++ b/crates/load/src/popularity.rs
@@ -0,0 +1,55 @@
+//! Which adapter the next request names.
+
+use {rand::Rng, rand_chacha::ChaCha8Rng};
+
+/// A Zipf distribution over adapters: rank `r` is named with a probability proportional to
+/// `r` to the power of `-exponent`. Which adapter has which rank can shift.
+#[derive(Clone, Debug)]
+pub struct Popularity {
+    cumulative: Vec<f64>,
+    order: Vec<usize>,
+}
+
+impl Popularity {
+    /// A distribution over `count` adapters, in a random order of popularity.
+    #[must_use]
+    pub fn new(count: usize, exponent: f64, rng: &mut ChaCha8Rng) -> Self {
+        let mut cumulative = Vec::with_capacity(count);
+        let mut sum = 0.0;
+        for rank in 1..=count {
+            #[expect(clippy::cast_precision_loss, reason = "ranks are small")]
+            let weight = (rank as f64).powf(-exponent);
+            sum += weight;
+            cumulative.push(sum);
+        }
+        let mut popularity = Self {
+            cumulative,
+            order: (0..count).collect(),
+        };
+        popularity.shuffle(rng, 1.0);
+        popularity
+    }
+
+    /// Draws an adapter.
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> usize {
+        let total = self.cumulative.last().copied().unwrap_or(0.0);
+        let at = rng.random::<f64>() * total;
+        let rank = self.cumulative.partition_point(|sum| *sum < at);
+        self.order[rank.min(self.order.len() - 1)]
+    }
+
+    /// Gives a share of the adapters new places in the order of popularity.
+    pub fn shuffle(&mut self, rng: &mut ChaCha8Rng, share: f64) {
+        for i in 0..self.order.len() {
+            if rng.random::<f64>() < share {
+                let j = rng.random_range(0..self.order.len());
+                self.order.swap(i, j);
+            }
+        }
+    }
+
+    /// Turns the order of popularity round.
+    pub fn reverse(&mut self) {
+        self.order.reverse();
+    }
+}
--- /dev/null
+++ b/crates/scenarios/examples/small.rs
@@ -0,0 +1,41 @@
+//! Brings up a deployment of Meteora's shape on loopback, sends it real requests, and prints
+//! the report.
+
+use {
+    egret_load::{LoadPlan, Shape, run_load},
+    egret_scenarios::{Deployment, Plan},
+    std::process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    let seconds = std::env::args()
+        .nth(1)
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(10);
+    println!("starting 4 entry hosts, 9 engines, 3 services, log, store and host list");
+    let deployment = Deployment::start(Plan::meteora());
+    println!("sending requests for {seconds} s");
+    let report = deployment.run(run_load(LoadPlan {
+        entries: deployment.entries(),
+        engines: deployment.engines(),
+        shape: Shape::Meteora,
+        base: "base".to_owned(),
+        adapters: deployment.plan.adapters,
+        rate: 40.0,
+        seconds,
+        exponent: 1.1,
+        shift_every: 0,
+        publications: 0.05,
+        service: "studio".to_owned(),
+        seed: 1,
+    }));
+    print!("{}", report.text());
+    let (_, status) = deployment.ctl(&["status"]);
+    print!("{status}");
+    let whole = report.wrong == 0 && report.unknown == 0 && report.silent == 0;
+    if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/deployment.rs
@@ -0,0 +1,393 @@
+//! A deployment of real processes on loopback.
+
+use {
+    crate::{
+        layout::{Layout, Plan},
+        process::Process,
+    },
+    egret_core::Manifest,
+    egret_runtime::{Caller, HostEntry, Reply, now},
+    http::{HeaderMap, Method},
+    indexmap::IndexMap,
+    serde_json::Value,
+    std::{
+        fmt::Write,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::Command,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::runtime::Runtime,
+};
+
+/// Longest wait for a condition.
+const WAIT: Duration = Duration::from_mins(1);
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(25);
+
+/// How long one call may take, in milliseconds.
+const CALL_MS: u64 = 5000;
+
+/// A deployment of real processes. All are killed when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Its addresses.
+    pub layout: Layout,
+    /// What it consists of.
+    pub plan: Plan,
+    /// Calls to its processes.
+    pub caller: Caller,
+    folder: TempDir,
+    binaries: PathBuf,
+    runtime: Runtime,
+    processes: IndexMap<String, Process>,
+}
+
+impl Deployment {
+    /// Starts the stand-ins, the entries and the keepers, applies the manifest, and waits
+    /// until every engine can load.
+    ///
+    /// # Panics
+    ///
+    /// When a process can't be started or the deployment does not become ready.
+    #[must_use]
+    pub fn start(plan: Plan) -> Self {
+        let mut deployment = Self::prepare(plan);
+        deployment.start_standins();
+        for number in 0..deployment.plan.hosts {
+            deployment.start_host(number);
+        }
+        let manifest = deployment.layout.manifest(&deployment.plan);
+        let (code, said) = deployment.apply(&manifest, "start");
+        assert_eq!(code, 0, "apply: {said}");
+        deployment.wait("every engine can load", Self::every_engine_loads);
+        deployment
+    }
+
+    fn prepare(plan: Plan) -> Self {
+        Self {
+            layout: Layout::take(),
+            plan,
+            caller: Caller::unpooled(),
+            folder: TempDir::new().expect("a temporary folder can be made"),
+            binaries: binaries(),
+            runtime: Runtime::new().expect("a runtime can be built"),
+            processes: IndexMap::new(),
+        }
+    }
+
+    fn start_standins(&mut self) {
+        self.standin("log", self.layout.log(), &["log".to_owned()]);
+        self.standin("hosts", self.layout.host_list(), &["hosts".to_owned()]);
+        self.standin("store", self.layout.store(), &["store".to_owned()]);
+        let store = self.layout.store().to_string();
+        for number in 0..self.plan.engines {
+            let mut args = vec![
+                "engine".to_owned(),
+                format!("--store={store}"),
+                format!("--adapter-slots={}", self.plan.adapter_slots),
+                format!("--batch={}", self.plan.batch),
+            ];
+            if self.plan.checks_fence {
+                args.push("--checks-fence".to_owned());
+            }
+            args.extend(self.plan.engine_args.iter().cloned());
+            self.standin(
+                &Layout::engine_name(number),
+                self.layout.engine(number),
+                &args,
+            );
+        }
+        for number in 0..self.plan.services {
+            let name = format!("studio-{}", number + 1);
+            self.standin(&name, self.layout.service(number), &["service".to_owned()]);
+        }
+        if self.plan.log_relays {
+            for number in 0..self.plan.hosts {
+                self.start_relay(number);
+            }
+        }
+        let hosts = self.layout.hosts(&self.plan);
+        self.set_hosts(&hosts);
+    }
+
+    fn standin(&mut self, name: &str, address: SocketAddr, args: &[String]) {
+        let mut args = args.to_vec();
+        args.push(format!("--listen={address}"));
+        self.spawn(name, "egret-standin", &args);
+        self.wait("a stand-in answers", move |d| d.healthy(address));
+    }
+
+    fn start_relay(&mut self, number: usize) {
+        let control = self.layout.relay_control(number);
+        let args = [
+            "relay".to_owned(),
+            format!("--listen={}", self.layout.relay(number)),
+            format!("--to={}", self.layout.log()),
+            format!("--control={control}"),
+        ];
+        self.spawn(&format!("relay-{}", number + 1), "egret-standin", &args);
+        self.wait("a relay answers", move |d| d.healthy(control));
+    }
+
+    /// Starts the entry and the keeper of host `number`.
+    pub fn start_host(&mut self, number: usize) {
+        self.start_keeper(number);
+        self.start_entry(number);
+    }
+
+    /// Starts the entry of host `number`.
+    pub fn start_entry(&mut self, number: usize) {
+        let name = format!("entry-{}", number + 1);
+        let text = self.layout.entry_settings(&self.plan, number);
+        let file = Layout::write(self.folder.path(), &format!("{name}.toml"), &text);
+        self.spawn(&name, "egret-entry", &[format!("--config={file}")]);
+        let address = self.layout.entry(number);
+        self.wait("an entry answers", move |d| d.healthy(address));
+    }
+
+    /// Starts the keeper of host `number`.
+    pub fn start_keeper(&mut self, number: usize) {
+        let name = format!("keeper-{}", number + 1);
+        let text = self.layout.keeper_settings(&self.plan, number);
+        let file = Layout::write(self.folder.path(), &format!("{name}.toml"), &text);
+        self.spawn(&name, "egret-keeper", &[format!("--config={file}")]);
+        let address = self.layout.keeper(number);
+        self.wait("a keeper answers", move |d| d.healthy(address));
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, args: &[String]) {
+        let started = Process::start(name, &self.binaries.join(program), args, self.folder.path());
+        let process = started.unwrap_or_else(|e| panic!("{e}"));
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// The process named `name`, for instance `keeper-1` or `engine-3`.
+    ///
+    /// # Panics
+    ///
+    /// When there is none.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes
+            .get_mut(name)
+            .unwrap_or_else(|| panic!("no process {name}"))
+    }
+
+    /// Replaces the host list.
+    pub fn set_hosts(&self, hosts: &[HostEntry]) {
+        let body = serde_json::to_value(hosts).unwrap_or_default();
+        let _ = self.call(Method::PUT, self.layout.host_list(), "/v1/hosts", &body);
+    }
+
+    /// Sets fault switches of a stand-in.
+    ///
+    /// # Panics
+    ///
+    /// When the stand-in refuses them.
+    pub fn fault(&self, address: SocketAddr, switches: &Value) {
+        let reply = self.call(Method::POST, address, "/faults", switches);
+        let taken = reply.is_some_and(|r| r.status.is_success());
+        assert!(taken, "fault switches refused: {switches}");
+    }
+
+    /// Gets JSON from a process.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr, path: &str) -> Option<Value> {
+        let deadline = now().after_ms(CALL_MS);
+        let reply = self
+            .runtime
+            .block_on(self.caller.get(address, path, deadline))
+            .ok()?;
+        reply
+            .status
+            .is_success()
+            .then(|| reply.json().ok())
+            .flatten()
+    }
+
+    /// Sends JSON to a process.
+    #[must_use]
+    pub fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Option<Reply> {
+        self.send(method, address, path, &[], body)
+    }
+
+    /// Sends JSON with headers to a process.
+    #[must_use]
+    pub fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: &Value,
+    ) -> Option<Reply> {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            map.insert(*name, value.parse().ok()?);
+        }
+        let deadline = now().after_ms(4 * CALL_MS);
+        let body = body.to_string().into();
+        let calling = self
+            .caller
+            .call(address, method, path, &map, body, deadline);
+        self.runtime.block_on(calling).ok()
+    }
+
+    /// Runs work on the deployment's runtime.
+    pub fn run<F: Future>(&self, work: F) -> F::Output {
+        self.runtime.block_on(work)
+    }
+
+    /// Starts work on the deployment's runtime.
+    pub fn background<F>(&self, work: F) -> tokio::task::JoinHandle<F::Output>
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        self.runtime.spawn(work)
+    }
+
+    /// Runs egretctl; its exit code and what it printed.
+    ///
+    /// # Panics
+    ///
+    /// When it can't be run.
+    #[must_use]
+    pub fn ctl(&self, args: &[&str]) -> (i32, String) {
+        let text = self.layout.ctl_settings();
+        let settings = Layout::write(self.folder.path(), "egretctl.toml", &text);
+        let output = Command::new(self.binaries.join("egretctl"))
+            .arg(format!("--config={settings}"))
+            .args(args)
+            .output()
+            .expect("egretctl can be run");
+        let said = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        (output.status.code().unwrap_or(-1), said)
+    }
+
+    /// Applies a manifest by egretctl.
+    #[must_use]
+    pub fn apply(&self, manifest: &Manifest, operator: &str) -> (i32, String) {
+        let text = toml::to_string(manifest).unwrap_or_default();
+        let name = format!("manifest-{operator}.toml");
+        let file = Layout::write(self.folder.path(), &name, &text);
+        self.ctl(&["apply", &file, "--operator", operator])
+    }
+
+    /// Waits until `holds`.
+    ///
+    /// # Panics
+    ///
+    /// When it does not hold in a minute.
+    pub fn wait(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let begun = Instant::now();
+        while !holds(self) {
+            if begun.elapsed() > WAIT {
+                let folder = self.folder.path().display();
+                panic!(
+                    "waited in vain until {what}; logs were in {folder}:\n{}",
+                    self.logs()
+                );
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// The ends of all log files.
+    #[must_use]
+    pub fn logs(&self) -> String {
+        let mut all = String::new();
+        for name in self
+            .processes
+            .keys()
+            .filter(|n| n.starts_with("entry") || n.starts_with("keeper"))
+        {
+            let path = self.folder.path().join(format!("{name}.log"));
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(15)..];
+            let _ = write!(all, "--- {name}\n{}\n", tail.join("\n"));
+        }
+        all
+    }
+
+    /// True when a process answers its health check.
+    #[must_use]
+    pub fn healthy(&self, address: SocketAddr) -> bool {
+        let deadline = now().after_ms(CALL_MS);
+        let reply = self
+            .runtime
+            .block_on(self.caller.get(address, "/healthz", deadline));
+        reply.is_ok_and(|r| r.status.is_success())
+    }
+
+    /// Status of keeper `number`.
+    #[must_use]
+    pub fn keeper_status(&self, number: usize) -> Option<Value> {
+        self.get(self.layout.keeper(number), "/status")
+    }
+
+    /// Status of entry `number`.
+    #[must_use]
+    pub fn entry_status(&self, number: usize) -> Option<Value> {
+        self.get(self.layout.entry(number), "/status")
+    }
+
+    /// True when every engine has a keeper that may load and evict, and every entry sees it.
+    #[must_use]
+    pub fn every_engine_loads(&self) -> bool {
+        let mut loading = 0;
+        for number in 0..self.plan.hosts {
+            let Some(status) = self.keeper_status(number) else {
+                continue;
+            };
+            for engine in status["engines"].as_array().into_iter().flatten() {
+                let loads = engine["can_load"] == true && engine["may_evict"] == true;
+                loading += usize::from(loads);
+            }
+        }
+        loading == self.plan.engines && self.entries_see(self.plan.engines)
+    }
+
+    fn entries_see(&self, engines: usize) -> bool {
+        (0..self.plan.hosts)
+            .filter_map(|n| self.entry_status(n))
+            .all(|status| {
+                let seen = status["engines"].as_array().into_iter().flatten();
+                seen.filter(|e| e["can_load"] == true).count() == engines
+            })
+    }
+
+    /// Addresses of all entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        (0..self.plan.hosts).map(|n| self.layout.entry(n)).collect()
+    }
+
+    /// Addresses of all engines.
+    #[must_use]
+    pub fn engines(&self) -> Vec<SocketAddr> {
+        (0..self.plan.engines)
+            .map(|n| self.layout.engine(n))
+            .collect()
+    }
+}
+
+/// The folder in which the programs of this workspace were built.
+fn binaries() -> PathBuf {
+    let own = std::env::current_exe().expect("the path of this program is known");
+    let is_profile = |folder: &&Path| folder.join("egret-standin").exists();
+    let found = own.ancestors().skip(1).find(is_profile);
+    found
+        .expect("build the programs first: cargo build --workspace")
+        .to_owned()
+}
--- /dev/null
+++ b/crates/scenarios/src/lib.rs
@@ -0,0 +1,11 @@
+//! Deployments of real processes on loopback, for examples and tests.
+
+mod deployment;
+mod layout;
+mod process;
+
+pub use {
+    deployment::Deployment,
+    layout::{Layout, Plan},
+    process::Process,
+};
