--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -16,12 +16,7 @@
     /// Limits for a host that takes `total_max` requests, `caller_max` of one caller.
     #[must_use]
     pub fn new(total_max: u32, caller_max: u32) -> Self {
-        Self {
-            open: IndexMap::new(),
-            total: 0,
-            total_max,
-            caller_max,
-        }
+        Self { open: IndexMap::new(), total: 0, total_max, caller_max }
     }
 
     /// Requests open now.
--- a/crates/core/src/config/diff.rs
+++ b/crates/core/src/config/diff.rs
@@ -108,11 +108,7 @@
             Self::PutService { name, .. } => write!(f, "put service {name}"),
             Self::RemoveService { name } => write!(f, "remove service {name}"),
             Self::SetHosts { hosts } => {
-                write!(
-                    f,
-                    "set hosts retire {:?} stop {:?}",
-                    hosts.retire, hosts.stop
-                )
+                write!(f, "set hosts retire {:?} stop {:?}", hosts.retire, hosts.stop)
             }
         }
     }
@@ -135,29 +131,22 @@
         let store = new.weight_store.clone();
         ops.push(Op::SetWeightStore { store });
     }
-    ops.extend(removed(&old.services, &new.services, |name| {
-        Op::RemoveService { name }
+    ops.extend(removed(&old.services, &new.services, |name| Op::RemoveService { name }));
+    ops.extend(removed(&old.engines, &new.engines, |name| Op::RemoveEngine { name }));
+    ops.extend(removed(&old.adapters, &new.adapters, |name| Op::RemoveAdapter { name }));
+    ops.extend(removed(&old.base_models, &new.base_models, |name| Op::RemoveBaseModel { name }));
+    ops.extend(changed(&old.base_models, &new.base_models, |name, base| Op::PutBaseModel {
+        name,
+        base,
     }));
-    ops.extend(removed(&old.engines, &new.engines, |name| {
-        Op::RemoveEngine { name }
+    ops.extend(changed(&old.adapters, &new.adapters, |name, adapter| Op::PutAdapter {
+        name,
+        adapter,
     }));
-    ops.extend(removed(&old.adapters, &new.adapters, |name| {
-        Op::RemoveAdapter { name }
-    }));
-    ops.extend(removed(&old.base_models, &new.base_models, |name| {
-        Op::RemoveBaseModel { name }
-    }));
-    ops.extend(changed(&old.base_models, &new.base_models, |name, base| {
-        Op::PutBaseModel { name, base }
-    }));
-    ops.extend(changed(&old.adapters, &new.adapters, |name, adapter| {
-        Op::PutAdapter { name, adapter }
-    }));
-    ops.extend(changed(&old.engines, &new.engines, |name, engine| {
-        Op::PutEngine { name, engine }
-    }));
-    ops.extend(changed(&old.services, &new.services, |name, service| {
-        Op::PutService { name, service }
+    ops.extend(changed(&old.engines, &new.engines, |name, engine| Op::PutEngine { name, engine }));
+    ops.extend(changed(&old.services, &new.services, |name, service| Op::PutService {
+        name,
+        service,
     }));
     if old.hosts != new.hosts {
         let hosts = new.hosts.clone();
@@ -181,8 +170,5 @@
     op: fn(FastStr, V) -> Op,
 ) -> Vec<Op> {
     let differs = |(name, value): &(&FastStr, &V)| old.get(*name) != Some(*value);
-    new.iter()
-        .filter(differs)
-        .map(|(name, value)| op(name.clone(), value.clone()))
-        .collect()
+    new.iter().filter(differs).map(|(name, value)| op(name.clone(), value.clone())).collect()
 }
--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -102,10 +102,7 @@
     /// The configuration in force with the point of the stream that it reflects.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            as_of: self.position.folded_to(),
-            config: self.current.clone(),
-        }
+        Snapshot { as_of: self.position.folded_to(), config: self.current.clone() }
     }
 
     /// False while records are missing between what is in force and what is read.
@@ -179,11 +176,7 @@
         if let Some(fault) = validate(&manifest).into_iter().next() {
             return Err(Rejection::Invalid(fault));
         }
-        self.current = Arc::new(Config {
-            revision,
-            operator: change.operator.clone(),
-            manifest,
-        });
+        self.current = Arc::new(Config { revision, operator: change.operator.clone(), manifest });
         Ok(revision)
     }
 }
--- a/crates/core/src/config/manifest.rs
+++ b/crates/core/src/config/manifest.rs
@@ -106,11 +106,7 @@
 
 impl Default for WeightStoreSpec {
     fn default() -> Self {
-        Self {
-            in_transit_max: 8,
-            loads_per_1000_s: 4000,
-            load_timeout_ms: 2000,
-        }
+        Self { in_transit_max: 8, loads_per_1000_s: 4000, load_timeout_ms: 2000 }
     }
 }
 
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -40,19 +40,12 @@
 }
 
 fn report(faults: &mut Vec<ManifestError>, key: &str, problem: &str) {
-    faults.push(ManifestError {
-        key: key.to_owned(),
-        problem: problem.to_owned(),
-    });
+    faults.push(ManifestError { key: key.to_owned(), problem: problem.to_owned() });
 }
 
 fn check_name(key: &str, name: &str, faults: &mut Vec<ManifestError>) {
     if !valid_part(name) {
-        report(
-            faults,
-            key,
-            "a name is 1 to 128 letters, digits, '-', '_' or '.'",
-        );
+        report(faults, key, "a name is 1 to 128 letters, digits, '-', '_' or '.'");
     }
 }
 
@@ -62,11 +55,7 @@
         report(faults, "weight_store.in_transit_max", "must be 1 to 64");
     }
     if store.loads_per_1000_s == 0 {
-        report(
-            faults,
-            "weight_store.loads_per_1000_s",
-            "must be at least 1",
-        );
+        report(faults, "weight_store.loads_per_1000_s", "must be at least 1");
     }
     if store.load_timeout_ms == 0 {
         report(faults, "weight_store.load_timeout_ms", "must be at least 1");
@@ -89,11 +78,7 @@
             && distinct.len() == adapter.versions.len()
             && !distinct.contains(&0);
         if !versions_ok {
-            report(
-                faults,
-                &format!("{at}.versions"),
-                "list each version once, from 1",
-            );
+            report(faults, &format!("{at}.versions"), "list each version once, from 1");
         }
     }
 }
@@ -119,11 +104,7 @@
     let at = format!("services.{name}");
     check_name(&at, name, faults);
     if service.targets.is_empty() {
-        report(
-            faults,
-            &format!("{at}.targets"),
-            "needs at least one target",
-        );
+        report(faults, &format!("{at}.targets"), "needs at least one target");
     }
     for (host, target) in &service.targets {
         check_name(&format!("{at}.targets.{host}"), host, faults);
--- a/crates/core/src/course.rs
+++ b/crates/core/src/course.rs
@@ -131,11 +131,7 @@
     /// What is true of the request if it ends now without an answer.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
-        if self.maybe_ran {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        }
+        if self.maybe_ran { Outcome::Unknown } else { Outcome::NotRun }
     }
 
     /// Takes the end of an attempt on `target` and decides what comes next.
@@ -148,10 +144,9 @@
     ) -> Next {
         let next = match end {
             AttemptEnd::Moved => self.moved(now),
-            AttemptEnd::NoTicket {
-                reason,
-                retry_after_ms,
-            } => self.no_ticket(target, reason, retry_after_ms),
+            AttemptEnd::NoTicket { reason, retry_after_ms } => {
+                self.no_ticket(target, reason, retry_after_ms)
+            }
             AttemptEnd::NotConnected => {
                 self.tried.push(target.clone());
                 self.again(Reason::TargetFailed, budget)
@@ -216,10 +211,6 @@
     }
 
     fn give_up(&self, reason: Reason, retry_after_ms: u64) -> Next {
-        Next::GiveUp {
-            outcome: self.outcome(),
-            reason,
-            retry_after_ms,
-        }
+        Next::GiveUp { outcome: self.outcome(), reason, retry_after_ms }
     }
 }
--- a/crates/core/src/journal/fold.rs
+++ b/crates/core/src/journal/fold.rs
@@ -120,29 +120,15 @@
         }
         self.read_to = offset + 1;
         match record {
-            JournalRecord::Intent {
-                key,
-                body,
-                attempt,
-                expires_unix_ms,
-            } => {
+            JournalRecord::Intent { key, body, attempt, expires_unix_ms } => {
                 if self.entries.contains_key(&key) {
                     return;
                 }
                 self.expiries.insert((expires_unix_ms, key.clone()));
-                let entry = Entry {
-                    body,
-                    attempt,
-                    expires_unix_ms,
-                    answer: None,
-                };
+                let entry = Entry { body, attempt, expires_unix_ms, answer: None };
                 self.entries.insert(key, entry);
             }
-            JournalRecord::Done {
-                key,
-                attempt,
-                answer,
-            } => {
+            JournalRecord::Done { key, attempt, answer } => {
                 if let Some(entry) = self.entries.get_mut(&key)
                     && entry.attempt == attempt
                 {
@@ -163,9 +149,7 @@
             return Err(BeginError::Expired);
         }
         if expires_unix_ms > unix_ms + self.key_max_ms {
-            return Err(BeginError::TooFar {
-                max_ms: self.key_max_ms,
-            });
+            return Err(BeginError::TooFar { max_ms: self.key_max_ms });
         }
         if unix_ms < self.complete_from_unix_ms {
             let retry_after_ms = self.complete_from_unix_ms - unix_ms;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,8 +30,8 @@
 pub use course::{AttemptEnd, Course, Next};
 pub use hash::{Fingerprint, digest, fingerprint, mix, rendezvous};
 pub use journal::{
-    Attempt, BeginError, Entry as JournalEntry, Journal, JournalRecord, KeyDigest, Lookup,
-    RecordedAnswer,
+    AfterIntent, Attempt, BeginError, Entry as JournalEntry, Journal, JournalRecord, KeyDigest,
+    Lookup, RecordedAnswer, Written,
 };
 pub use membership::{HostState, Member, Members};
 pub use name::{ModelName, ModelNameError};
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -51,16 +51,13 @@
     /// `forget_after_ms`, since the list may lag.
     pub fn listed(&mut self, now: Time, list: &[Member], forget_after_ms: u64) {
         for member in list {
-            let seen = self
-                .seen
-                .entry(member.host.clone())
-                .or_insert_with(|| Seen {
-                    member: member.clone(),
-                    heard: None,
-                    listed_since: now,
-                    absent_since: None,
-                    stopping: false,
-                });
+            let seen = self.seen.entry(member.host.clone()).or_insert_with(|| Seen {
+                member: member.clone(),
+                heard: None,
+                listed_since: now,
+                absent_since: None,
+                stopping: false,
+            });
             seen.member = member.clone();
             seen.absent_since = None;
         }
@@ -70,10 +67,8 @@
                 seen.absent_since = Some(now);
             }
         }
-        let forgotten = |seen: &Seen| {
-            seen.absent_since
-                .is_some_and(|t| now.ms_since(t) >= forget_after_ms)
-        };
+        let forgotten =
+            |seen: &Seen| seen.absent_since.is_some_and(|t| now.ms_since(t) >= forget_after_ms);
         self.seen.retain(|_, seen| !forgotten(seen));
     }
 
@@ -114,12 +109,8 @@
             let in_service = seen.member.state == HostState::Live && !seen.stopping;
             in_service && seen.absent_since.is_none() && !silent.contains(&&seen.member.host)
         };
-        let mut hosts: Vec<FastStr> = self
-            .seen
-            .values()
-            .filter(is_live)
-            .map(|s| s.member.host.clone())
-            .collect();
+        let mut hosts: Vec<FastStr> =
+            self.seen.values().filter(is_live).map(|s| s.member.host.clone()).collect();
         hosts.sort();
         hosts
     }
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -44,11 +44,7 @@
     /// Builds a name from parts that are known to be valid.
     #[must_use]
     pub fn new(base: FastStr, adapter: FastStr, version: u32) -> Self {
-        Self {
-            base,
-            adapter,
-            version,
-        }
+        Self { base, adapter, version }
     }
 
     /// The adapter's key within a configuration: `base/adapter`.
--- a/crates/core/src/ownership/claims.rs
+++ b/crates/core/src/ownership/claims.rs
@@ -116,10 +116,7 @@
             return None;
         }
         let pairs = self.holdings.iter().map(|(r, h)| (r.clone(), h.clone()));
-        Some(ClaimRecord::Snapshot {
-            as_of: self.position.folded_to(),
-            holdings: pairs.collect(),
-        })
+        Some(ClaimRecord::Snapshot { as_of: self.position.folded_to(), holdings: pairs.collect() })
     }
 
     /// Offset of the newest snapshot read, and how many records came after it.
@@ -142,9 +139,7 @@
             ClaimRecord::Reset => self.reset(offset),
             other => {
                 let due = self.position.admit(offset, other);
-                due.and_then(|record| self.apply(offset, record))
-                    .into_iter()
-                    .collect()
+                due.and_then(|record| self.apply(offset, record)).into_iter().collect()
             }
         }
     }
@@ -175,25 +170,13 @@
         all.sort();
         all.dedup();
         all.retain(|r| before.get(*r) != self.holdings.get(*r));
-        all.into_iter()
-            .map(|r| (r.clone(), before.get(r).cloned()))
-            .collect()
+        all.into_iter().map(|r| (r.clone(), before.get(r).cloned())).collect()
     }
 
     fn apply(&mut self, offset: u64, record: ClaimRecord) -> Option<Changed> {
         match record {
-            ClaimRecord::Claim {
-                resource,
-                keeper,
-                incarnation,
-                follows,
-            } => {
-                let holding = Holding {
-                    fence: offset + 1,
-                    keeper,
-                    incarnation,
-                    released: false,
-                };
+            ClaimRecord::Claim { resource, keeper, incarnation, follows } => {
+                let holding = Holding { fence: offset + 1, keeper, incarnation, released: false };
                 self.claim(resource, follows, holding)
             }
             ClaimRecord::Release { resource, fence } => self.release(resource, fence),
--- a/crates/core/src/ownership/rights.rs
+++ b/crates/core/src/ownership/rights.rs
@@ -105,8 +105,7 @@
         };
         if self.held.get(resource).is_none_or(|h| h.fence != fence) {
             let orders_from = self.orders_from(now, resource, before);
-            self.held
-                .insert(resource.clone(), Held { fence, orders_from });
+            self.held.insert(resource.clone(), Held { fence, orders_from });
         }
     }
 
@@ -144,10 +143,7 @@
             Resource::Permit(number) => Some(*number),
             Resource::Engine(_) => None,
         };
-        let usable = self
-            .held
-            .keys()
-            .filter(|r| self.may_order(now, r).is_some());
+        let usable = self.held.keys().filter(|r| self.may_order(now, r).is_some());
         usable.filter_map(number).collect()
     }
 
@@ -253,10 +249,7 @@
             return true;
         }
         // the proposed keeper had its chance: the others follow in their order
-        let rank = live
-            .iter()
-            .position(|k| *k == self.me)
-            .map_or(live.len(), |i| i + 1);
+        let rank = live.iter().position(|k| *k == self.me).map_or(live.len(), |i| i + 1);
         let delay_ms = CLAIM_RANK_DELAY_MS.saturating_mul(rank as u64 + 1);
         now.ms_since(since) >= delay_ms
     }
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -67,10 +67,7 @@
     /// No permits yet.
     #[must_use]
     pub fn new(limits: StoreLimits) -> Self {
-        Self {
-            limits,
-            permits: IndexMap::new(),
-        }
+        Self { limits, permits: IndexMap::new() }
     }
 
     /// The limits in force.
@@ -82,8 +79,7 @@
     /// Sets the limits. Permits beyond the new count are not used again.
     pub fn set_limits(&mut self, limits: StoreLimits) {
         self.limits = limits;
-        self.permits
-            .retain(|number, _| *number < limits.in_transit_max);
+        self.permits.retain(|number, _| *number < limits.in_transit_max);
     }
 
     /// Adds a permit that this keeper now owns and may use.
@@ -91,12 +87,8 @@
         if number >= self.limits.in_transit_max {
             return;
         }
-        let fresh = Permit {
-            next_start: now,
-            busy_until: now,
-            lent_until: now,
-            usable_until: Time::NEVER,
-        };
+        let fresh =
+            Permit { next_start: now, busy_until: now, lent_until: now, usable_until: Time::NEVER };
         let permit = self.permits.entry(number).or_insert(fresh);
         permit.usable_until = Time::NEVER;
     }
@@ -108,10 +100,7 @@
 
     /// Adds a permit lent by another keeper; `asked` is when this keeper sent its request.
     pub fn borrow(&mut self, now: Time, asked: Time, loan: Loan) {
-        let in_use = self
-            .permits
-            .get(&loan.number)
-            .is_some_and(|p| p.usable_until > now);
+        let in_use = self.permits.get(&loan.number).is_some_and(|p| p.usable_until > now);
         if loan.number >= self.limits.in_transit_max || in_use {
             return;
         }
@@ -137,26 +126,14 @@
         let lendable = |number: u16, p: &Permit| {
             p.usable_until == Time::NEVER && p.free(now, &limits) && may_use(number)
         };
-        let free = self
-            .permits
-            .iter()
-            .filter(|(n, p)| lendable(**n, p))
-            .count();
+        let free = self.permits.iter().filter(|(n, p)| lendable(**n, p)).count();
         let count = count.min(free.saturating_sub(keep));
-        let chosen = self
-            .permits
-            .iter_mut()
-            .filter(|(n, p)| lendable(**n, p))
-            .take(count);
+        let chosen = self.permits.iter_mut().filter(|(n, p)| lendable(**n, p)).take(count);
         let lend = |(number, permit): (&u16, &mut Permit)| {
             permit.lent_until = now.after_ms(use_ms);
             // the borrower may start a load just before the end of the loan
             permit.next_start = permit.lent_until.after_ms(limits.spacing_ms());
-            Loan {
-                number: *number,
-                use_ms,
-                ready_in_ms: 0,
-            }
+            Loan { number: *number, use_ms, ready_in_ms: 0 }
         };
         chosen.map(lend).collect()
     }
@@ -193,10 +170,7 @@
     /// Permits that could start a load now.
     #[must_use]
     pub fn free(&self, now: Time) -> usize {
-        self.permits
-            .values()
-            .filter(|p| p.free(now, &self.limits))
-            .count()
+        self.permits.values().filter(|p| p.free(now, &self.limits)).count()
     }
 
     /// Permits that this keeper may use at all.
--- a/crates/core/src/placement/choose.rs
+++ b/crates/core/src/placement/choose.rs
@@ -45,23 +45,14 @@
         view.base == ask.model.base && !view.leaving && !ask.tried.contains(*name)
     };
     if let Some(content) = ask.suspect {
-        let first = views
-            .iter()
-            .filter(usable)
-            .max_by_key(|(n, _)| mix(content, key_of(n)));
+        let first = views.iter().filter(usable).max_by_key(|(n, _)| mix(content, key_of(n)));
         return first.map(|(name, _)| name.clone());
     }
     let chosen = match policy {
-        Policy::Random => views
-            .iter()
-            .filter(usable)
-            .max_by_key(|(n, _)| mix(ask.seed, key_of(n))),
+        Policy::Random => views.iter().filter(usable).max_by_key(|(n, _)| mix(ask.seed, key_of(n))),
         Policy::Rendezvous => {
             let key = ask.model.to_string();
-            views
-                .iter()
-                .filter(usable)
-                .max_by_key(|(n, _)| rendezvous(&key, n))
+            views.iter().filter(usable).max_by_key(|(n, _)| rendezvous(&key, n))
         }
         Policy::LeastLoaded => views
             .iter()
@@ -113,9 +104,7 @@
         .map(|(name, view)| (rendezvous(key, name), name, view))
         .collect();
     all.sort_unstable_by_key(|(weight, _, _)| std::cmp::Reverse(*weight));
-    all.into_iter()
-        .map(|(_, name, view)| (name, view))
-        .collect()
+    all.into_iter().map(|(_, name, view)| (name, view)).collect()
 }
 
 fn cost_ms(weights: &Weights, view: &EngineView, resident: bool) -> u64 {
@@ -131,9 +120,5 @@
 }
 
 fn far_ms(view: &EngineView, ask: &Candidates<'_>) -> u64 {
-    if view.data_centre == ask.data_centre {
-        0
-    } else {
-        ask.far_ms
-    }
+    if view.data_centre == ask.data_centre { 0 } else { ask.far_ms }
 }
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -16,10 +16,7 @@
 
 impl Count {
     fn decayed(&self, now: Time, half_life_ms: f64) -> f64 {
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "hours in milliseconds fit a f64"
-        )]
+        #[expect(clippy::cast_precision_loss, reason = "hours in milliseconds fit a f64")]
         let elapsed = now.ms_since(self.at) as f64;
         self.uses * (-elapsed / half_life_ms).exp2()
     }
@@ -39,11 +36,7 @@
     pub fn new(half_life_ms: u64) -> Self {
         #[expect(clippy::cast_precision_loss, reason = "days in milliseconds fit a f64")]
         let half_life_ms = half_life_ms.max(1) as f64;
-        Self {
-            half_life_ms,
-            counts: IndexMap::new(),
-            sweep_at: 0,
-        }
+        Self { half_life_ms, counts: IndexMap::new(), sweep_at: 0 }
     }
 
     /// Counts a use of `model`.
--- a/crates/core/src/placement/views.rs
+++ b/crates/core/src/placement/views.rs
@@ -87,10 +87,7 @@
             self.unlink(model, name);
         }
         for model in view.resident.difference(&old_models) {
-            self.holders
-                .entry(model.clone())
-                .or_default()
-                .push(name.clone());
+            self.holders.entry(model.clone()).or_default().push(name.clone());
         }
         self.engines.insert(name.clone(), view);
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -20,9 +20,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            saved_milli: SAVED_MAX_MILLI,
-        }
+        Self { saved_milli: SAVED_MAX_MILLI }
     }
 }
 
--- a/crates/core/src/slots/dispatch.rs
+++ b/crates/core/src/slots/dispatch.rs
@@ -47,26 +47,11 @@
         let rank = |(index, queued): (usize, &Queued)| -> Rank {
             let req = &queued.req;
             let shares = running.contains(&req.model);
-            let gathered = if req.class == Class::Live {
-                0
-            } else {
-                waiting[&req.model]
-            };
+            let gathered = if req.class == Class::Live { 0 } else { waiting[&req.model] };
             let of_caller = callers.get(&req.caller).copied().unwrap_or(0);
-            let fair = if req.class == Class::Background {
-                0
-            } else {
-                of_caller
-            };
+            let fair = if req.class == Class::Background { 0 } else { of_caller };
             let apart = req.class != Class::Live && !shares;
-            (
-                req.class,
-                apart,
-                fair,
-                Reverse(gathered),
-                req.deadline,
-                index,
-            )
+            (req.class, apart, fair, Reverse(gathered), req.deadline, index)
         };
         let ready = |queued: &Queued| self.is_ready(&queued.req.model);
         self.queue
@@ -86,14 +71,8 @@
     }
 
     fn grant(&mut self, now: Time, key: &RequestKey) -> Effect {
-        let queued = self
-            .queue
-            .shift_remove(key)
-            .expect("the key was taken from the queue");
-        let slot = self
-            .slots
-            .get_mut(&queued.req.model)
-            .expect("its model is ready");
+        let queued = self.queue.shift_remove(key).expect("the key was taken from the queue");
+        let slot = self.slots.get_mut(&queued.req.model).expect("its model is ready");
         slot.last_use = now;
         let ticket = Ticket {
             model: queued.req.model,
@@ -105,11 +84,7 @@
             fingerprint: queued.req.fingerprint,
         };
         self.tickets.insert(key.clone(), ticket);
-        let stall_ms = if queued.stalled {
-            now.ms_since(queued.since).max(1)
-        } else {
-            0
-        };
+        let stall_ms = if queued.stalled { now.ms_since(queued.since).max(1) } else { 0 };
         self.counters.granted += 1;
         self.counters.stalled += u64::from(queued.stalled);
         self.counters.stall_ms += stall_ms;
--- a/crates/core/src/slots/engine.rs
+++ b/crates/core/src/slots/engine.rs
@@ -187,18 +187,13 @@
     pub fn resident(&self) -> impl Iterator<Item = &ModelName> {
         let counts =
             |state: &SlotState| matches!(state, SlotState::Ready | SlotState::Loading { .. });
-        self.slots
-            .iter()
-            .filter(move |(_, s)| counts(&s.state))
-            .map(|(model, _)| model)
+        self.slots.iter().filter(move |(_, s)| counts(&s.state)).map(|(model, _)| model)
     }
 
     /// True when requests for `model` can run.
     #[must_use]
     pub fn is_ready(&self, model: &ModelName) -> bool {
-        self.slots
-            .get(model)
-            .is_some_and(|s| s.state == SlotState::Ready)
+        self.slots.get(model).is_some_and(|s| s.state == SlotState::Ready)
     }
 
     /// True when a ticket for `model` is out.
@@ -230,14 +225,7 @@
             slot.copies = req.copies;
         }
         let key = req.key.clone();
-        self.queue.insert(
-            key,
-            Queued {
-                req,
-                since: now,
-                stalled,
-            },
-        );
+        self.queue.insert(key, Queued { req, since: now, stalled });
         self.pump(now)
     }
 
@@ -266,8 +254,7 @@
             TicketEnd::Abandoned => self.cancel(now, key),
             TicketEnd::Broken => {
                 let content = self.tickets.get(key).map(|t| t.fingerprint);
-                self.broken
-                    .extend(content.map(|fingerprint| (fingerprint, now)));
+                self.broken.extend(content.map(|fingerprint| (fingerprint, now)));
                 let mut effects = self.cancel(now, key);
                 effects.push(Effect::Probe);
                 effects
@@ -325,11 +312,7 @@
                 && now.ms_since(ticket.granted) >= after_ms
                 && !open.contains(*key)
         };
-        self.tickets
-            .iter()
-            .filter(lost)
-            .map(|(key, _)| key.clone())
-            .collect()
+        self.tickets.iter().filter(lost).map(|(key, _)| key.clone()).collect()
     }
 
     /// Ends what has run out of time: waiting requests past their deadline, those that need a
@@ -353,9 +336,7 @@
     /// Refuses all that waits, for instance because another keeper holds the engine now.
     pub fn refuse_all(&mut self, reason: Reason, retry_after_ms: u64) -> Vec<Effect> {
         let keys: Vec<RequestKey> = self.queue.drain(..).map(|(key, _)| key).collect();
-        keys.into_iter()
-            .map(|key| self.refuse(key, reason, retry_after_ms))
-            .collect()
+        keys.into_iter().map(|key| self.refuse(key, reason, retry_after_ms)).collect()
     }
 
     /// Time until a new request for `model` would start to run, in milliseconds.
@@ -364,29 +345,17 @@
         let ahead = (self.tickets.len() + self.queue.len()) as u64;
         let batch = self.limits.batch.max(1) as u64;
         let queue_ms = (ahead + 1).saturating_sub(batch) * self.service_ms / batch;
-        if self.is_ready(model) {
-            queue_ms
-        } else {
-            queue_ms.max(self.load_ms)
-        }
+        if self.is_ready(model) { queue_ms } else { queue_ms.max(self.load_ms) }
     }
 
     pub(super) fn grant_effect(&self, key: RequestKey, stall_ms: u64) -> Effect {
-        Effect::Grant(Grant {
-            key,
-            fence: self.fence,
-            stall_ms,
-        })
+        Effect::Grant(Grant { key, fence: self.fence, stall_ms })
     }
 
     pub(super) fn refuse(&mut self, key: RequestKey, reason: Reason, after_ms: u64) -> Effect {
         self.counters.refused += 1;
         let retry_after_ms = after_ms.max(RETRY_AFTER_MIN_MS);
-        Effect::Refuse(Refusal {
-            key,
-            reason,
-            retry_after_ms,
-        })
+        Effect::Refuse(Refusal { key, reason, retry_after_ms })
     }
 
     fn unacceptable(&self, now: Time, req: &Waiting) -> Option<(Reason, u64)> {
@@ -403,11 +372,7 @@
         if now.after_ms(wait_ms) >= req.deadline {
             return Some((Reason::Deadline, wait_ms));
         }
-        let of_caller = self
-            .queue
-            .values()
-            .filter(|q| q.req.caller == req.caller)
-            .count();
+        let of_caller = self.queue.values().filter(|q| q.req.caller == req.caller).count();
         if of_caller >= self.cfg.caller_queue_max {
             return Some((Reason::CallerLimit, wait_ms));
         }
@@ -431,11 +396,7 @@
     fn refuse_hopeless(&mut self, now: Time) -> Vec<Effect> {
         let hopeless = |(key, queued): (&RequestKey, &Queued)| {
             if now >= queued.req.deadline {
-                return Some((
-                    key.clone(),
-                    Reason::Deadline,
-                    self.wait_ms(&queued.req.model),
-                ));
+                return Some((key.clone(), Reason::Deadline, self.wait_ms(&queued.req.model)));
             }
             if self.leaving {
                 return Some((key.clone(), Reason::Leaving, 0));
--- a/crates/core/src/slots/evict.rs
+++ b/crates/core/src/slots/evict.rs
@@ -16,9 +16,7 @@
             Eviction::Lru => candidates.min_by_key(|(_, slot)| slot.last_use),
             Eviction::ExpectedUse => candidates.min_by(|a, b| {
                 let (worth_a, worth_b) = (self.worth(now, a), self.worth(now, b));
-                worth_a
-                    .total_cmp(&worth_b)
-                    .then(a.1.last_use.cmp(&b.1.last_use))
+                worth_a.total_cmp(&worth_b).then(a.1.last_use.cmp(&b.1.last_use))
             }),
         };
         chosen.map(|(model, _)| model.clone())
--- a/crates/core/src/slots/loads.rs
+++ b/crates/core/src/slots/loads.rs
@@ -32,10 +32,7 @@
             want.since = want.since.min(queued.since);
             want.deadline = want.deadline.min(queued.req.deadline);
         }
-        let mut due: Vec<Want> = wants
-            .into_values()
-            .filter(|w| !self.gathers(now, w))
-            .collect();
+        let mut due: Vec<Want> = wants.into_values().filter(|w| !self.gathers(now, w)).collect();
         due.sort_by_key(|w| (w.class, std::cmp::Reverse(w.waiting), w.deadline, w.since));
         due
     }
@@ -58,18 +55,10 @@
         let Some(slot) = self.slots.get_mut(&victim) else {
             return Vec::new();
         };
-        slot.state = SlotState::Unloading {
-            next: model.clone(),
-            permit,
-        };
+        slot.state = SlotState::Unloading { next: model.clone(), permit };
         slot.since = now;
         self.counters.evictions += 1;
-        vec![Effect::Order(self.order(
-            now,
-            OrderKind::Unload,
-            victim,
-            None,
-        ))]
+        vec![Effect::Order(self.order(now, OrderKind::Unload, victim, None))]
     }
 
     /// Takes what became of the order to unload `model`.
@@ -147,16 +136,8 @@
 
     fn order_load(&mut self, now: Time, model: &ModelName, permit: u16) -> Effect {
         let order = self.order(now, OrderKind::Load, model.clone(), Some(permit));
-        let state = SlotState::Loading {
-            deadline: order.deadline,
-            permit,
-        };
-        let slot = Slot {
-            state,
-            since: now,
-            last_use: now,
-            copies: 1,
-        };
+        let state = SlotState::Loading { deadline: order.deadline, permit };
+        let slot = Slot { state, since: now, last_use: now, copies: 1 };
         self.slots.insert(model.clone(), slot);
         self.counters.loads += 1;
         Effect::Order(order)
@@ -184,15 +165,10 @@
         let Fingerprint(seed) = crate::fingerprint(&model.to_string(), &[]);
         let seed = mix(seed, self.fence);
         let retry_at = retry_at(now, self.cfg.load_backoff_ms, tries, seed);
-        self.failures
-            .insert(model.clone(), Failure { tries, retry_at });
+        self.failures.insert(model.clone(), Failure { tries, retry_at });
         let waits = |(_, queued): &(&RequestKey, &Queued)| queued.req.model == *model;
-        let keys: Vec<RequestKey> = self
-            .queue
-            .iter()
-            .filter(waits)
-            .map(|(key, _)| key.clone())
-            .collect();
+        let keys: Vec<RequestKey> =
+            self.queue.iter().filter(waits).map(|(key, _)| key.clone()).collect();
         let mut effects = Vec::new();
         for key in keys {
             self.queue.shift_remove(&key);
--- a/crates/core/src/slots/takeover.rs
+++ b/crates/core/src/slots/takeover.rs
@@ -20,16 +20,12 @@
     /// True when every entry has registered its open tickets.
     #[must_use]
     pub fn may_evict(&self) -> bool {
-        self.required
-            .iter()
-            .all(|entry| self.registered.contains_key(entry))
+        self.required.iter().all(|entry| self.registered.contains_key(entry))
     }
 
     /// Entries that have not registered yet.
     pub fn unregistered(&self) -> impl Iterator<Item = &FastStr> {
-        self.required
-            .iter()
-            .filter(|entry| !self.registered.contains_key(*entry))
+        self.required.iter().filter(|entry| !self.registered.contains_key(*entry))
     }
 
     /// True when `entry` has registered under this claim.
@@ -52,17 +48,10 @@
             self.adopt_ticket(now, key, model, caller, fingerprint);
         }
         let stale = |key: &RequestKey| key.entry == *entry && key.incarnation != incarnation;
-        let stale_open: Vec<RequestKey> = self
-            .tickets
-            .keys()
-            .filter(|key| stale(key))
-            .cloned()
-            .collect();
+        let stale_open: Vec<RequestKey> =
+            self.tickets.keys().filter(|key| stale(key)).cloned().collect();
         self.queue.retain(|key, _| !stale(key));
-        stale_open
-            .iter()
-            .flat_map(|key| self.cancel(now, key))
-            .collect()
+        stale_open.iter().flat_map(|key| self.cancel(now, key)).collect()
     }
 
     fn adopt_ticket(
@@ -104,11 +93,7 @@
         let restarted = self.epoch.is_some_and(|known| known != epoch);
         self.epoch = Some(epoch);
         self.down = false;
-        let crashed = if restarted {
-            self.crash_contents(asked)
-        } else {
-            Vec::new()
-        };
+        let crashed = if restarted { self.crash_contents(asked) } else { Vec::new() };
         self.broken.retain(|(_, at)| *at >= asked);
         // what was decided after the question was asked is newer than the answer
         let newer = |slot: &Slot| slot.since >= asked;
@@ -117,8 +102,7 @@
             SlotState::Unsure { settled } => asked < settled,
             SlotState::Ready => false,
         };
-        self.slots
-            .retain(|model, slot| resident.contains(model) || in_flight(slot) || newer(slot));
+        self.slots.retain(|model, slot| resident.contains(model) || in_flight(slot) || newer(slot));
         for model in resident {
             self.found_resident(now, asked, model);
         }
@@ -136,31 +120,20 @@
         self.epoch = None;
         let crashed = self.crash_contents(now);
         self.slots.clear();
-        (
-            crashed,
-            self.refuse_all(Reason::NoTarget, self.cfg.load_backoff_ms),
-        )
+        (crashed, self.refuse_all(Reason::NoTarget, self.cfg.load_backoff_ms))
     }
 
     /// Contents of requests that broke off and of those whose tickets are older than `before`.
     fn crash_contents(&mut self, before: Time) -> Vec<Fingerprint> {
         let broken = std::mem::take(&mut self.broken);
         let open = self.tickets.values().filter(|t| t.granted < before);
-        let all = broken
-            .into_iter()
-            .map(|(f, _)| f)
-            .chain(open.map(|t| t.fingerprint));
+        let all = broken.into_iter().map(|(f, _)| f).chain(open.map(|t| t.fingerprint));
         let distinct: IndexSet<Fingerprint> = all.collect();
         distinct.into_iter().collect()
     }
 
     fn found_resident(&mut self, now: Time, asked: Time, model: &ModelName) {
-        let fresh = Slot {
-            state: SlotState::Ready,
-            since: now,
-            last_use: now,
-            copies: 1,
-        };
+        let fresh = Slot { state: SlotState::Ready, since: now, last_use: now, copies: 1 };
         // an unload that ended after the question was asked: the next list will tell
         if self.last_unload >= asked && !self.slots.contains_key(model) {
             return;
@@ -177,11 +150,7 @@
     pub(super) fn probe_unsure(&self, now: Time) -> Vec<Effect> {
         let due =
             |slot: &Slot| matches!(slot.state, SlotState::Unsure { settled } if now >= settled);
-        if self.slots.values().any(due) {
-            vec![Effect::Probe]
-        } else {
-            Vec::new()
-        }
+        if self.slots.values().any(due) { vec![Effect::Probe] } else { Vec::new() }
     }
 
     pub(super) fn cancel_lapsed(&mut self, now: Time) -> Vec<Effect> {
@@ -191,9 +160,6 @@
             .filter(|(_, ticket)| now >= ticket.expires)
             .map(|(key, _)| key.clone())
             .collect();
-        lapsed
-            .iter()
-            .flat_map(|key| self.cancel(now, key))
-            .collect()
+        lapsed.iter().flat_map(|key| self.cancel(now, key)).collect()
     }
 }
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -14,11 +14,7 @@
 
 impl<R> Default for Position<R> {
     fn default() -> Self {
-        Self {
-            folded_to: 0,
-            waiting_from: None,
-            pending: Vec::new(),
-        }
+        Self { folded_to: 0, waiting_from: None, pending: Vec::new() }
     }
 }
 
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -66,9 +66,7 @@
     pub fn possible(&mut self, now: Time, contents: &[Fingerprint], keep_ms: u64) {
         let until = now.after_ms(keep_ms);
         for fingerprint in contents {
-            self.known
-                .entry(*fingerprint)
-                .or_insert(Suspect { crashes: 0, until });
+            self.known.entry(*fingerprint).or_insert(Suspect { crashes: 0, until });
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/fuzz/main.rs
@@ -0,0 +1,37 @@
+//! Stateful fuzzing of the decision core against oracles that know only the promises.
+//!
+//! Seeds are fixed, so that each run says the same. For long runs with fresh seeds:
+//! `EGRET_FUZZ_SEED=7 EGRET_FUZZ_SEQUENCES=100000 cargo test --release -p egret-core --test fuzz`.
+
+mod config_world;
+mod journal_world;
+mod slots_world;
+mod support;
+
+use support::{Command, check};
+
+#[test]
+fn slots_random_commands() {
+    check("slots", 600, slots_world::run);
+}
+
+#[test]
+fn journal_random_commands() {
+    check("journal", 1500, journal_world::run);
+}
+
+#[test]
+fn config_random_commands() {
+    check("config", 1500, config_world::run);
+}
+
+/// Sequences that once broke a promise, shrunk. Each line names what it found.
+#[test]
+fn slots_found_sequences() {
+    for (what, commands) in slots_world::FOUND {
+        let commands: Vec<Command> = commands.iter().copied().map(Command::from).collect();
+        if let Err(problem) = slots_world::run(&commands) {
+            panic!("{what}: {problem}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fuzz/support.rs
@@ -0,0 +1,67 @@
+//! Random commands, their shrinking, and fixed seeds.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+/// Commands in one sequence at most.
+const COMMANDS_MAX: usize = 160;
+
+/// Seed of runs that do not name one.
+const SEED: u64 = 20_261_203;
+
+/// One random command: what it does and to whom. The worlds read the numbers as they need.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Command {
+    pub(crate) verb: u8,
+    pub(crate) who: u8,
+    pub(crate) what: u8,
+    pub(crate) how: u8,
+}
+
+impl From<(u8, u8, u8, u8)> for Command {
+    fn from((verb, who, what, how): (u8, u8, u8, u8)) -> Self {
+        Self { verb, who, what, how }
+    }
+}
+
+impl Arbitrary for Command {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            verb: u8::arbitrary(g),
+            who: u8::arbitrary(g),
+            what: u8::arbitrary(g),
+            how: u8::arbitrary(g),
+        }
+    }
+}
+
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Runs `world` over random sequences of commands. A failing one is shrunk and printed.
+pub(crate) fn check(name: &str, sequences: u64, world: fn(&[Command]) -> Result<(), String>) {
+    let seed = setting("EGRET_FUZZ_SEED").unwrap_or(SEED);
+    let sequences = setting("EGRET_FUZZ_SEQUENCES").unwrap_or(sequences);
+    WORLD.with(|cell| cell.set(Some(world)));
+    let property: fn(Vec<Command>) -> TestResult = |commands| {
+        let world = WORLD.with(std::cell::Cell::get).expect("set by check");
+        match world(&commands) {
+            Ok(()) => TestResult::passed(),
+            Err(problem) => TestResult::error(problem),
+        }
+    };
+    let passed = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(COMMANDS_MAX, seed))
+        .tests(sequences)
+        .max_tests(sequences)
+        .quicktest(property);
+    match passed {
+        Ok(count) => println!("{name}: {count} sequences passed, seed {seed}"),
+        Err(failure) => panic!("{name}, seed {seed}: {failure:?}"),
+    }
+}
+
+std::thread_local! {
+    static WORLD: std::cell::Cell<Option<fn(&[Command]) -> Result<(), String>>> =
+        const { std::cell::Cell::new(None) };
+}
--- a/crates/ctl/src/cli/args.rs
+++ b/crates/ctl/src/cli/args.rs
@@ -14,12 +14,7 @@
 #[command(version)]
 pub(crate) struct Args {
     /// Settings file (TOML)
-    #[arg(
-        short,
-        long,
-        value_name = "FILE",
-        default_value = "/etc/egretshore/egretctl.toml"
-    )]
+    #[arg(short, long, value_name = "FILE", default_value = "/etc/egretshore/egretctl.toml")]
     pub(crate) config: PathBuf,
 
     /// Print JSON
--- a/crates/ctl/src/command/apply.rs
+++ b/crates/ctl/src/command/apply.rs
@@ -43,10 +43,8 @@
     if let Some(base) = args.base
         && base != current.revision
     {
-        let rejection = Rejection::Lost {
-            revision: current.revision,
-            operator: current.operator.clone(),
-        };
+        let rejection =
+            Rejection::Lost { revision: current.revision, operator: current.operator.clone() };
         return report("-", &Err(rejection), json);
     }
     let ops = diff(&current.manifest, &manifest);
@@ -61,10 +59,7 @@
         base_revision: current.revision,
         ops,
     };
-    match log
-        .append("config", &[ConfigRecord::Change(change)], call_by())
-        .await
-    {
+    match log.append("config", &[ConfigRecord::Change(change)], call_by()).await {
         Err(e @ LogError::Refused(_)) => unreachable(&e, json),
         // also after a lost answer: reading shows whether the record is there
         Ok(_) | Err(LogError::Unknown(_)) => settle(&log, &id, json).await,
@@ -87,10 +82,7 @@
     }
     let advice = format!("egretctl apply --resume {id}");
     if json {
-        println!(
-            "{}",
-            json!({ "result": "unknown", "id": id, "settle_with": advice })
-        );
+        println!("{}", json!({ "result": "unknown", "id": id, "settle_with": advice }));
     } else {
         println!("unknown: the log did not show this change yet; settle with: {advice}");
     }
@@ -99,20 +91,13 @@
 
 fn report(id: &str, verdict: &Verdict, json: bool) -> Exit {
     let (result, text, exit) = match verdict {
-        Ok(revision) => (
-            "accepted",
-            format!("accepted: revision {revision}"),
-            Exit::Done,
-        ),
+        Ok(revision) => ("accepted", format!("accepted: revision {revision}"), Exit::Done),
         Err(e @ Rejection::Lost { .. }) => ("lost", e.to_string(), Exit::Lost),
         Err(e @ Rejection::Invalid(_)) => ("invalid", e.to_string(), Exit::Wrong),
     };
     if json {
         let revision = verdict.as_ref().ok();
-        println!(
-            "{}",
-            json!({ "result": result, "id": id, "revision": revision, "text": text })
-        );
+        println!("{}", json!({ "result": result, "id": id, "revision": revision, "text": text }));
     } else {
         println!("{text}");
     }
@@ -121,10 +106,7 @@
 
 fn unreachable(error: &LogError, json: bool) -> Exit {
     if json {
-        println!(
-            "{}",
-            json!({ "result": "unreachable", "text": error.to_string() })
-        );
+        println!("{}", json!({ "result": "unreachable", "text": error.to_string() }));
     } else {
         println!("not applied: {error}; nothing was changed");
     }
--- a/crates/ctl/src/manifest.rs
+++ b/crates/ctl/src/manifest.rs
@@ -20,11 +20,7 @@
 
 /// Reads a manifest; all its faults when it can't be used.
 pub(crate) fn read(path: &Path) -> Result<Manifest, Vec<Fault>> {
-    let fault = |line, key: &str, problem: String| Fault {
-        line,
-        key: key.to_owned(),
-        problem,
-    };
+    let fault = |line, key: &str, problem: String| Fault { line, key: key.to_owned(), problem };
     let text = fs::read_to_string(path)
         .map_err(|e| vec![fault(0, &path.display().to_string(), e.to_string())])?;
     let reader = toml::Deserializer::parse(&text).map_err(|e| {
@@ -32,33 +28,19 @@
         vec![fault(line, "syntax", e.message().to_owned())]
     })?;
     let manifest: Manifest = serde_path_to_error::deserialize(reader).map_err(|e| {
-        let line = e
-            .inner()
-            .span()
-            .map_or(0, |span| line_of(&text, span.start));
-        vec![fault(
-            line,
-            &e.path().to_string(),
-            e.inner().message().to_owned(),
-        )]
+        let line = e.inner().span().map_or(0, |span| line_of(&text, span.start));
+        vec![fault(line, &e.path().to_string(), e.inner().message().to_owned())]
     })?;
     let faults: Vec<Fault> = validate(&manifest)
         .into_iter()
         .map(|f| fault(find_line(&text, &f.key), &f.key, f.problem))
         .collect();
-    if faults.is_empty() {
-        Ok(manifest)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(manifest) } else { Err(faults) }
 }
 
 fn line_of(text: &str, at: usize) -> usize {
     let before = &text.as_bytes()[..at.min(text.len())];
-    1 + before
-        .split(|byte| *byte == b'\n')
-        .count()
-        .saturating_sub(1)
+    1 + before.split(|byte| *byte == b'\n').count().saturating_sub(1)
 }
 
 /// The line of the deepest part of `key` that the file holds.
@@ -69,9 +51,7 @@
     let mut table = table.get_ref();
     let mut found = 0;
     for part in parts(key) {
-        let Some((name, value)) = table
-            .iter()
-            .find(|(name, _)| name.get_ref() == part.as_str())
+        let Some((name, value)) = table.iter().find(|(name, _)| name.get_ref() == part.as_str())
         else {
             break;
         };
--- a/crates/ctl/src/query/audit.rs
+++ b/crates/ctl/src/query/audit.rs
@@ -45,10 +45,7 @@
 }
 
 fn wanted(args: &AuditArgs, record: &AuditRecord) -> bool {
-    let event = args
-        .event
-        .as_ref()
-        .is_none_or(|event| record.event == *event);
+    let event = args.event.as_ref().is_none_or(|event| record.event == *event);
     event && record.detail.contains(&args.about)
 }
 
@@ -57,13 +54,7 @@
     if json {
         println!("{}", serde_json::to_string(record).unwrap_or_default());
     } else {
-        let AuditRecord {
-            at_unix_ms,
-            host,
-            event,
-            meaning,
-            detail,
-        } = record;
+        let AuditRecord { at_unix_ms, host, event, meaning, detail } = record;
         println!("{at_unix_ms} {host} {event} {meaning}: {detail}");
     }
 }
@@ -77,10 +68,7 @@
     };
     let mut all: Vec<AuditRecord> = Vec::new();
     for said in ask_all(cfg, &list, "/audit?about=").await {
-        match said
-            .answer
-            .and_then(|a| serde_json::from_value::<Vec<AuditRecord>>(a).ok())
-        {
+        match said.answer.and_then(|a| serde_json::from_value::<Vec<AuditRecord>>(a).ok()) {
             Some(records) => all.extend(records),
             None => eprintln!("egretctl: {} on {} not reached", said.program, said.host),
         }
--- a/crates/ctl/src/query/check.rs
+++ b/crates/ctl/src/query/check.rs
@@ -16,10 +16,7 @@
         Ok(manifest) => {
             let (engines, adapters) = (manifest.engines.len(), manifest.adapters.len());
             if json {
-                println!(
-                    "{}",
-                    json!({ "ok": true, "engines": engines, "adapters": adapters })
-                );
+                println!("{}", json!({ "ok": true, "engines": engines, "adapters": adapters }));
             } else {
                 println!("right: {engines} engines, {adapters} adapters");
             }
@@ -35,13 +32,7 @@
         println!("{}", json!({ "ok": false, "faults": faults }));
     } else {
         for fault in faults {
-            println!(
-                "{}:{}: {}: {}",
-                path.display(),
-                fault.line,
-                fault.key,
-                fault.problem
-            );
+            println!("{}:{}: {}: {}", path.display(), fault.line, fault.key, fault.problem);
         }
     }
     Exit::Wrong
--- a/crates/ctl/src/query/explain.rs
+++ b/crates/ctl/src/query/explain.rs
@@ -41,10 +41,7 @@
     }
     let changes = changes(&log, subject).await;
     if json {
-        println!(
-            "{}",
-            json!({ "subject": subject, "facts": facts, "changes": changes })
-        );
+        println!("{}", json!({ "subject": subject, "facts": facts, "changes": changes }));
     } else {
         for fact in &facts {
             println!("{fact}");
@@ -57,16 +54,12 @@
 }
 
 async fn request(cfg: &Settings, list: &[HostEntry], subject: &str) -> Option<Value> {
-    let safe = subject
-        .chars()
-        .all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_');
+    let safe = subject.chars().all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_');
     if !safe {
         return None;
     }
     let said = ask_all(cfg, list, &format!("/requests/{subject}")).await;
-    said.into_iter()
-        .filter(|s| s.program == "egret-entry")
-        .find_map(|s| s.answer)
+    said.into_iter().filter(|s| s.program == "egret-entry").find_map(|s| s.answer)
 }
 
 fn print_request(trace: &Value, json: bool) {
@@ -75,18 +68,10 @@
         return;
     }
     let text = |name: &str| trace[name].as_str().unwrap_or("?").to_owned();
-    println!(
-        "request {} for {} by caller {}",
-        text("request"),
-        text("subject"),
-        text("caller")
-    );
+    println!("request {} for {} by caller {}", text("request"), text("subject"), text("caller"));
     for step in trace["steps"].as_array().into_iter().flatten() {
         let what = step["what"].as_str().unwrap_or("?");
-        println!(
-            "  after {:>6} ms: {what}",
-            step["after_ms"].as_u64().unwrap_or(0)
-        );
+        println!("  after {:>6} ms: {what}", step["after_ms"].as_u64().unwrap_or(0));
     }
 }
 
@@ -106,15 +91,11 @@
     if let (Ok(model), Some(config)) = (subject.parse::<ModelName>(), config)
         && !config.serves(&model)
     {
-        facts.push(format!(
-            "{model}: this version is not declared, requests get 404"
-        ));
+        facts.push(format!("{model}: this version is not declared, requests get 404"));
     }
     for engine in keepers_engines(said) {
         let resident = engine["resident"].as_array().into_iter().flatten();
-        let copies = resident
-            .filter_map(Value::as_str)
-            .filter(|m| m.starts_with(key));
+        let copies = resident.filter_map(Value::as_str).filter(|m| m.starts_with(key));
         for model in copies {
             let name = engine["engine"].as_str().unwrap_or("?");
             facts.push(format!("{model}: resident or being loaded on {name}"));
@@ -131,24 +112,15 @@
 ) -> Vec<String> {
     let mut facts = Vec::new();
     if let Some(host) = list.iter().find(|h| h.host == *subject) {
-        facts.push(format!(
-            "{subject}: in the host list as {:?}, {}",
-            host.state, host.ip
-        ));
+        facts.push(format!("{subject}: in the host list as {:?}, {}", host.state, host.ip));
     }
     if let Some(config) = config {
         let hosts = &config.manifest.hosts;
         if hosts.stop.contains(subject) {
-            facts.push(format!(
-                "{subject}: to be stopped, by revision {}",
-                config.revision
-            ));
+            facts.push(format!("{subject}: to be stopped, by revision {}", config.revision));
         }
         if hosts.retire.contains(subject) {
-            facts.push(format!(
-                "{subject}: retired, by revision {}",
-                config.revision
-            ));
+            facts.push(format!("{subject}: retired, by revision {}", config.revision));
         }
     }
     for said in said.iter().filter(|s| s.host == *subject) {
@@ -187,9 +159,7 @@
     while let Ok(batch) = log.read("audit", from, 0, call_by()).await {
         let at_end = batch.reaches_end();
         from = batch.next();
-        let records = batch
-            .decode::<AuditRecord>()
-            .filter_map(|(_, record)| record);
+        let records = batch.decode::<AuditRecord>().filter_map(|(_, record)| record);
         found.extend(records.filter(|r| r.detail.contains(subject)));
         if at_end {
             break;
--- a/crates/ctl/src/query/status.rs
+++ b/crates/ctl/src/query/status.rs
@@ -12,9 +12,7 @@
 
 /// Runs `egretctl status`.
 pub(crate) async fn run(cfg: &Settings, json: bool) -> Exit {
-    let revision = config(&LogClient::new(cfg.platform.log))
-        .await
-        .map(|f| f.current().revision);
+    let revision = config(&LogClient::new(cfg.platform.log)).await.map(|f| f.current().revision);
     let revision = revision.ok();
     let Some(list) = hosts(cfg).await else {
         print_without_hosts(revision, json);
@@ -39,10 +37,7 @@
 
 fn print_without_hosts(revision: Option<u64>, json: bool) {
     if json {
-        println!(
-            "{}",
-            json!({ "revision": revision, "error": "host list not reached" })
-        );
+        println!("{}", json!({ "revision": revision, "error": "host list not reached" }));
     } else {
         println!("host list: not reached; revision on the log: {revision:?}");
     }
@@ -71,9 +66,7 @@
         };
         if revision.is_some_and(|r| status["revision"].as_u64() != Some(r)) {
             let has = &status["revision"];
-            findings.push(format!(
-                "{program} on {host} is at revision {has}; do: nothing"
-            ));
+            findings.push(format!("{program} on {host} is at revision {has}; do: nothing"));
         }
         if status["stopping"] == json!(true) {
             findings.push(format!("{program} on {host} is stopping; do: nothing"));
@@ -91,9 +84,7 @@
     }
     let name = engine["engine"].as_str().unwrap_or("?");
     if engine["down"] == json!(true) {
-        return Some(format!(
-            "engine {name} takes no connections; do: restart that host"
-        ));
+        return Some(format!("engine {name} takes no connections; do: restart that host"));
     }
     if engine["can_load"] == json!(false) {
         return Some(format!("engine {name} loads nothing for now; do: nothing"));
--- a/crates/ctl/src/reach.rs
+++ b/crates/ctl/src/reach.rs
@@ -59,19 +59,13 @@
     let caller = Caller::pooled();
     let mut asked = Vec::new();
     for host in hosts.iter().filter(|h| h.role == "entry") {
-        for (program, port) in [
-            ("egret-entry", cfg.entry_port),
-            ("egret-keeper", cfg.keeper_port),
-        ] {
+        for (program, port) in [("egret-entry", cfg.entry_port), ("egret-keeper", cfg.keeper_port)]
+        {
             let address = SocketAddr::new(host.ip, port);
             let (caller, path) = (caller.clone(), path.to_owned());
             let asking = tokio::spawn(async move {
                 let reply = caller.get(address, &path, call_by()).await.ok()?;
-                reply
-                    .status
-                    .is_success()
-                    .then(|| reply.json().ok())
-                    .flatten()
+                reply.status.is_success().then(|| reply.json().ok()).flatten()
             });
             asked.push((host.host.to_string(), program, asking));
         }
@@ -79,11 +73,7 @@
     let mut all = Vec::new();
     for (host, program, asking) in asked {
         let answer = asking.await.ok().flatten();
-        all.push(Said {
-            host,
-            program,
-            answer,
-        });
+        all.push(Said { host, program, answer });
     }
     all
 }
--- a/crates/entry/src/calls/attempt.rs
+++ b/crates/entry/src/calls/attempt.rs
@@ -94,17 +94,11 @@
     async fn acquire(&self, engine: &FastStr) -> Result<Granted, AttemptEnd> {
         let (keeper, copies) = {
             let views = self.entry.views.lock();
-            let keeper = views
-                .get(engine)
-                .map(|v| v.keeper.clone())
-                .ok_or(AttemptEnd::Moved)?;
+            let keeper = views.get(engine).map(|v| v.keeper.clone()).ok_or(AttemptEnd::Moved)?;
             (keeper, views.holders(&self.req.model).len())
         };
         let message = AcquireMsg {
-            key: KeyMsg {
-                request: self.request.to_string(),
-                attempt: self.number,
-            },
+            key: KeyMsg { request: self.request.to_string(), attempt: self.number },
             engine: engine.to_string(),
             model: self.req.model.to_string(),
             caller: self.caller.to_string(),
@@ -115,28 +109,19 @@
             copies: u32::try_from(copies).unwrap_or(u32::MAX),
         };
         let deadline = self.req.deadline.after_ms(VERDICT_GRACE_MS);
-        match self
-            .entry
-            .links
-            .call(&keeper, Body::Acquire(message), deadline)
-            .await
-        {
+        match self.entry.links.call(&keeper, Body::Acquire(message), deadline).await {
             Ok(Body::Grant(grant)) => {
                 let ticket = OpenTicket::new(self.entry, self.record(engine, grant.fence));
                 let ticket = ticket.ok_or(AttemptEnd::Moved)?;
-                Ok(Granted {
-                    ticket,
-                    stall_ms: grant.stall_ms,
-                })
+                Ok(Granted { ticket, stall_ms: grant.stall_ms })
             }
             Ok(Body::Refuse(refusal)) => Err(refused(&refusal)),
             // nothing was sent to the engine; a ticket that was granted on the way is not in the
             // list of open ones, so the keeper takes it back
             Ok(_) | Err(LinkError::NotConnected | LinkError::Broken) => Err(AttemptEnd::Moved),
-            Err(LinkError::Late) => Err(AttemptEnd::NoTicket {
-                reason: Reason::Deadline,
-                retry_after_ms: 1000,
-            }),
+            Err(LinkError::Late) => {
+                Err(AttemptEnd::NoTicket { reason: Reason::Deadline, retry_after_ms: 1000 })
+            }
         }
     }
 
@@ -165,9 +150,7 @@
         let headers = Self::headers(&expected);
         let body = self.req.body.clone();
         let caller = &self.entry.engine_caller;
-        let opened = caller
-            .open(address, Method::POST, path, &headers, body, head_by)
-            .await;
+        let opened = caller.open(address, Method::POST, path, &headers, body, head_by).await;
         let response = match opened {
             Ok(response) => response,
             Err(e) => return Err(Self::no_head(&mut ticket, &e)),
@@ -177,10 +160,8 @@
         }
         if !expected.head(response.headers()) {
             self.entry.counts.answers_dropped.inc();
-            events::ANSWER_DROPPED.warn(format_args!(
-                "request={} target={engine} head",
-                self.request
-            ));
+            events::ANSWER_DROPPED
+                .warn(format_args!("request={} target={engine} head", self.request));
             return Err(AttemptEnd::Broken(Reason::BadAnswer));
         }
         if self.req.streams {
@@ -193,21 +174,16 @@
     /// A streamed answer shows signs of life; a whole one comes when it is done.
     fn head_by(&self) -> Time {
         let first_part = now().after_ms(self.entry.cfg.times.first_part_ms);
-        if self.req.streams {
-            first_part
-        } else {
-            self.req.deadline.max(first_part)
-        }
+        if self.req.streams { first_part } else { self.req.deadline.max(first_part) }
     }
 
     fn headers(expected: &Expected) -> HeaderMap {
         let mut headers = HeaderMap::new();
         let json = HeaderValue::from_static("application/json");
         headers.insert(http::header::CONTENT_TYPE, json);
-        for (name, value) in [
-            ("x-request-id", expected.request.as_str()),
-            ("x-attempt", &expected.attempt),
-        ] {
+        for (name, value) in
+            [("x-request-id", expected.request.as_str()), ("x-attempt", &expected.attempt)]
+        {
             if let Ok(value) = HeaderValue::from_str(value) {
                 headers.insert(HeaderName::from_static(name), value);
             }
@@ -244,10 +220,7 @@
         match status {
             StatusCode::NOT_FOUND => {
                 ticket.not_resident();
-                self.entry
-                    .views
-                    .lock()
-                    .count_missing(engine, &self.req.model);
+                self.entry.views.lock().count_missing(engine, &self.req.model);
                 AttemptEnd::Refused
             }
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
@@ -286,10 +259,7 @@
 
 fn refused(refusal: &RefuseMsg) -> AttemptEnd {
     match Reason::from_code(&refusal.reason) {
-        Some(reason) => AttemptEnd::NoTicket {
-            reason,
-            retry_after_ms: refusal.retry_after_ms,
-        },
+        Some(reason) => AttemptEnd::NoTicket { reason, retry_after_ms: refusal.retry_after_ms },
         None => AttemptEnd::Moved,
     }
 }
--- a/crates/entry/src/calls/check.rs
+++ b/crates/entry/src/calls/check.rs
@@ -38,11 +38,7 @@
 impl Expected {
     /// What the answer to an attempt must carry.
     pub(crate) fn new(request: &FastStr, attempt: u32, model: &ModelName) -> Self {
-        Self {
-            request: request.clone(),
-            attempt: attempt.to_string(),
-            model: model.to_string(),
-        }
+        Self { request: request.clone(), attempt: attempt.to_string(), model: model.to_string() }
     }
 
     /// True when the head of an answer carries the labels of this attempt.
--- a/crates/entry/src/calls/parse.rs
+++ b/crates/entry/src/calls/parse.rs
@@ -85,26 +85,15 @@
     fields.insert("priority".to_owned(), Value::from(class as u8));
     let body = Bytes::from(Value::Object(fields).to_string());
     let fingerprint = fingerprint(&model.to_string(), content.as_bytes());
-    Ok(ModelRequest {
-        kind,
-        model,
-        streams,
-        class,
-        deadline,
-        fingerprint,
-        body,
-    })
+    Ok(ModelRequest { kind, model, streams, class, deadline, fingerprint, body })
 }
 
 fn model(entry: &Entry, field: Option<&Value>) -> Result<ModelName, Unacceptable> {
     let Some(Value::String(text)) = field else {
-        return Err(Unacceptable::bad(
-            "model must be a string: base/adapter@version",
-        ));
+        return Err(Unacceptable::bad("model must be a string: base/adapter@version"));
     };
-    let model: ModelName = text
-        .parse()
-        .map_err(|e| Unacceptable::bad(format!("model {text:?}: {e}")))?;
+    let model: ModelName =
+        text.parse().map_err(|e| Unacceptable::bad(format!("model {text:?}: {e}")))?;
     if !entry.config.current().serves(&model) {
         return Err(Unacceptable {
             status: StatusCode::NOT_FOUND,
@@ -126,9 +115,7 @@
         | (Kind::Chat, Some(Value::Array(_))) => {
             Ok(value.map(Value::to_string).unwrap_or_default())
         }
-        _ => Err(Unacceptable::bad(format!(
-            "{name} is missing or of the wrong type"
-        ))),
+        _ => Err(Unacceptable::bad(format!("{name} is missing or of the wrong type"))),
     }
 }
 
@@ -136,9 +123,7 @@
     match fields.get("max_tokens") {
         None | Some(Value::Null) => Ok(()),
         Some(value) if value.as_u64().is_some_and(|tokens| tokens > 0) => Ok(()),
-        Some(_) => Err(Unacceptable::bad(
-            "max_tokens must be a whole number from 1",
-        )),
+        Some(_) => Err(Unacceptable::bad("max_tokens must be a whole number from 1")),
     }
 }
 
--- a/crates/entry/src/calls/run.rs
+++ b/crates/entry/src/calls/run.rs
@@ -52,49 +52,25 @@
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     if entry.leaving() {
         let message = "this host is leaving; another one takes the request";
-        return Err(refusal(
-            unavailable,
-            Reason::Leaving,
-            message,
-            Some(ELSEWHERE_MS),
-        ));
+        return Err(refusal(unavailable, Reason::Leaving, message, Some(ELSEWHERE_MS)));
     }
     if !entry.config.ready() {
         let message = "no configuration is in force here yet";
-        return Err(refusal(
-            unavailable,
-            Reason::NotReady,
-            message,
-            Some(ELSEWHERE_MS),
-        ));
+        return Err(refusal(unavailable, Reason::NotReady, message, Some(ELSEWHERE_MS)));
     }
     let Some(admitted) = Admitted::new(entry, caller) else {
         let message = "too many requests of this caller are open";
         let status = StatusCode::TOO_MANY_REQUESTS;
-        return Err(refusal(
-            status,
-            Reason::CallerLimit,
-            message,
-            Some(ELSEWHERE_MS),
-        ));
+        return Err(refusal(status, Reason::CallerLimit, message, Some(ELSEWHERE_MS)));
     };
     let read = read_limited(body, entry.cfg.limits.body_bytes).await;
     let body = read.map_err(|e| {
-        refusal(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::TooLarge,
-            &e.to_string(),
-            None,
-        )
+        refusal(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge, &e.to_string(), None)
     })?;
     let parsed = parse(entry, kind, headers, &body);
-    let req = parsed.map_err(
-        |Unacceptable {
-             status,
-             reason,
-             message,
-         }| { refusal(status, reason, &message, None) },
-    )?;
+    let req = parsed.map_err(|Unacceptable { status, reason, message }| {
+        refusal(status, reason, &message, None)
+    })?;
     entry.traces.begin(request, &req.model.to_string(), caller);
     let standing = entry.suspects.lock().standing(now(), req.fingerprint);
     if let Standing::Refused(until) = standing {
@@ -134,9 +110,7 @@
                 Ok(served) => {
                     let stall_ms = served.stall_ms;
                     observe(entry, &course, stall_ms);
-                    entry
-                        .traces
-                        .step(request, format!("runs on {engine} stall_ms={stall_ms}"));
+                    entry.traces.step(request, format!("runs on {engine} stall_ms={stall_ms}"));
                     return Ok(served);
                 }
                 Err(end) => {
@@ -153,26 +127,16 @@
         match next {
             Next::Try => {}
             Next::Wait(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-            Next::GiveUp {
-                outcome,
-                reason,
-                retry_after_ms,
-            } => {
+            Next::GiveUp { outcome, reason, retry_after_ms } => {
                 return Err(given_up(request, outcome, reason, retry_after_ms));
             }
         }
     }
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "times are far shorter than 2^52 ms"
-)]
+#[expect(clippy::cast_precision_loss, reason = "times are far shorter than 2^52 ms")]
 fn observe(entry: &Entry, course: &Course, stall_ms: u64) {
-    entry
-        .counts
-        .first_part_ms
-        .observe(now().ms_since(course.begun()) as f64);
+    entry.counts.first_part_ms.observe(now().ms_since(course.begun()) as f64);
     if stall_ms > 0 {
         entry.counts.stalls_ms.observe(stall_ms as f64);
     }
@@ -202,10 +166,7 @@
 fn refuse(entry: &Entry, answer: Answer) -> Response {
     count(entry, answer.outcome, answer.reason.as_str());
     let (request, reason) = (&answer.request, answer.reason);
-    entry.traces.step(
-        request,
-        format!("final answer {} {reason}", answer.outcome.as_str()),
-    );
+    entry.traces.step(request, format!("final answer {} {reason}", answer.outcome.as_str()));
     match answer.outcome {
         Outcome::Unknown => {
             events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
@@ -218,10 +179,7 @@
 }
 
 fn count(entry: &Entry, outcome: Outcome, reason: &str) {
-    let labels = vec![
-        ("outcome", outcome.as_str().to_owned()),
-        ("reason", reason.to_owned()),
-    ];
+    let labels = vec![("outcome", outcome.as_str().to_owned()), ("reason", reason.to_owned())];
     entry.counts.answers.get_or_create(&labels).inc();
 }
 
@@ -244,10 +202,7 @@
                 drop(admitted);
             });
             let frames = parts.map(|part| part.map(http_body::Frame::data));
-            (
-                Body::from_body(StreamBody::new(frames)),
-                "text/event-stream",
-            )
+            (Body::from_body(StreamBody::new(frames)), "text/event-stream")
         }
     };
     let mut response = Response::new(body);
@@ -255,22 +210,10 @@
         (header::CONTENT_TYPE, kind.to_owned()),
         (HeaderName::from_static("x-request-id"), request.to_string()),
         (HeaderName::from_static("x-adapter"), req.model.to_string()),
-        (
-            HeaderName::from_static("x-attempt"),
-            served.attempt.to_string(),
-        ),
-        (
-            HeaderName::from_static("x-target"),
-            served.target.to_string(),
-        ),
-        (
-            HeaderName::from_static("x-egret-outcome"),
-            "done".to_owned(),
-        ),
-        (
-            HeaderName::from_static("x-egret-stall-ms"),
-            served.stall_ms.to_string(),
-        ),
+        (HeaderName::from_static("x-attempt"), served.attempt.to_string()),
+        (HeaderName::from_static("x-target"), served.target.to_string()),
+        (HeaderName::from_static("x-egret-outcome"), "done".to_owned()),
+        (HeaderName::from_static("x-egret-stall-ms"), served.stall_ms.to_string()),
     ];
     for (name, value) in labels {
         if let Ok(value) = HeaderValue::from_str(&value) {
--- a/crates/entry/src/calls/sse.rs
+++ b/crates/entry/src/calls/sse.rs
@@ -32,11 +32,7 @@
         let end = self.buf.windows(2).position(|pair| pair == b"\n\n")?;
         let event = self.buf.split_to(end + 2).freeze();
         let done = payload(&event) == b"[DONE]";
-        Some(if done {
-            Event::Done
-        } else {
-            Event::Data(event)
-        })
+        Some(if done { Event::Done } else { Event::Data(event) })
     }
 }
 
--- a/crates/entry/src/calls/stream.rs
+++ b/crates/entry/src/calls/stream.rs
@@ -133,8 +133,7 @@
         while let Some(event) = self.events.next() {
             match event {
                 Event::Done => {
-                    self.ready
-                        .push_back(Bytes::from_static(b"data: [DONE]\n\n"));
+                    self.ready.push_back(Bytes::from_static(b"data: [DONE]\n\n"));
                     self.done = true;
                     return Ok(());
                 }
@@ -171,11 +170,7 @@
         let answer = Answer {
             status: StatusCode::BAD_GATEWAY,
             outcome: Outcome::Unknown,
-            reason: if cut == Cut::Foreign {
-                Reason::BadAnswer
-            } else {
-                Reason::TargetFailed
-            },
+            reason: if cut == Cut::Foreign { Reason::BadAnswer } else { Reason::TargetFailed },
             message: "the answer broke off; what came so far is not the whole".to_owned(),
             retry_after_ms: Some(1000),
             request: self.expected.request.clone(),
--- a/crates/entry/src/cli/mod.rs
+++ b/crates/entry/src/cli/mod.rs
@@ -43,10 +43,7 @@
     runtime.block_on(async {
         let entry = Arc::new(Entry::new(cfg));
         start_tasks(&entry);
-        events::STARTED.info(format_args!(
-            "host={} incarnation={}",
-            entry.host, entry.incarnation
-        ));
+        events::STARTED.info(format_args!("host={} incarnation={}", entry.host, entry.incarnation));
         web::serve(entry.clone()).await?;
         events::STOPPED.info(format_args!("host={}", entry.host));
         Ok(())
@@ -64,9 +61,7 @@
     spawn(entry, services::follow_journal);
     spawn(entry, services::append_journal);
     spawn(entry, |e| async move {
-        e.audit
-            .pass_on(e.log.clone(), e.cfg.audit.interval_ms)
-            .await;
+        e.audit.pass_on(e.log.clone(), e.cfg.audit.interval_ms).await;
     });
 }
 
--- a/crates/entry/src/conf.rs
+++ b/crates/entry/src/conf.rs
@@ -58,11 +58,7 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self {
-            body_bytes: 1024 * 1024,
-            requests: 2000,
-            caller_requests: 1000,
-        }
+        Self { body_bytes: 1024 * 1024, requests: 2000, caller_requests: 1000 }
     }
 }
 
@@ -117,12 +113,7 @@
 
 impl Default for JournalSettings {
     fn default() -> Self {
-        Self {
-            gather_ms: 5,
-            key_max_ms: 900_000,
-            settle_ms: 2000,
-            answer_bytes: 16 * 1024,
-        }
+        Self { gather_ms: 5, key_max_ms: 900_000, settle_ms: 2000, answer_bytes: 16 * 1024 }
     }
 }
 
@@ -181,47 +172,15 @@
                 faults.push((key, right.to_owned()));
             }
         };
-        need(
-            !self.host.is_empty(),
-            "host",
-            "must be the host's name in the host list",
-        );
+        need(!self.host.is_empty(), "host", "must be the host's name in the host list");
         need(!self.secret.is_empty(), "secret", "must not be empty");
-        need(
-            self.limits.body_bytes >= 1024,
-            "limits.body_bytes",
-            "must be at least 1024",
-        );
-        need(
-            self.limits.requests >= 1,
-            "limits.requests",
-            "must be at least 1",
-        );
-        need(
-            self.limits.caller_requests >= 1,
-            "limits.caller_requests",
-            "must be at least 1",
-        );
-        need(
-            self.times.silence_ms >= 100,
-            "times.silence_ms",
-            "must be at least 100",
-        );
-        need(
-            self.times.first_part_ms >= 100,
-            "times.first_part_ms",
-            "must be at least 100",
-        );
-        need(
-            self.journal.key_max_ms >= 1000,
-            "journal.key_max_ms",
-            "must be at least 1000",
-        );
-        need(
-            self.routing.beat_ms >= 20,
-            "routing.beat_ms",
-            "must be at least 20",
-        );
+        need(self.limits.body_bytes >= 1024, "limits.body_bytes", "must be at least 1024");
+        need(self.limits.requests >= 1, "limits.requests", "must be at least 1");
+        need(self.limits.caller_requests >= 1, "limits.caller_requests", "must be at least 1");
+        need(self.times.silence_ms >= 100, "times.silence_ms", "must be at least 100");
+        need(self.times.first_part_ms >= 100, "times.first_part_ms", "must be at least 100");
+        need(self.journal.key_max_ms >= 1000, "journal.key_max_ms", "must be at least 1000");
+        need(self.routing.beat_ms >= 20, "routing.beat_ms", "must be at least 20");
         faults
     }
 }
--- a/crates/entry/src/keepers/beat.rs
+++ b/crates/entry/src/keepers/beat.rs
@@ -34,9 +34,7 @@
             members.known().into_iter().cloned().collect()
         };
         for member in members {
-            let running = followed
-                .get(&member.host)
-                .is_some_and(|task| !task.is_finished());
+            let running = followed.get(&member.host).is_some_and(|task| !task.is_finished());
             if !running {
                 let task = tokio::spawn(beat(entry.clone(), member.clone()));
                 followed.insert(member.host, task);
@@ -48,10 +46,7 @@
 
 /// Sends heartbeats to one keeper as long as its host is known.
 async fn beat(entry: Arc<Entry>, member: Member) {
-    let mut keeper = Keeper {
-        heard: now(),
-        ..Keeper::default()
-    };
+    let mut keeper = Keeper { heard: now(), ..Keeper::default() };
     loop {
         let known = entry.hosts.members().lock().get(&member.host).cloned();
         let Some(member) = known else {
@@ -78,11 +73,7 @@
         known: keeper.versions.clone(),
         config: entry.config.newer_than(keeper.revision),
         suspects: suspects(entry),
-        open: if lists_open {
-            entry.tickets.keys()
-        } else {
-            Vec::new()
-        },
+        open: if lists_open { entry.tickets.keys() } else { Vec::new() },
         lists_open,
         stopping: entry.stopping(),
     };
@@ -117,12 +108,8 @@
         }
         take_engine(entry, &config, member, keeper, &name, engine);
     }
-    let lost: Vec<FastStr> = keeper
-        .fences
-        .keys()
-        .filter(|name| !held.contains(*name))
-        .cloned()
-        .collect();
+    let lost: Vec<FastStr> =
+        keeper.fences.keys().filter(|name| !held.contains(*name)).cloned().collect();
     for name in lost {
         drop_engine(entry, &member.host, keeper, &name);
     }
@@ -133,11 +120,7 @@
     let tickets = entry.tickets.promise(engine, fence);
     let open = tickets.len();
     events::REGISTERED.debug(format_args!("engine={engine} fence={fence} open={open}"));
-    link.tell(Body::Register(RegisterMsg {
-        engine: engine.to_string(),
-        fence,
-        tickets,
-    }));
+    link.tell(Body::Register(RegisterMsg { engine: engine.to_string(), fence, tickets }));
 }
 
 fn take_engine(
@@ -152,11 +135,7 @@
         return;
     };
     if let Some(resident) = engine.resident {
-        let models = resident
-            .models
-            .iter()
-            .filter_map(|m| m.parse().ok())
-            .collect();
+        let models = resident.models.iter().filter_map(|m| m.parse().ok()).collect();
         keeper.residents.insert(name.clone(), models);
         keeper.versions.insert(name.to_string(), engine.version);
     }
--- a/crates/entry/src/keepers/link.rs
+++ b/crates/entry/src/keepers/link.rs
@@ -37,9 +37,7 @@
             secret: entry.cfg.secret.clone(),
         };
         let address = SocketAddr::new(member.ip, entry.cfg.keeper_port);
-        let link = Link::connect(address, &hello, now().after_ms(CONNECT_MS))
-            .await
-            .ok()?;
+        let link = Link::connect(address, &hello, now().after_ms(CONNECT_MS)).await.ok()?;
         let link = Arc::new(link);
         self.open.lock().insert(member.host.clone(), link.clone());
         Some(link)
--- a/crates/entry/src/keepers/tickets.rs
+++ b/crates/entry/src/keepers/tickets.rs
@@ -31,10 +31,7 @@
 
 impl TicketRecord {
     fn key(&self) -> KeyMsg {
-        KeyMsg {
-            request: self.request.to_string(),
-            attempt: self.attempt,
-        }
+        KeyMsg { request: self.request.to_string(), attempt: self.attempt }
     }
 
     fn message(&self) -> TicketMsg {
@@ -89,12 +86,7 @@
 
     /// Keys of all tickets that are open.
     pub(crate) fn keys(&self) -> Vec<KeyMsg> {
-        self.state
-            .lock()
-            .open
-            .values()
-            .map(TicketRecord::key)
-            .collect()
+        self.state.lock().open.values().map(TicketRecord::key).collect()
     }
 
     /// Number of tickets that are open.
@@ -115,11 +107,7 @@
     /// Opens a granted ticket; none when the engine was taken over meanwhile.
     pub(crate) fn new(entry: &Arc<Entry>, record: TicketRecord) -> Option<Self> {
         let opened = entry.tickets.open(&record);
-        let ticket = Self {
-            entry: entry.clone(),
-            record,
-            end: "unused",
-        };
+        let ticket = Self { entry: entry.clone(), record, end: "unused" };
         // dropping it gives it back unused
         opened.then_some(ticket)
     }
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -21,11 +21,8 @@
 const RETRY_AFTER_MS: u64 = 1000;
 
 /// Headers of the caller that are passed on to a service.
-const PASSED_ON: [HeaderName; 3] = [
-    header::CONTENT_TYPE,
-    header::ACCEPT,
-    HeaderName::from_static("idempotency-key"),
-];
+const PASSED_ON: [HeaderName; 3] =
+    [header::CONTENT_TYPE, header::ACCEPT, HeaderName::from_static("idempotency-key")];
 
 /// What a service's answer is passed on with.
 pub(super) struct Served {
@@ -49,19 +46,12 @@
         retry_after_ms: after,
         request: request.clone(),
     };
-    let path = head
-        .uri
-        .path()
-        .strip_prefix("/services/")
-        .unwrap_or_default();
+    let path = head.uri.path().strip_prefix("/services/").unwrap_or_default();
     let (service, rest) = path.split_once('/').unwrap_or((path, ""));
     let service = FastStr::new(service);
     if !entry.config.ready() || entry.leaving() {
         let (reason, message) = if entry.leaving() {
-            (
-                Reason::Leaving,
-                "this host is leaving; another one takes the request",
-            )
+            (Reason::Leaving, "this host is leaving; another one takes the request")
         } else {
             (Reason::NotReady, "no configuration is in force here yet")
         };
@@ -80,10 +70,7 @@
         Ok(body) => body,
         Err(e) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return refuse(
-                &entry,
-                refusal(status, Reason::TooLarge, &e.to_string(), None),
-            );
+            return refuse(&entry, refusal(status, Reason::TooLarge, &e.to_string(), None));
         }
     };
     let config = entry.config.current();
@@ -94,35 +81,20 @@
             refusal(StatusCode::NOT_FOUND, Reason::UnknownModel, &message, None),
         );
     };
-    entry
-        .traces
-        .begin(&request, &format!("service {service}"), &caller);
-    let query = head
-        .uri
-        .query()
-        .map(|q| format!("?{q}"))
-        .unwrap_or_default();
+    entry.traces.begin(&request, &format!("service {service}"), &caller);
+    let query = head.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
     let outgoing = Outgoing {
         method: head.method.clone(),
         path: format!("/{rest}{query}"),
         headers: passed_on(&head.headers, &request),
         body,
     };
-    let call = Call {
-        entry: entry.clone(),
-        request: request.clone(),
-        hosts,
-        outgoing,
-    };
+    let call = Call { entry: entry.clone(), request: request.clone(), hosts, outgoing };
     let repeatable = matches!(head.method, Method::GET | Method::HEAD);
     let served = if repeatable {
         call.repeatable().await
     } else {
-        let asked = Keyed {
-            service,
-            caller,
-            headers: head.headers,
-        };
+        let asked = Keyed { service, caller, headers: head.headers };
         keyed(call, asked, admitted).await
     };
     match served {
@@ -135,9 +107,7 @@
 fn unknown_if_keyed(headers: &HeaderMap, mut answer: Answer) -> Answer {
     if headers.contains_key("idempotency-key") {
         answer.outcome = Outcome::Unknown;
-        answer
-            .message
-            .push_str("; whether an earlier request with this key ran is not known here");
+        answer.message.push_str("; whether an earlier request with this key ran is not known here");
     }
     answer
 }
@@ -194,24 +164,16 @@
         let mut course = Course::new(now(), deadline);
         self.entry.retries.lock().first_attempt();
         loop {
-            let next = match self
-                .hosts
-                .iter()
-                .find(|h| !course.tried().contains(&h.name))
-            {
+            let next = match self.hosts.iter().find(|h| !course.tried().contains(&h.name)) {
                 None => course.no_target(now()),
                 Some(host) => {
-                    let part = now()
-                        .after_ms(self.entry.cfg.times.first_part_ms)
-                        .min(deadline);
+                    let part = now().after_ms(self.entry.cfg.times.first_part_ms).min(deadline);
                     let end = match self.outgoing.send(&self.entry, host, part).await {
                         Ok(reply) => return Ok(served(reply, host)),
                         Err(e) if e.not_sent() => AttemptEnd::NotConnected,
                         Err(_) => AttemptEnd::Broken(Reason::TargetFailed),
                     };
-                    self.entry
-                        .traces
-                        .step(&self.request, format!("{}: {end:?}", host.name));
+                    self.entry.traces.step(&self.request, format!("{}: {end:?}", host.name));
                     let mut budget = self.entry.retries.lock();
                     course.ended(now(), &host.name, end, &mut budget)
                 }
@@ -219,11 +181,7 @@
             match next {
                 Next::Try => {}
                 Next::Wait(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-                Next::GiveUp {
-                    outcome,
-                    reason,
-                    retry_after_ms,
-                } => {
+                Next::GiveUp { outcome, reason, retry_after_ms } => {
                     return Err(self.answer(outcome, reason, retry_after_ms));
                 }
             }
@@ -232,9 +190,7 @@
 }
 
 pub(super) fn served(reply: Reply, host: &ServiceHost) -> Served {
-    let content_type = reply
-        .header("content-type")
-        .unwrap_or("application/octet-stream");
+    let content_type = reply.header("content-type").unwrap_or("application/octet-stream");
     Served {
         status: reply.status,
         content_type: content_type.to_owned(),
@@ -245,32 +201,18 @@
 }
 
 fn respond(entry: &Entry, request: &FastStr, served: Served) -> Response {
-    let labels = vec![
-        ("outcome", "done".to_owned()),
-        ("reason", "done".to_owned()),
-    ];
+    let labels = vec![("outcome", "done".to_owned()), ("reason", "done".to_owned())];
     entry.counts.answers.get_or_create(&labels).inc();
-    entry
-        .traces
-        .step(request, format!("answered by {}", served.target));
+    entry.traces.step(request, format!("answered by {}", served.target));
     events::REQUEST_DONE.debug(format_args!("request={request}"));
     let mut response = Response::new(Body::from(served.body));
     *response.status_mut() = served.status;
     let headers = [
         (header::CONTENT_TYPE, served.content_type),
         (HeaderName::from_static("x-request-id"), request.to_string()),
-        (
-            HeaderName::from_static("x-target"),
-            served.target.to_string(),
-        ),
-        (
-            HeaderName::from_static("x-egret-outcome"),
-            "done".to_owned(),
-        ),
-        (
-            HeaderName::from_static("x-egret-repeated"),
-            served.repeated.to_string(),
-        ),
+        (HeaderName::from_static("x-target"), served.target.to_string()),
+        (HeaderName::from_static("x-egret-outcome"), "done".to_owned()),
+        (HeaderName::from_static("x-egret-repeated"), served.repeated.to_string()),
     ];
     for (name, value) in headers {
         if let Ok(value) = HeaderValue::from_str(&value) {
@@ -287,10 +229,7 @@
     ];
     entry.counts.answers.get_or_create(&labels).inc();
     let (request, reason) = (&answer.request, answer.reason);
-    entry.traces.step(
-        request,
-        format!("final answer {} {reason}", answer.outcome.as_str()),
-    );
+    entry.traces.step(request, format!("final answer {} {reason}", answer.outcome.as_str()));
     if answer.outcome == Outcome::Unknown {
         events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
     } else {
--- a/crates/entry/src/services/journal.rs
+++ b/crates/entry/src/services/journal.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::Entry,
-    egret_core::{Journal, JournalRecord, Time},
+    egret_core::{Journal, JournalRecord, Time, Written},
     egret_runtime::{Batch, LogError, Tail, events, now, unix_ms},
     parking_lot::Mutex,
     std::{
@@ -30,17 +30,6 @@
 /// Keys are kept this long beyond their expiry, for differing wall clocks, in milliseconds.
 const EXPIRY_MARGIN_MS: u64 = 60_000;
 
-/// What became of the append of an intent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Written {
-    /// It is on the log at this offset.
-    At(u64),
-    /// It is certainly not on the log.
-    Not,
-    /// It may be on the log.
-    Maybe,
-}
-
 struct Waiting {
     record: JournalRecord,
     tell: oneshot::Sender<Written>,
@@ -179,10 +168,7 @@
     if records.is_empty() {
         return;
     }
-    let appended = entry
-        .log
-        .append(JOURNAL_STREAM, &records, now().after_ms(APPEND_MS))
-        .await;
+    let appended = entry.log.append(JOURNAL_STREAM, &records, now().after_ms(APPEND_MS)).await;
     let skipped = settlements.len() as u64;
     for (i, waiting) in intents.into_iter().enumerate() {
         let written = match &appended {
--- a/crates/entry/src/services/keyed.rs
+++ b/crates/entry/src/services/keyed.rs
@@ -1,14 +1,11 @@
 //! Requests that may not be repeated: at most once, by the journal.
 
 use {
-    super::{
-        call::{Call, Served, served},
-        journal::Written,
-    },
+    super::call::{Call, Served, served},
     crate::state::Admitted,
     egret_core::{
-        Attempt, BeginError, JournalRecord, KeyDigest, Lookup, Outcome, Reason, RecordedAnswer,
-        Time, digest,
+        AfterIntent, Attempt, BeginError, Journal, JournalRecord, KeyDigest, Lookup, Outcome,
+        Reason, RecordedAnswer, Time, digest,
     },
     egret_runtime::{Answer, Reply, events, now, unix_ms},
     faststr::FastStr,
@@ -18,6 +15,9 @@
 /// When a caller is told to come back for the outcome of a request that is open, in milliseconds.
 const OPEN_RETRY_MS: u64 = 1000;
 
+/// Shortest time left for reading an intent back, in milliseconds.
+const READ_BACK_MS: u64 = 200;
+
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 256;
 
@@ -70,10 +70,7 @@
     let expires_unix_ms =
         expires.ok_or_else(|| bad("Idempotency-Expires must be milliseconds of Unix time"))?;
     let digest = KeyDigest::new(&asked.caller, &asked.service, key);
-    Ok(Key {
-        digest,
-        expires_unix_ms,
-    })
+    Ok(Key { digest, expires_unix_ms })
 }
 
 async fn run(call: &Call, key: &Key) -> Result<Served, Answer> {
@@ -87,7 +84,7 @@
         lookup = journal.with(|j| j.lookup(&key.digest, &body));
     }
     if lookup != Lookup::Free {
-        return known(call, lookup);
+        return unsent(call, Journal::without_sending(lookup, true));
     }
     let attempt = Attempt {
         entry: call.entry.host.clone(),
@@ -132,34 +129,29 @@
     })
 }
 
-/// The answer for a key that is in use.
-fn known(call: &Call, lookup: Lookup) -> Result<Served, Answer> {
-    match lookup {
-        Lookup::Answered(answer) => Ok(recorded(call, answer)),
-        Lookup::OtherBody => {
-            let mut answer = call.answer(Outcome::NotRun, Reason::KeyReused, 0);
-            answer.retry_after_ms = None;
+/// The final answer of a request that is not sent.
+fn unsent(call: &Call, next: AfterIntent) -> Result<Served, Answer> {
+    match next {
+        AfterIntent::Answered(answer) => Ok(recorded(call, answer)),
+        AfterIntent::Refuse(outcome, reason) => {
+            let mut answer = call.answer(outcome, reason, OPEN_RETRY_MS);
+            if reason == Reason::KeyReused {
+                answer.retry_after_ms = None;
+            }
             Err(answer)
         }
-        Lookup::Open | Lookup::Free => {
-            Err(call.answer(Outcome::Unknown, Reason::KeyOpen, OPEN_RETRY_MS))
-        }
+        AfterIntent::Send => unreachable!("only a request that may not be sent comes here"),
     }
 }
 
 fn recorded(call: &Call, answer: RecordedAnswer) -> Served {
-    call.entry
-        .traces
-        .step(&call.request, "repeats the recorded answer".to_owned());
+    call.entry.traces.step(&call.request, "repeats the recorded answer".to_owned());
     let kept = answer.body.is_some();
     let body = answer.body.unwrap_or_else(|| {
         FastStr::from_static_str("{\"outcome\":\"done\",\"body\":\"too long to be kept\"}")
     });
-    let content_type = if kept {
-        answer.content_type.to_string()
-    } else {
-        "application/json".to_owned()
-    };
+    let content_type =
+        if kept { answer.content_type.to_string() } else { "application/json".to_owned() };
     Served {
         status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
         content_type,
@@ -186,40 +178,23 @@
         expires_unix_ms: key.expires_unix_ms,
     };
     let written = journal.write(intent).await;
-    let read = journal
-        .refresh(entry, settle_by.max(now().after_ms(200)))
-        .await;
-    let seen = match written {
-        Written::At(offset) => journal.with(|j| j.read_to() > offset),
-        Written::Not | Written::Maybe => read,
-    };
-    if seen && journal.with(|j| j.may_send(&key.digest, attempt)) {
-        return None;
-    }
-    if written != Written::Not {
-        // it will never be sent: if the intent stands or lands on the log, the key is freed
+    let read_by = settle_by.max(now().after_ms(READ_BACK_MS));
+    let reached_end = journal.refresh(entry, read_by).await;
+    let (next, take_back) =
+        journal.with(|j| j.after_intent(&key.digest, body, attempt, written, reached_end));
+    if take_back {
         give_back(call, key, attempt);
     }
-    if !seen {
-        // another host may have sent a request with this key: nobody can tell without the log
-        return Some(Err(call.answer(
-            Outcome::Unknown,
-            Reason::LogDown,
-            OPEN_RETRY_MS,
-        )));
+    match next {
+        AfterIntent::Send => None,
+        other => Some(unsent(call, other)),
     }
-    Some(match journal.with(|j| j.lookup(&key.digest, body)) {
-        // read to the end after the request came: nothing with this key has been sent
-        Lookup::Free => Err(call.answer(Outcome::NotRun, Reason::LogDown, OPEN_RETRY_MS)),
-        other => known(call, other),
-    })
 }
 
 fn give_back(call: &Call, key: &Key, attempt: &Attempt) {
-    call.entry.journal.settle(JournalRecord::NotSent {
-        key: key.digest.clone(),
-        attempt: attempt.clone(),
-    });
+    call.entry
+        .journal
+        .settle(JournalRecord::NotSent { key: key.digest.clone(), attempt: attempt.clone() });
 }
 
 /// Sends the request to the first target that can be connected to.
@@ -231,9 +206,7 @@
         if unix_ms() >= key.expires_unix_ms || now() >= deadline {
             break;
         }
-        entry
-            .traces
-            .step(&call.request, format!("sent to {}", host.name));
+        entry.traces.step(&call.request, format!("sent to {}", host.name));
         match call.outgoing.send(entry, host, deadline).await {
             Ok(reply) => {
                 record(call, key, attempt, &reply, &host.name);
@@ -241,10 +214,8 @@
             }
             Err(e) if e.not_sent() => {}
             Err(e) => {
-                events::JOURNAL_UNSETTLED.warn(format_args!(
-                    "request={} target={} {e}",
-                    call.request, host.name
-                ));
+                events::JOURNAL_UNSETTLED
+                    .warn(format_args!("request={} target={} {e}", call.request, host.name));
                 return Err(call.answer(Outcome::Unknown, Reason::TargetFailed, OPEN_RETRY_MS));
             }
         }
@@ -255,9 +226,7 @@
 
 fn record(call: &Call, key: &Key, attempt: &Attempt, reply: &Reply, target: &FastStr) {
     let short = reply.body.len() <= call.entry.cfg.journal.answer_bytes;
-    let text = short
-        .then(|| std::str::from_utf8(&reply.body).ok())
-        .flatten();
+    let text = short.then(|| std::str::from_utf8(&reply.body).ok()).flatten();
     let answer = RecordedAnswer {
         status: reply.status.as_u16(),
         content_type: FastStr::new(reply.header("content-type").unwrap_or("text/plain")),
--- a/crates/entry/src/services/target.rs
+++ b/crates/entry/src/services/target.rs
@@ -28,11 +28,7 @@
     let spec = config.manifest.services.get(service)?;
     let takes_work =
         |name: &FastStr| !config.manifest.hosts.leaving(name) && !entry.hosts.leaving(name);
-    let mut hosts: Vec<_> = spec
-        .targets
-        .iter()
-        .filter(|(name, _)| takes_work(name))
-        .collect();
+    let mut hosts: Vec<_> = spec.targets.iter().filter(|(name, _)| takes_work(name)).collect();
     hosts.sort_by_key(|(name, target)| {
         let far = target.data_centre != entry.cfg.data_centre;
         (far, std::cmp::Reverse(rendezvous(seed, name)))
@@ -63,15 +59,6 @@
     ) -> Result<Reply, CallError> {
         let caller = &entry.service_caller;
         let (method, body) = (self.method.clone(), self.body.clone());
-        caller
-            .call(
-                host.address,
-                method,
-                &self.path,
-                &self.headers,
-                body,
-                deadline,
-            )
-            .await
+        caller.call(host.address, method, &self.path, &self.headers, body, deadline).await
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -36,10 +36,8 @@
             answers: metrics.counters("egret_answers", "Final answers by outcome and reason"),
             attempts_failed: metrics
                 .counters("egret_attempts_failed", "Attempts that failed, by reason"),
-            answers_dropped: metrics.counter(
-                "egret_answers_dropped",
-                "Parts of answers that match no open attempt",
-            ),
+            answers_dropped: metrics
+                .counter("egret_answers_dropped", "Parts of answers that match no open attempt"),
             first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
             stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
         }
@@ -140,10 +138,7 @@
     /// Admits a request of `caller`, none when it is over its share.
     pub(crate) fn new(entry: &Arc<Entry>, caller: &FastStr) -> Option<Self> {
         let admitted = entry.limits.lock().open(caller);
-        admitted.then(|| Self {
-            entry: entry.clone(),
-            caller: caller.clone(),
-        })
+        admitted.then(|| Self { entry: entry.clone(), caller: caller.clone() })
     }
 }
 
--- a/crates/entry/src/web.rs
+++ b/crates/entry/src/web.rs
@@ -45,9 +45,7 @@
     let mut response = route(entry, peer, req).await;
     if stopping {
         // a kept connection would hold the process back
-        response
-            .headers_mut()
-            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
@@ -70,11 +68,7 @@
         (&Method::GET, "/metrics") => text_response(StatusCode::OK, &entry.metrics.render()),
         (&Method::GET, "/status") => json_response(StatusCode::OK, &status::status(&entry)),
         (&Method::GET, "/audit") => {
-            let about = req
-                .uri()
-                .query()
-                .and_then(|q| q.strip_prefix("about="))
-                .unwrap_or("");
+            let about = req.uri().query().and_then(|q| q.strip_prefix("about=")).unwrap_or("");
             json_response(StatusCode::OK, &entry.audit.about(about))
         }
         (_, path) if path.starts_with("/services/") => services::serve(entry, peer, req).await,
@@ -100,10 +94,7 @@
 fn explain(entry: &Entry, request: &str) -> Response {
     match entry.traces.get(request) {
         Some(trace) => json_response(StatusCode::OK, &trace),
-        None => json_response(
-            StatusCode::NOT_FOUND,
-            &json!({ "error": "not remembered here" }),
-        ),
+        None => json_response(StatusCode::NOT_FOUND, &json!({ "error": "not remembered here" })),
     }
 }
 
--- a/crates/keeper/src/cli/mod.rs
+++ b/crates/keeper/src/cli/mod.rs
@@ -43,10 +43,8 @@
     runtime.block_on(async {
         let keeper = Arc::new(Keeper::new(cfg));
         start_tasks(&keeper);
-        events::STARTED.info(format_args!(
-            "host={} incarnation={}",
-            keeper.host, keeper.incarnation
-        ));
+        events::STARTED
+            .info(format_args!("host={} incarnation={}", keeper.host, keeper.incarnation));
         web::serve(keeper.clone()).await?;
         events::STOPPED.info(format_args!("host={}", keeper.host));
         Ok(())
@@ -66,9 +64,7 @@
     spawn(keeper, snapshots::run);
     spawn(keeper, loader::run);
     spawn(keeper, |k| async move {
-        k.audit
-            .pass_on(k.log.clone(), k.cfg.audit.interval_ms)
-            .await;
+        k.audit.pass_on(k.log.clone(), k.cfg.audit.interval_ms).await;
     });
     spawn(keeper, |k| async move {
         let answerer = links::answerer(k.clone());
--- a/crates/keeper/src/conf.rs
+++ b/crates/keeper/src/conf.rs
@@ -131,47 +131,15 @@
                 faults.push((key, right.to_owned()));
             }
         };
-        need(
-            !self.host.is_empty(),
-            "host",
-            "must be the host's name in the host list",
-        );
+        need(!self.host.is_empty(), "host", "must be the host's name in the host list");
         need(!self.secret.is_empty(), "secret", "must not be empty");
-        need(
-            self.ownership.right_ms >= 1000,
-            "ownership.right_ms",
-            "must be at least 1000",
-        );
-        need(
-            self.ownership.margin_ms >= 50,
-            "ownership.margin_ms",
-            "must be at least 50",
-        );
-        need(
-            self.ownership.suspect_ms >= 500,
-            "ownership.suspect_ms",
-            "must be at least 500",
-        );
-        need(
-            self.ownership.watched >= 1,
-            "ownership.watched",
-            "must be at least 1",
-        );
-        need(
-            self.slots.queue_max >= 1,
-            "slots.queue_max",
-            "must be at least 1",
-        );
-        need(
-            self.slots.ticket_ms >= 2000,
-            "slots.ticket_ms",
-            "must be at least 2000",
-        );
-        need(
-            self.audit.interval_ms >= 100,
-            "audit.interval_ms",
-            "must be at least 100",
-        );
+        need(self.ownership.right_ms >= 1000, "ownership.right_ms", "must be at least 1000");
+        need(self.ownership.margin_ms >= 50, "ownership.margin_ms", "must be at least 50");
+        need(self.ownership.suspect_ms >= 500, "ownership.suspect_ms", "must be at least 500");
+        need(self.ownership.watched >= 1, "ownership.watched", "must be at least 1");
+        need(self.slots.queue_max >= 1, "slots.queue_max", "must be at least 1");
+        need(self.slots.ticket_ms >= 2000, "slots.ticket_ms", "must be at least 2000");
+        need(self.audit.interval_ms >= 100, "audit.interval_ms", "must be at least 100");
         faults
     }
 
--- a/crates/keeper/src/engines/effects.rs
+++ b/crates/keeper/src/engines/effects.rs
@@ -36,10 +36,7 @@
     let key = grant.key.clone();
     keeper.counts.granted.inc();
     if grant.stall_ms > 0 {
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "stalls are far shorter than 2^52 ms"
-        )]
+        #[expect(clippy::cast_precision_loss, reason = "stalls are far shorter than 2^52 ms")]
         keeper.counts.stalls_ms.observe(grant.stall_ms as f64);
     }
     if !shard.tell(&key, Verdict::Granted(grant)) {
--- a/crates/keeper/src/engines/orders.rs
+++ b/crates/keeper/src/engines/orders.rs
@@ -19,10 +19,7 @@
         send(&keeper, &shard, &order).await
     } else {
         keeper.counts.orders_withheld.inc();
-        events::ORDER_WITHHELD.warn(format_args!(
-            "engine={} adapter={}",
-            shard.name, order.model
-        ));
+        events::ORDER_WITHHELD.warn(format_args!("engine={} adapter={}", shard.name, order.model));
         LoadResult::Failed
     };
     audit(&keeper, &shard, &order, result);
@@ -51,9 +48,7 @@
         "fence": order.fence,
     });
     let caller = &keeper.engine_caller;
-    let reply = caller
-        .post_json(shard.spec.address, path, &body, order.deadline)
-        .await;
+    let reply = caller.post_json(shard.spec.address, path, &body, order.deadline).await;
     result_of(order.kind, reply)
 }
 
@@ -103,9 +98,7 @@
     let body = json!({ "request": key.request, "attempt": key.attempt });
     let deadline = now().after_ms(CANCEL_MS);
     let caller = &keeper.engine_caller;
-    let reply = caller
-        .post_json(shard.spec.address, "/v1/cancel", &body, deadline)
-        .await;
+    let reply = caller.post_json(shard.spec.address, "/v1/cancel", &body, deadline).await;
     let ended = match reply {
         Ok(reply) => reply.status.is_success(),
         Err(e) => e.not_sent(),
@@ -114,10 +107,7 @@
         // the pin stays; the slots ask again
         return;
     }
-    let detail = format!(
-        "engine={} request={} entry={}",
-        shard.name, key.request, key.entry
-    );
+    let detail = format!("engine={} request={} entry={}", shard.name, key.request, key.entry);
     keeper.audit.record(events::TICKET_CANCELLED, &detail);
     let effects = shard.slots.lock().cancelled(now(), &key);
     run_effects(&keeper, &shard, effects);
--- a/crates/keeper/src/engines/probe.rs
+++ b/crates/keeper/src/engines/probe.rs
@@ -38,10 +38,7 @@
     }
     let asked = now();
     let deadline = asked.after_ms(PROBE_MS);
-    let reply = keeper
-        .engine_caller
-        .get(shard.spec.address, "/v1/models", deadline)
-        .await;
+    let reply = keeper.engine_caller.get(shard.spec.address, "/v1/models", deadline).await;
     shard.probing.store(false, Ordering::Release);
     let (crashed, effects) = match reply {
         Ok(reply) => match parse(&reply) {
--- a/crates/keeper/src/engines/shard.rs
+++ b/crates/keeper/src/engines/shard.rs
@@ -49,10 +49,7 @@
             slots: Mutex::new(slots),
             probing: AtomicBool::new(false),
             waiters: Mutex::default(),
-            residents: Mutex::new(Residents {
-                version: first_version,
-                models: IndexSet::new(),
-            }),
+            residents: Mutex::new(Residents { version: first_version, models: IndexSet::new() }),
         }
     }
 
@@ -91,9 +88,6 @@
             last.version += 1;
             last.models = models;
         }
-        (
-            last.version,
-            last.models.iter().map(ModelName::to_string).collect(),
-        )
+        (last.version, last.models.iter().map(ModelName::to_string).collect())
     }
 }
--- a/crates/keeper/src/links/acquire.rs
+++ b/crates/keeper/src/links/acquire.rs
@@ -30,11 +30,7 @@
             return;
         }
         self.shard.forget(self.key);
-        let effects = self
-            .shard
-            .slots
-            .lock()
-            .release(now(), self.key, TicketEnd::Unused);
+        let effects = self.shard.slots.lock().release(now(), self.key, TicketEnd::Unused);
         run_effects(self.keeper, self.shard, effects);
     }
 }
@@ -59,30 +55,21 @@
         }
         slots.acquire(now(), waiting)
     };
-    let mut guard = Abandoned {
-        keeper,
-        shard: &shard,
-        key: &key,
-        answered: false,
-    };
+    let mut guard = Abandoned { keeper, shard: &shard, key: &key, answered: false };
     run_effects(keeper, &shard, effects);
     let verdict = verdict.await;
     guard.answered = true;
     match verdict {
-        Ok(Verdict::Granted(grant)) => Body::Grant(GrantMsg {
-            fence: grant.fence,
-            stall_ms: grant.stall_ms,
-        }),
+        Ok(Verdict::Granted(grant)) => {
+            Body::Grant(GrantMsg { fence: grant.fence, stall_ms: grant.stall_ms })
+        }
         Ok(Verdict::Refused(refusal)) => refuse(refusal.reason.as_str(), refusal.retry_after_ms),
         Err(_) => refuse(MOVED, 0),
     }
 }
 
 fn refuse(reason: &str, retry_after_ms: u64) -> Body {
-    Body::Refuse(RefuseMsg {
-        reason: reason.to_owned(),
-        retry_after_ms,
-    })
+    Body::Refuse(RefuseMsg { reason: reason.to_owned(), retry_after_ms })
 }
 
 fn waiting(keeper: &Keeper, hello: &Hello, msg: &AcquireMsg) -> Option<Waiting> {
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -111,10 +111,7 @@
         }
         slots.register(now(), &entry, hello.incarnation, open)
     };
-    let detail = format!(
-        "engine={} entry={entry} fence={} open={count}",
-        shard.name, msg.fence
-    );
+    let detail = format!("engine={} entry={entry} fence={} open={count}", shard.name, msg.fence);
     keeper.audit.record(events::REGISTERED, &detail);
     run_effects(keeper, &shard, effects);
 }
@@ -126,10 +123,7 @@
     }
     let usable = keeper.ownership.lock().usable_permits(now());
     let count = usize::try_from(msg.count).unwrap_or(usize::MAX);
-    let loans = keeper
-        .permits
-        .lock()
-        .lend(now(), count, own, |n| usable.contains(&n));
+    let loans = keeper.permits.lock().lend(now(), count, own, |n| usable.contains(&n));
     if !loans.is_empty() {
         events::PERMITS_LENT.debug(format_args!("to={} count={}", hello.host, loans.len()));
     }
@@ -138,7 +132,5 @@
         use_ms: loan.use_ms,
         ready_in_ms: loan.ready_in_ms,
     };
-    Body::Loans(LoansMsg {
-        loans: loans.into_iter().map(message).collect(),
-    })
+    Body::Loans(LoansMsg { loans: loans.into_iter().map(message).collect() })
 }
--- a/crates/keeper/src/loader.rs
+++ b/crates/keeper/src/loader.rs
@@ -46,11 +46,7 @@
     let config = keeper.config.current();
     let required: IndexSet<_> = {
         let members = keeper.hosts.members().lock();
-        members
-            .known()
-            .into_iter()
-            .map(|m| m.host.clone())
-            .collect()
+        members.known().into_iter().map(|m| m.host.clone()).collect()
     };
     for shard in keeper.shards() {
         let can_load = keeper.may_order(&shard.name).is_some();
--- a/crates/keeper/src/ownership.rs
+++ b/crates/keeper/src/ownership.rs
@@ -53,20 +53,14 @@
 fn holding_changed(keeper: &Arc<Keeper>, resource: &Resource) {
     let (fence, holder) = {
         let ownership = keeper.ownership.lock();
-        let holder = ownership
-            .claims()
-            .get(resource)
-            .map(|h| (h.keeper.clone(), h.released));
+        let holder = ownership.claims().get(resource).map(|h| (h.keeper.clone(), h.released));
         (ownership.fence(resource), holder)
     };
     let holder = match holder {
         Some((host, false)) => host,
         _ => FastStr::from_static_str("-"),
     };
-    let detail = format!(
-        "resource={resource} holder={holder} fence={}",
-        fence.unwrap_or(0)
-    );
+    let detail = format!("resource={resource} holder={holder} fence={}", fence.unwrap_or(0));
     if fence.is_some() {
         keeper.audit.record(events::HOLDING_CHANGED, &detail);
     } else {
@@ -117,10 +111,7 @@
         }
         let settled = now().ms_since(live_since) >= keeper.cfg.ownership.settle_ms;
         let resources = resources(&keeper.config.current());
-        let records = keeper
-            .ownership
-            .lock()
-            .plan(now(), &live, settled, &resources);
+        let records = keeper.ownership.lock().plan(now(), &live, settled, &resources);
         if !records.is_empty() {
             append_claims(&keeper, &records).await;
         }
@@ -128,12 +119,7 @@
 }
 
 fn resources(config: &Config) -> Vec<Resource> {
-    let engines = config
-        .manifest
-        .engines
-        .keys()
-        .cloned()
-        .map(Resource::Engine);
+    let engines = config.manifest.engines.keys().cloned().map(Resource::Engine);
     let permits = (0..config.manifest.weight_store.in_transit_max).map(Resource::Permit);
     engines.chain(permits).collect()
 }
@@ -144,9 +130,7 @@
     let appended = keeper.log.append(CLAIM_STREAM, records, deadline).await;
     for record in records {
         let detail = match record {
-            ClaimRecord::Claim {
-                resource, follows, ..
-            } => {
+            ClaimRecord::Claim { resource, follows, .. } => {
                 format!("claim resource={resource} follows={follows}")
             }
             ClaimRecord::Release { resource, fence } => {
@@ -155,14 +139,8 @@
             ClaimRecord::Snapshot { .. } => continue,
             ClaimRecord::Reset => "reset".to_owned(),
         };
-        let result = if appended.is_ok() {
-            "appended"
-        } else {
-            "no answer"
-        };
-        keeper
-            .audit
-            .record(events::CLAIM_APPENDED, &format!("{detail} {result}"));
+        let result = if appended.is_ok() { "appended" } else { "no answer" };
+        keeper.audit.record(events::CLAIM_APPENDED, &format!("{detail} {result}"));
     }
 }
 
@@ -192,9 +170,7 @@
         let mut ownership = keeper.ownership.lock();
         ownership.set_times(keeper.cfg.times(store.load_timeout_ms));
         let held: Vec<Resource> = ownership.held().cloned().collect();
-        held.into_iter()
-            .map(|r| (r.clone(), ownership.fence(&r)))
-            .collect()
+        held.into_iter().map(|r| (r.clone(), ownership.fence(&r))).collect()
     };
     for (resource, fence) in held {
         match (resource, fence) {
@@ -235,9 +211,7 @@
     while now() < deadline && !taken_over(keeper, &given) {
         tokio::time::sleep(Duration::from_millis(PLAN_MS)).await;
     }
-    keeper
-        .audit
-        .record(events::HOLDING_RELEASED, &format!("count={}", given.len()));
+    keeper.audit.record(events::HOLDING_RELEASED, &format!("count={}", given.len()));
 }
 
 fn taken_over(keeper: &Keeper, given: &IndexSet<Resource>) -> bool {
--- a/crates/keeper/src/peers.rs
+++ b/crates/keeper/src/peers.rs
@@ -62,11 +62,7 @@
 }
 
 fn heard(keeper: &Keeper, host: &FastStr, view: &ViewMsg) {
-    keeper
-        .hosts
-        .members()
-        .lock()
-        .heard(now(), host, view.stopping);
+    keeper.hosts.members().lock().heard(now(), host, view.stopping);
     keeper.config.adopt(&view.config);
     merge_suspects(keeper, &view.suspects);
 }
@@ -113,20 +109,14 @@
     };
     let count = u32::try_from(count).unwrap_or(u32::MAX);
     let asked = now();
-    let answer = link
-        .call(Body::Borrow(BorrowMsg { count }), asked.after_ms(ANSWER_MS))
-        .await;
+    let answer = link.call(Body::Borrow(BorrowMsg { count }), asked.after_ms(ANSWER_MS)).await;
     let Ok(Body::Loans(loans)) = answer else {
         return;
     };
     let mut permits = keeper.permits.lock();
     for loan in loans.loans {
         let number = u16::try_from(loan.number).unwrap_or(u16::MAX);
-        let loan = Loan {
-            number,
-            use_ms: loan.use_ms,
-            ready_in_ms: loan.ready_in_ms,
-        };
+        let loan = Loan { number, use_ms: loan.use_ms, ready_in_ms: loan.ready_in_ms };
         permits.borrow(now(), asked, loan);
     }
 }
@@ -142,9 +132,7 @@
         secret: keeper.cfg.secret.clone(),
     };
     let address = SocketAddr::new(member.ip, keeper.cfg.links.port());
-    let link = Link::connect(address, &hello, now().after_ms(CONNECT_MS))
-        .await
-        .ok()?;
+    let link = Link::connect(address, &hello, now().after_ms(CONNECT_MS)).await.ok()?;
     let link = Arc::new(link);
     LINKS.lock().insert(member.host.clone(), link.clone());
     Some(link)
--- a/crates/keeper/src/snapshots.rs
+++ b/crates/keeper/src/snapshots.rs
@@ -22,10 +22,7 @@
 
 impl Timer {
     fn new() -> Self {
-        Self {
-            at: 0,
-            since: now(),
-        }
+        Self { at: 0, since: now() }
     }
 
     /// True when a snapshot is due. The first of the live keepers writes it, the next one
@@ -46,11 +43,7 @@
     let (mut config, mut claims) = (Timer::new(), Timer::new());
     loop {
         tokio::time::sleep(Duration::from_millis(CHECK_MS)).await;
-        let rank = keeper
-            .live()
-            .iter()
-            .position(|h| *h == keeper.host)
-            .unwrap_or(0) as u64;
+        let rank = keeper.live().iter().position(|h| *h == keeper.host).unwrap_or(0) as u64;
         if config.due(keeper.config.snapshot_age(), rank, &keeper)
             && let Some(record) = keeper.config.snapshot()
         {
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -65,11 +65,7 @@
 impl Keeper {
     /// A keeper that holds nothing yet.
     pub(crate) fn new(cfg: Settings) -> Self {
-        let limits = StoreLimits {
-            in_transit_max: 0,
-            loads_per_1000_s: 1,
-            load_timeout_ms: 2000,
-        };
+        let limits = StoreLimits { in_transit_max: 0, loads_per_1000_s: 1, load_timeout_ms: 2000 };
         let incarnation = unix_ms();
         let times = cfg.times(limits.load_timeout_ms);
         let metrics = Metrics::default();
--- a/crates/keeper/src/web.rs
+++ b/crates/keeper/src/web.rs
@@ -37,11 +37,7 @@
         "/metrics" => text_response(StatusCode::OK, &keeper.metrics.render()),
         "/status" => json_response(StatusCode::OK, &status::status(keeper)),
         "/audit" => {
-            let about = req
-                .uri()
-                .query()
-                .and_then(|q| q.strip_prefix("about="))
-                .unwrap_or("");
+            let about = req.uri().query().and_then(|q| q.strip_prefix("about=")).unwrap_or("");
             json_response(StatusCode::OK, &keeper.audit.about(about))
         }
         _ => json_response(StatusCode::NOT_FOUND, &json!({ "error": "no such path" })),
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -38,9 +38,5 @@
         print!("{}", report.text());
     }
     // a wrong output is never acceptable, whatever else was measured
-    if report.wrong == 0 {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if report.wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/load/src/live/report.rs
+++ b/crates/load/src/live/report.rs
@@ -150,11 +150,8 @@
         for (reason, count) in &self.reasons {
             let _ = writeln!(text, "  {reason:<26} {count:>6}");
         }
-        let times = [
-            ("stalls", &self.stalls),
-            ("first part", &self.first),
-            ("whole answer", &self.total),
-        ];
+        let times =
+            [("stalls", &self.stalls), ("first part", &self.first), ("whole answer", &self.total)];
         for (name, histogram) in times {
             let at = |q| histogram.value_at_quantile(q);
             let (p50, p95, p99, max) = (at(0.5), at(0.95), at(0.99), histogram.max());
@@ -164,10 +161,7 @@
             );
         }
         let (efficiency, fill) = (self.batch_efficiency(), self.batch_fill());
-        let _ = writeln!(
-            text,
-            "batch efficiency     {efficiency:>8.3} sequences for each adapter"
-        );
+        let _ = writeln!(text, "batch efficiency     {efficiency:>8.3} sequences for each adapter");
         let _ = writeln!(text, "batch fill           {fill:>8.3} sequences in a step");
         text
     }
--- a/crates/load/src/live/request.rs
+++ b/crates/load/src/live/request.rs
@@ -24,19 +24,9 @@
 #[derive(Clone, Debug)]
 pub(super) enum Ask {
     /// A completion.
-    Model {
-        model: String,
-        class: Class,
-        tokens: u64,
-        streams: bool,
-        prompt: String,
-    },
+    Model { model: String, class: Class, tokens: u64, streams: bool, prompt: String },
     /// A publication that may not be repeated.
-    Publish {
-        service: String,
-        key: String,
-        body: String,
-    },
+    Publish { service: String, key: String, body: String },
 }
 
 /// What came of it.
@@ -58,13 +48,7 @@
     set(&mut headers, "content-type", "application/json");
     set(&mut headers, "x-caller", "egret-load");
     let (path, body) = match ask {
-        Ask::Model {
-            model,
-            class,
-            tokens,
-            streams,
-            prompt,
-        } => {
+        Ask::Model { model, class, tokens, streams, prompt } => {
             set(&mut headers, "x-egret-class", class.as_str());
             let body = json!({
                 "model": model, "prompt": prompt, "max_tokens": tokens, "stream": streams,
@@ -73,30 +57,17 @@
         }
         Ask::Publish { service, key, body } => {
             set(&mut headers, "idempotency-key", key);
-            set(
-                &mut headers,
-                "idempotency-expires",
-                &(unix_ms() + KEY_MS).to_string(),
-            );
+            set(&mut headers, "idempotency-expires", &(unix_ms() + KEY_MS).to_string());
             (format!("/services/{service}/publications"), body.clone())
         }
     };
     let deadline = now().after_ms(ANSWER_MS);
     let body = Bytes::from(body);
-    let opened = caller
-        .open(entry, Method::POST, &path, &headers, body, deadline)
-        .await;
+    let opened = caller.open(entry, Method::POST, &path, &headers, body, deadline).await;
     let mut got = match opened {
         Err(e) => {
-            let outcome = if e.not_sent() {
-                "not_sent"
-            } else {
-                "no_answer"
-            };
-            Got {
-                outcome: outcome.to_owned(),
-                ..Got::default()
-            }
+            let outcome = if e.not_sent() { "not_sent" } else { "no_answer" };
+            Got { outcome: outcome.to_owned(), ..Got::default() }
         }
         Ok(response) => read(response, ask, begun).await,
     };
@@ -155,12 +126,7 @@
     let request = text("x-request-id");
     let adapter = text("x-adapter");
     got.wrong = match ask {
-        Ask::Model {
-            model,
-            tokens,
-            streams,
-            ..
-        } => {
+        Ask::Model { model, tokens, streams, .. } => {
             let right = if *streams {
                 stream_right(&bytes, model, &request, *tokens)
             } else {
--- a/crates/load/src/live/run.rs
+++ b/crates/load/src/live/run.rs
@@ -96,9 +96,7 @@
 async fn engine_counts(caller: &Caller, engines: &[SocketAddr]) -> [u64; 3] {
     let mut sums = [0; 3];
     for engine in engines {
-        let reply = caller
-            .get(*engine, "/stats", now().after_ms(STATS_MS))
-            .await;
+        let reply = caller.get(*engine, "/stats", now().after_ms(STATS_MS)).await;
         let Some(stats) = reply.ok().and_then(|r| r.json::<Value>().ok()) else {
             continue;
         };
--- a/crates/load/src/popularity.rs
+++ b/crates/load/src/popularity.rs
@@ -22,10 +22,7 @@
             sum += weight;
             cumulative.push(sum);
         }
-        let mut popularity = Self {
-            cumulative,
-            order: (0..count).collect(),
-        };
+        let mut popularity = Self { cumulative, order: (0..count).collect() };
         popularity.shuffle(rng, 1.0);
         popularity
     }
--- a/crates/runtime/src/audit.rs
+++ b/crates/runtime/src/audit.rs
@@ -53,10 +53,7 @@
     /// An empty trail of the process on `host`.
     #[must_use]
     pub fn new(host: FastStr) -> Self {
-        Self {
-            host,
-            trail: Mutex::default(),
-        }
+        Self { host, trail: Mutex::default() }
     }
 
     /// Records a change and logs it.
@@ -80,12 +77,7 @@
     #[must_use]
     pub fn about(&self, text: &str) -> Vec<AuditRecord> {
         let trail = self.trail.lock();
-        trail
-            .recent
-            .iter()
-            .filter(|r| r.detail.contains(text))
-            .cloned()
-            .collect()
+        trail.recent.iter().filter(|r| r.detail.contains(text)).cloned().collect()
     }
 
     /// Records that could not be kept for the log because it was down too long.
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -22,8 +22,6 @@
 /// Milliseconds of Unix time, by the wall clock.
 #[must_use]
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/runtime/src/conf.rs
+++ b/crates/runtime/src/conf.rs
@@ -58,10 +58,7 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self {
-            format: LogFormat::Text,
-            level: log::LevelFilter::Info,
-        }
+        Self { format: LogFormat::Text, level: log::LevelFilter::Info }
     }
 }
 
@@ -86,15 +83,10 @@
     faults: impl Fn(&T) -> Vec<(&'static str, String)>,
 ) -> Result<T, ConfError> {
     let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|source| ConfError::Unreadable {
-        file: file.clone(),
-        source,
-    })?;
-    let malformed = |key: String, problem: String| ConfError::Malformed {
-        file: file.clone(),
-        key,
-        problem,
-    };
+    let text = fs::read_to_string(path)
+        .map_err(|source| ConfError::Unreadable { file: file.clone(), source })?;
+    let malformed =
+        |key: String, problem: String| ConfError::Malformed { file: file.clone(), key, problem };
     let reader = toml::Deserializer::parse(&text)
         .map_err(|e| malformed("syntax".to_owned(), e.to_string().trim().to_owned()))?;
     let settings: T = serde_path_to_error::deserialize(reader).map_err(|e| {
@@ -106,7 +98,5 @@
         return Ok(settings);
     }
     let line = |(key, problem): (&'static str, String)| format!("{file}: {key}: {problem}");
-    Err(ConfError::Invalid {
-        faults: faults.into_iter().map(line).collect(),
-    })
+    Err(ConfError::Invalid { faults: faults.into_iter().map(line).collect() })
 }
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -77,13 +77,10 @@
         deadline: Time,
     ) -> Result<Self, LinkError> {
         let connecting = before(deadline, TcpStream::connect(address)).await;
-        let stream = connecting
-            .ok_or(LinkError::NotConnected)?
-            .map_err(|_| LinkError::NotConnected)?;
+        let stream =
+            connecting.ok_or(LinkError::NotConnected)?.map_err(|_| LinkError::NotConnected)?;
         // small frames must not wait for the acknowledgement of earlier ones
-        stream
-            .set_nodelay(true)
-            .map_err(|_| LinkError::NotConnected)?;
+        stream.set_nodelay(true).map_err(|_| LinkError::NotConnected)?;
         let (read, write) = stream.into_split();
         let shared = Arc::new(Shared {
             waiters: Mutex::default(),
@@ -92,11 +89,7 @@
         });
         let (tx, rx) = mpsc::channel(WRITE_QUEUE_FRAMES);
         let tasks = [
-            tokio::spawn(write_frames(
-                FramedWrite::new(write, codec()),
-                rx,
-                shared.clone(),
-            )),
+            tokio::spawn(write_frames(FramedWrite::new(write, codec()), rx, shared.clone())),
             tokio::spawn(read_frames(FramedRead::new(read, codec()), shared.clone())),
         ];
         let link = Self { shared, tx, tasks };
@@ -119,20 +112,11 @@
         let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
         let (answer_tx, answer_rx) = oneshot::channel();
         self.shared.waiters.lock().insert(id, answer_tx);
-        let forget = Forget {
-            shared: &self.shared,
-            id,
-        };
+        let forget = Forget { shared: &self.shared, id };
         if self.closed() {
             return Err(LinkError::Broken);
         }
-        let bytes = Bytes::from(
-            Frame {
-                id,
-                body: Some(body),
-            }
-            .encode_to_vec(),
-        );
+        let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
         self.tx.try_send(bytes).map_err(|_| LinkError::Broken)?;
         let answer = before(deadline, answer_rx).await.ok_or(LinkError::Late)?;
         drop(forget);
@@ -142,13 +126,7 @@
     /// Says something without waiting for the answer.
     pub fn tell(&self, body: Body) {
         let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
-        let bytes = Bytes::from(
-            Frame {
-                id,
-                body: Some(body),
-            }
-            .encode_to_vec(),
-        );
+        let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
         let _ = self.tx.try_send(bytes);
     }
 
@@ -203,11 +181,7 @@
     shared: Arc<Shared>,
 ) {
     while let Some(Ok(bytes)) = source.next().await {
-        let Ok(Frame {
-            id,
-            body: Some(body),
-        }) = Frame::decode(bytes)
-        else {
+        let Ok(Frame { id, body: Some(body) }) = Frame::decode(bytes) else {
             break;
         };
         // an answer nobody waits for any more is dropped
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -20,7 +20,5 @@
 const FRAME_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_BYTES_MAX)
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
 }
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -66,10 +66,7 @@
     let hello_by = crate::now().after_ms(HELLO_MS);
     let (id, hello) = hello(&mut source, secret, hello_by).await?;
     let (tx, mut rx) = mpsc::channel::<Frame>(WRITE_QUEUE_FRAMES);
-    let welcome = Frame {
-        id,
-        body: Some(Body::Ok(Hello::default())),
-    };
+    let welcome = Frame { id, body: Some(Body::Ok(Hello::default())) };
     tx.try_send(welcome).map_err(|_| "closed")?;
     let writer = tokio::spawn(async move {
         while let Some(frame) = rx.recv().await {
@@ -80,11 +77,7 @@
     });
     let mut tasks = JoinSet::new();
     while let Some(Ok(bytes)) = source.next().await {
-        let Ok(Frame {
-            id,
-            body: Some(body),
-        }) = Frame::decode(bytes)
-        else {
+        let Ok(Frame { id, body: Some(body) }) = Frame::decode(bytes) else {
             // a frame of an unknown kind: nothing on this connection can be trusted
             events::LINK_BROKEN.warn(format_args!("peer={} frame not understood", hello.host));
             break;
@@ -92,12 +85,7 @@
         let (tx, answer) = (tx.clone(), answerer(hello.clone(), body));
         tasks.spawn(async move {
             if let Some(body) = answer.await {
-                let _ = tx
-                    .send(Frame {
-                        id,
-                        body: Some(body),
-                    })
-                    .await;
+                let _ = tx.send(Frame { id, body: Some(body) }).await;
             }
         });
         while tasks.try_join_next().is_some() {}
--- a/crates/runtime/src/platform/hosts.rs
+++ b/crates/runtime/src/platform/hosts.rs
@@ -48,19 +48,12 @@
     /// A client of the host list at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            caller: Caller::pooled(),
-        }
+        Self { address, caller: Caller::pooled() }
     }
 
     /// The host list as the platform shows it now, none when it gives no answer.
     pub async fn list(&self, deadline: Time) -> Option<Vec<HostEntry>> {
-        let reply = self
-            .caller
-            .get(self.address, "/v1/hosts", deadline)
-            .await
-            .ok()?;
+        let reply = self.caller.get(self.address, "/v1/hosts", deadline).await.ok()?;
         if !reply.status.is_success() {
             return None;
         }
--- a/crates/runtime/src/platform/log.rs
+++ b/crates/runtime/src/platform/log.rs
@@ -72,10 +72,7 @@
     /// A client of the log service at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            caller: Caller::pooled(),
-        }
+        Self { address, caller: Caller::pooled() }
     }
 
     /// Appends records to `stream`, all together.
@@ -91,10 +88,7 @@
     ) -> Result<Appended, LogError> {
         let path = format!("/v1/streams/{stream}/records");
         let body = serde_json::json!({ "records": records });
-        let reply = self
-            .caller
-            .post_json(self.address, &path, &body, deadline)
-            .await;
+        let reply = self.caller.post_json(self.address, &path, &body, deadline).await;
         let reply = reply.map_err(|e| match e {
             CallError::NotConnected(text) => LogError::Refused(text),
             other => LogError::Unknown(other.to_string()),
--- a/crates/runtime/src/platform/tail.rs
+++ b/crates/runtime/src/platform/tail.rs
@@ -32,12 +32,7 @@
     /// Starts at the oldest record that the log keeps.
     #[must_use]
     pub fn new(log: LogClient, stream: &'static str) -> Self {
-        Self {
-            log,
-            stream,
-            next: 0,
-            failures: 0,
-        }
+        Self { log, stream, next: 0, failures: 0 }
     }
 
     /// The next batch and the time at which its read began. Tries until it has one.
@@ -45,11 +40,7 @@
         loop {
             let read_start = now();
             let deadline = read_start.after_ms(READ_WAIT_MS + READ_GRACE_MS);
-            match self
-                .log
-                .read(self.stream, self.next, READ_WAIT_MS, deadline)
-                .await
-            {
+            match self.log.read(self.stream, self.next, READ_WAIT_MS, deadline).await {
                 Ok(batch) => {
                     if self.failures > 0 {
                         events::LOG_REACHABLE.info(format_args!("stream={}", self.stream));
--- a/crates/runtime/src/watch/config.rs
+++ b/crates/runtime/src/watch/config.rs
@@ -137,9 +137,8 @@
         });
         if published {
             let (revision, operator) = (newest.revision, &newest.operator);
-            events::CONFIG_IN_FORCE.info(format_args!(
-                "revision={revision} operator={operator} source={source}"
-            ));
+            events::CONFIG_IN_FORCE
+                .info(format_args!("revision={revision} operator={operator} source={source}"));
         }
     }
 }
--- a/crates/runtime/src/web/answer.rs
+++ b/crates/runtime/src/web/answer.rs
@@ -50,11 +50,7 @@
         set(headers, "x-egret-reason", self.reason.as_str());
         set(headers, "x-request-id", &self.request);
         if let Some(ms) = self.retry_after_ms {
-            set(
-                headers,
-                "retry-after",
-                &ms.div_ceil(1000).max(1).to_string(),
-            );
+            set(headers, "retry-after", &ms.div_ceil(1000).max(1).to_string());
             set(headers, "retry-after-ms", &ms.to_string());
         }
         response
--- a/crates/runtime/src/web/client.rs
+++ b/crates/runtime/src/web/client.rs
@@ -109,9 +109,7 @@
         let mut builder = Client::builder();
         builder.set_max_idle_per_host(idle_max);
         builder.set_connect_timeout(Duration::from_millis(CONNECT_MS));
-        let client = builder
-            .build()
-            .expect("a client without TLS needs nothing outside");
+        let client = builder.build().expect("a client without TLS needs nothing outside");
         Self { client }
     }
 
@@ -129,9 +127,7 @@
         body: Bytes,
         deadline: Time,
     ) -> Result<Response, CallError> {
-        let uri: Uri = path
-            .parse()
-            .map_err(|_| CallError::NotConnected("bad path".to_owned()))?;
+        let uri: Uri = path.parse().map_err(|_| CallError::NotConnected("bad path".to_owned()))?;
         let mut request = self
             .client
             .request_builder()
@@ -140,9 +136,7 @@
             .address(Address::from(address))
             .body(Body::from(body));
         request.headers_mut().extend(headers.clone());
-        let sent = before(deadline, request.send::<Body>())
-            .await
-            .ok_or(CallError::Late)?;
+        let sent = before(deadline, request.send::<Body>()).await.ok_or(CallError::Late)?;
         sent.map_err(|e| classify(&e))
     }
 
@@ -160,19 +154,11 @@
         body: Bytes,
         deadline: Time,
     ) -> Result<Reply, CallError> {
-        let response = self
-            .open(address, method, path, headers, body, deadline)
-            .await?;
+        let response = self.open(address, method, path, headers, body, deadline).await?;
         let (head, body) = response.into_parts();
         let read = before(deadline, read_limited(body, REPLY_BYTES_MAX)).await;
-        let body = read
-            .ok_or(CallError::Late)?
-            .map_err(|e| CallError::Broken(e.to_string()))?;
-        Ok(Reply {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        let body = read.ok_or(CallError::Late)?.map_err(|e| CallError::Broken(e.to_string()))?;
+        Ok(Reply { status: head.status, headers: head.headers, body })
     }
 
     /// Gets `path`.
@@ -186,15 +172,7 @@
         path: &str,
         deadline: Time,
     ) -> Result<Reply, CallError> {
-        self.call(
-            address,
-            Method::GET,
-            path,
-            &HeaderMap::new(),
-            Bytes::new(),
-            deadline,
-        )
-        .await
+        self.call(address, Method::GET, path, &HeaderMap::new(), Bytes::new(), deadline).await
     }
 
     /// Posts `value` as JSON.
@@ -213,8 +191,7 @@
         let json = http::HeaderValue::from_static("application/json");
         headers.insert(http::header::CONTENT_TYPE, json);
         let body = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
-        self.call(address, Method::POST, path, &headers, body, deadline)
-            .await
+        self.call(address, Method::POST, path, &headers, body, deadline).await
     }
 }
 
@@ -228,9 +205,7 @@
     let text = error.to_string();
     let mut cause: Option<&(dyn Error + 'static)> = Some(error);
     while let Some(inner) = cause {
-        let refused = inner
-            .downcast_ref::<io::Error>()
-            .is_some_and(|e| never_connected(e.kind()));
+        let refused = inner.downcast_ref::<io::Error>().is_some_and(|e| never_connected(e.kind()));
         if refused {
             return CallError::NotConnected(text);
         }
--- a/crates/scenarios/examples/small.rs
+++ b/crates/scenarios/examples/small.rs
@@ -8,10 +8,7 @@
 };
 
 fn main() -> ExitCode {
-    let seconds = std::env::args()
-        .nth(1)
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(10);
+    let seconds = std::env::args().nth(1).and_then(|v| v.parse().ok()).unwrap_or(10);
     println!("starting 4 entry hosts, 9 engines, 3 services, log, store and host list");
     let deployment = Deployment::start(Plan::meteora());
     println!("sending requests for {seconds} s");
@@ -33,9 +30,5 @@
     let (_, status) = deployment.ctl(&["status"]);
     print!("{status}");
     let whole = report.wrong == 0 && report.unknown == 0 && report.silent == 0;
-    if whole {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if whole { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -94,11 +94,7 @@
                 args.push("--checks-fence".to_owned());
             }
             args.extend(self.plan.engine_args.iter().cloned());
-            self.standin(
-                &Layout::engine_name(number),
-                self.layout.engine(number),
-                &args,
-            );
+            self.standin(&Layout::engine_name(number), self.layout.engine(number), &args);
         }
         for number in 0..self.plan.services {
             let name = format!("studio-{}", number + 1);
@@ -170,9 +166,7 @@
     ///
     /// When there is none.
     pub fn process(&mut self, name: &str) -> &mut Process {
-        self.processes
-            .get_mut(name)
-            .unwrap_or_else(|| panic!("no process {name}"))
+        self.processes.get_mut(name).unwrap_or_else(|| panic!("no process {name}"))
     }
 
     /// Replaces the host list.
@@ -196,15 +190,8 @@
     #[must_use]
     pub fn get(&self, address: SocketAddr, path: &str) -> Option<Value> {
         let deadline = now().after_ms(CALL_MS);
-        let reply = self
-            .runtime
-            .block_on(self.caller.get(address, path, deadline))
-            .ok()?;
-        reply
-            .status
-            .is_success()
-            .then(|| reply.json().ok())
-            .flatten()
+        let reply = self.runtime.block_on(self.caller.get(address, path, deadline)).ok()?;
+        reply.status.is_success().then(|| reply.json().ok()).flatten()
     }
 
     /// Sends JSON to a process.
@@ -235,9 +222,7 @@
         }
         let deadline = now().after_ms(4 * CALL_MS);
         let body = body.to_string().into();
-        let calling = self
-            .caller
-            .call(address, method, path, &map, body, deadline);
+        let calling = self.caller.call(address, method, path, &map, body, deadline);
         self.runtime.block_on(calling).ok()
     }
 
@@ -293,10 +278,7 @@
         while !holds(self) {
             if begun.elapsed() > WAIT {
                 let folder = self.folder.path().display();
-                panic!(
-                    "waited in vain until {what}; logs were in {folder}:\n{}",
-                    self.logs()
-                );
+                panic!("waited in vain until {what}; logs were in {folder}:\n{}", self.logs());
             }
             std::thread::sleep(POLL);
         }
@@ -306,10 +288,8 @@
     #[must_use]
     pub fn logs(&self) -> String {
         let mut all = String::new();
-        for name in self
-            .processes
-            .keys()
-            .filter(|n| n.starts_with("entry") || n.starts_with("keeper"))
+        for name in
+            self.processes.keys().filter(|n| n.starts_with("entry") || n.starts_with("keeper"))
         {
             let path = self.folder.path().join(format!("{name}.log"));
             let text = std::fs::read_to_string(path).unwrap_or_default();
@@ -324,9 +304,7 @@
     #[must_use]
     pub fn healthy(&self, address: SocketAddr) -> bool {
         let deadline = now().after_ms(CALL_MS);
-        let reply = self
-            .runtime
-            .block_on(self.caller.get(address, "/healthz", deadline));
+        let reply = self.runtime.block_on(self.caller.get(address, "/healthz", deadline));
         reply.is_ok_and(|r| r.status.is_success())
     }
 
@@ -359,12 +337,10 @@
     }
 
     fn entries_see(&self, engines: usize) -> bool {
-        (0..self.plan.hosts)
-            .filter_map(|n| self.entry_status(n))
-            .all(|status| {
-                let seen = status["engines"].as_array().into_iter().flatten();
-                seen.filter(|e| e["can_load"] == true).count() == engines
-            })
+        (0..self.plan.hosts).filter_map(|n| self.entry_status(n)).all(|status| {
+            let seen = status["engines"].as_array().into_iter().flatten();
+            seen.filter(|e| e["can_load"] == true).count() == engines
+        })
     }
 
     /// Addresses of all entries.
@@ -376,9 +352,7 @@
     /// Addresses of all engines.
     #[must_use]
     pub fn engines(&self) -> Vec<SocketAddr> {
-        (0..self.plan.engines)
-            .map(|n| self.layout.engine(n))
-            .collect()
+        (0..self.plan.engines).map(|n| self.layout.engine(n)).collect()
     }
 }
 
@@ -387,7 +361,5 @@
     let own = std::env::current_exe().expect("the path of this program is known");
     let is_profile = |folder: &&Path| folder.join("egret-standin").exists();
     let found = own.ancestors().skip(1).find(is_profile);
-    found
-        .expect("build the programs first: cargo build --workspace")
-        .to_owned()
+    found.expect("build the programs first: cargo build --workspace").to_owned()
 }
--- a/crates/scenarios/src/layout.rs
+++ b/crates/scenarios/src/layout.rs
@@ -229,12 +229,7 @@
         let base = FastStr::from_static_str("base");
         let adapter = |number| {
             let key = FastStr::from_string(format!("base/a{number}"));
-            (
-                key,
-                Adapter {
-                    versions: vec![1, 2],
-                },
-            )
+            (key, Adapter { versions: vec![1, 2] })
         };
         let engine = |number| {
             let spec = EngineSpec {
@@ -250,39 +245,22 @@
         let target = |number| {
             let name = FastStr::from_string(format!("studio-{}", number + 1));
             let data_centre = data_centre(number);
-            (
-                name,
-                ServiceTarget {
-                    address: self.service(number),
-                    data_centre,
-                },
-            )
-        };
-        let studio = ServiceSpec {
-            targets: (0..plan.services).map(target).collect(),
+            (name, ServiceTarget { address: self.service(number), data_centre })
         };
+        let studio = ServiceSpec { targets: (0..plan.services).map(target).collect() };
         Manifest {
             weight_store: WeightStoreSpec::default(),
             base_models: [(base.clone(), BaseModel {})].into_iter().collect(),
             adapters: (0..plan.adapters).map(adapter).collect(),
             engines: (0..plan.engines).map(engine).collect(),
-            services: [(FastStr::from_static_str("studio"), studio)]
-                .into_iter()
-                .collect(),
+            services: [(FastStr::from_static_str("studio"), studio)].into_iter().collect(),
             hosts: Hosts::default(),
         }
     }
 
     fn platform(&self, plan: &Plan, number: usize) -> String {
-        let log = if plan.log_relays {
-            self.relay(number)
-        } else {
-            self.log()
-        };
-        format!(
-            "[platform]\nlog = \"{log}\"\nhosts = \"{}\"\n",
-            self.host_list()
-        )
+        let log = if plan.log_relays { self.relay(number) } else { self.log() };
+        format!("[platform]\nlog = \"{log}\"\nhosts = \"{}\"\n", self.host_list())
     }
 
     /// Settings of entry `number`.
--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -31,10 +31,8 @@
     ///
     /// When it can't be started.
     pub fn start(name: &str, program: &Path, args: &[String], folder: &Path) -> io::Result<Self> {
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(folder.join(format!("{name}.log")))?;
+        let log =
+            File::options().create(true).append(true).open(folder.join(format!("{name}.log")))?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
@@ -42,10 +40,7 @@
             .stderr(log)
             .spawn()
             .map_err(|e| io::Error::other(format!("{}: {e}", program.display())))?;
-        Ok(Self {
-            name: name.to_owned(),
-            child,
-        })
+        Ok(Self { name: name.to_owned(), child })
     }
 
     /// Its name within the deployment.
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -81,11 +81,8 @@
         tx,
     });
     engine.work.notify_one();
-    let mut response = if stream {
-        streamed(&label, disturbed, rx)
-    } else {
-        whole(&label, disturbed, rx).await
-    };
+    let mut response =
+        if stream { streamed(&label, disturbed, rx) } else { whole(&label, disturbed, rx).await };
     let labels = [
         ("x-request-id", label.request),
         ("x-attempt", label.attempt),
@@ -94,9 +91,7 @@
     ];
     for (name, value) in labels {
         let value = HeaderValue::from_str(&value).unwrap_or(HeaderValue::from_static(""));
-        response
-            .headers_mut()
-            .insert(HeaderName::from_static(name), value);
+        response.headers_mut().insert(HeaderName::from_static(name), value);
     }
     response
 }
@@ -114,21 +109,15 @@
 
 fn disturb(engine: &Engine, model: &str, request: String, attempt: String) -> (Label, Disturbed) {
     let mut faults = engine.lasting.faults.lock();
-    let mut label = Label {
-        request,
-        attempt,
-        model: model.to_owned(),
-    };
+    let mut label = Label { request, attempt, model: model.to_owned() };
     if take(&mut faults.cross) {
         label.request.push_str("-other");
     }
     if take(&mut faults.wrong_version) {
         label.model.push('0');
     }
-    let disturbed = Disturbed {
-        truncate: take(&mut faults.truncate),
-        duplicate: take(&mut faults.duplicate),
-    };
+    let disturbed =
+        Disturbed { truncate: take(&mut faults.truncate), duplicate: take(&mut faults.duplicate) };
     (label, disturbed)
 }
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -131,9 +131,7 @@
         }
         sequence.tokens_left = sequence.tokens_left.saturating_sub(1);
         let last = sequence.tokens_left == 0;
-        let _ = sequence
-            .tx
-            .send(if last { Step::Last } else { Step::Token });
+        let _ = sequence.tx.send(if last { Step::Last } else { Step::Token });
         answered += u64::from(last);
         !last
     });
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -121,10 +121,7 @@
             Err(response) => return response,
         };
         if faults.silence_open {
-            self.peers
-                .lock()
-                .values_mut()
-                .for_each(|silent| *silent = true);
+            self.peers.lock().values_mut().for_each(|silent| *silent = true);
             self.batch.lock().silence();
         }
         if faults.crash {
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -85,10 +85,7 @@
 async fn fetch(engine: &Engine, model: &str) -> bool {
     let path = format!("/v1/weights/{model}");
     let deadline = now().after_ms(FETCH_MS);
-    let reply = engine
-        .caller
-        .get(engine.lasting.args.store, &path, deadline)
-        .await;
+    let reply = engine.caller.get(engine.lasting.args.store, &path, deadline).await;
     reply.is_ok_and(|r| r.status.is_success())
 }
 
@@ -122,10 +119,7 @@
         Err(response) => return response,
     };
     let attempt = order.attempt.to_string();
-    let ended = engine
-        .batch
-        .lock()
-        .abort(|s| s.request == order.request && s.attempt == attempt);
+    let ended = engine.batch.lock().abort(|s| s.request == order.request && s.attempt == attempt);
     ok(&json!({ "ended": ended }))
 }
 
--- a/crates/standin/src/frame.rs
+++ b/crates/standin/src/frame.rs
@@ -54,9 +54,7 @@
 
 /// Reads a JSON body.
 pub(crate) async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, Response> {
-    let bytes = read_limited(body, BODY_BYTES_MAX)
-        .await
-        .map_err(|e| bad(&e.to_string()))?;
+    let bytes = read_limited(body, BODY_BYTES_MAX).await.map_err(|e| bad(&e.to_string()))?;
     serde_json::from_slice(&bytes).map_err(|e| bad(&e.to_string()))
 }
 
@@ -83,10 +81,7 @@
 /// A parameter of the query string.
 pub(crate) fn query<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
     let pairs = req.uri().query()?.split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .map(|(_, v)| v)
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v)
 }
 
 /// Counts a switch that holds for a number of times down. True while it holds.
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -48,21 +48,12 @@
 
     fn list(&self) -> Response {
         if *self.outage.lock() {
-            return json_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &json!({ "error": "outage" }),
-            );
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "outage" }));
         }
         let versions = self.versions.lock();
-        let seen = versions
-            .iter()
-            .rev()
-            .find(|(at, _)| at.elapsed() >= self.lag);
+        let seen = versions.iter().rev().find(|(at, _)| at.elapsed() >= self.lag);
         // the first list is there from the start
-        let shown = seen
-            .or(versions.first())
-            .map(|(_, list)| list.clone())
-            .unwrap_or_default();
+        let shown = seen.or(versions.first()).map(|(_, list)| list.clone()).unwrap_or_default();
         json_response(StatusCode::OK, &shown)
     }
 
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -63,10 +63,7 @@
 pub(crate) fn run(args: &LogArgs) -> std::io::Result<()> {
     let log = Arc::new(Log {
         streams: Mutex::default(),
-        faults: Mutex::new(Faults {
-            keep_records: Some(args.keep_records),
-            ..Faults::default()
-        }),
+        faults: Mutex::new(Faults { keep_records: Some(args.keep_records), ..Faults::default() }),
         stats: Mutex::default(),
         news: Notify::new(),
     });
@@ -102,10 +99,7 @@
         match read_json::<Faults>(req.into_body()).await {
             Ok(faults) => {
                 let keep_records = faults.keep_records.or(keep_records);
-                *self.faults.lock() = Faults {
-                    keep_records,
-                    ..faults
-                };
+                *self.faults.lock() = Faults { keep_records, ..faults };
                 self.trim();
                 ok(&json!({}))
             }
@@ -164,9 +158,7 @@
             return refusal;
         }
         let from = query(req, "from").and_then(|v| v.parse::<u64>().ok());
-        let wait_ms = query(req, "wait_ms")
-            .and_then(|v| v.parse::<u64>().ok())
-            .unwrap_or(0);
+        let wait_ms = query(req, "wait_ms").and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let Some(from) = from else {
             return bad("from is missing");
         };
@@ -180,10 +172,7 @@
             if !batch.records.is_empty() || from < batch.start {
                 return json_response(StatusCode::OK, &batch);
             }
-            if tokio::time::timeout_at(deadline, news.as_mut())
-                .await
-                .is_err()
-            {
+            if tokio::time::timeout_at(deadline, news.as_mut()).await.is_err() {
                 return self.read_end(stream, from).await;
             }
             news.set(self.news.notified());
@@ -202,29 +191,13 @@
     fn batch(&self, stream: &str, from: u64) -> Batch {
         let streams = self.streams.lock();
         let Some(stream) = streams.get(stream) else {
-            return Batch {
-                start: 0,
-                end: 0,
-                from,
-                records: Vec::new(),
-            };
+            return Batch { start: 0, end: 0, from, records: Vec::new() };
         };
         let end = stream.start + stream.records.len() as u64;
         let from = from.max(stream.start);
         let skip = usize::try_from(from - stream.start).unwrap_or(usize::MAX);
-        let records = stream
-            .records
-            .iter()
-            .skip(skip)
-            .take(READ_MAX)
-            .cloned()
-            .collect();
-        Batch {
-            start: stream.start,
-            end,
-            from,
-            records,
-        }
+        let records = stream.records.iter().skip(skip).take(READ_MAX).cloned().collect();
+        Batch { start: stream.start, end, from, records }
     }
 
     fn trim(&self) {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -46,10 +46,7 @@
 /// Relays connections until SIGTERM.
 pub(crate) fn run(args: &RelayArgs) -> std::io::Result<()> {
     let runtime = tokio::runtime::Runtime::new()?;
-    let relay = Arc::new(Relay {
-        switches: watch::Sender::default(),
-        opened: Mutex::new(0),
-    });
+    let relay = Arc::new(Relay { switches: watch::Sender::default(), opened: Mutex::new(0) });
     let (listen, to) = (args.listen, args.to);
     let control = {
         let relay = relay.clone();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -47,10 +47,7 @@
 
 /// Serves the service. Its effects outlive its crashes.
 pub(crate) fn run(args: &ServiceArgs) -> std::io::Result<()> {
-    let service = Arc::new(Service {
-        work_ms: args.work_ms,
-        ..Service::default()
-    });
+    let service = Arc::new(Service { work_ms: args.work_ms, ..Service::default() });
     serve_lives(args.listen, args.restart_ms, move |crash: Arc<Notify>| {
         let service = service.clone();
         move |_, req| {
@@ -82,10 +79,7 @@
     }
 
     async fn perform(&self, req: Request, crash: &Notify) -> Response {
-        let key = req
-            .headers()
-            .get("idempotency-key")
-            .and_then(|v| v.to_str().ok());
+        let key = req.headers().get("idempotency-key").and_then(|v| v.to_str().ok());
         let key = key.unwrap_or_default().to_owned();
         let path = req.uri().path().to_owned();
         let Ok(body) = read_limited(req.into_body(), BODY_BYTES_MAX).await else {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -89,10 +89,7 @@
 
     fn stats(&self) -> Response {
         let state = self.state.lock();
-        let span = state
-            .first
-            .zip(state.last)
-            .map(|(first, last)| last - first);
+        let span = state.first.zip(state.last).map(|(first, last)| last - first);
         ok(&json!({
             "loads": state.loads,
             "in_transit": state.in_transit,
@@ -115,10 +112,7 @@
     async fn load(&self) -> Response {
         let faults = self.faults.lock().clone();
         if faults.outage {
-            return json_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &json!({ "error": "outage" }),
-            );
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": "outage" }));
         }
         let transfer = self.begin();
         if faults.silent {
