Broken connections are settled with the keeper before the next attempt

Cause: live scenario crash_suspects lost three engines: the entry retried a poison request before anyone knew of its second crash. A broken ticket is now given back by a question that is answered once the engine was asked, and suspects reach all keepers before the caller hears.

--- a/crates/core/src/course.rs
+++ b/crates/core/src/course.rs
@@ -80,6 +80,7 @@
     maybe_ran: bool,
     suspect: bool,
     refusal: Option<(Reason, u64)>,
+    second_round: bool,
 }
 
 impl Course {
@@ -95,6 +96,7 @@
             maybe_ran: false,
             suspect: false,
             refusal: None,
+            second_round: false,
         }
     }
 
@@ -116,6 +118,17 @@
         &self.tried
     }
 
+    /// Allows targets that were tried to be tried once more: when none is left, an answer that
+    /// did not match or broke off may have been a passing fault. True when there are any.
+    pub fn second_round(&mut self) -> bool {
+        let again = self.sent > 0 && !self.second_round;
+        if again {
+            self.second_round = true;
+            self.tried.clear();
+        }
+        again
+    }
+
     /// Number of the attempt under way, from 1.
     #[must_use]
     pub fn attempt(&self) -> u32 {
--- a/crates/core/tests/fuzz/slots_world.rs
+++ b/crates/core/tests/fuzz/slots_world.rs
@@ -23,8 +23,11 @@
 const PERMITS: u16 = 2;
 const LOAD_TIMEOUT_MS: u64 = 2000;
 
+/// What a sequence found, and its commands.
+pub(crate) type Found = (&'static str, &'static [(u8, u8, u8, u8)]);
+
 /// Sequences that once broke a promise.
-pub(crate) const FOUND: &[(&str, &[(u8, u8, u8, u8)])] = &[
+pub(crate) const FOUND: &[Found] = &[
     (
         "a holder that gave a resource up ordered until it read its own record",
         &[(64, 0, 187, 110), (8, 0, 128, 230), (64, 2, 234, 69)],
@@ -208,9 +211,14 @@
         let e = usize::from(command.who) % ENTRIES;
         match command.verb % 72 {
             64..=71 => self.take_over(k, command.how),
-            40..=49 => self.ask(e, usize::from(command.what) % KEEPERS, command.how),
+            40..=49 => {
+                let k = self.holder(usize::from(command.how) % ENGINES, command.what);
+                self.ask(e, k, command.how);
+                if command.what & 0x10 != 0 {
+                    self.work(k);
+                }
+            }
             50..=59 => self.work(k),
-            60..=63 => self.finish(e, command.what, command.how),
             0..=2 => self.pass(u64::from(command.how) * 16 + 1),
             3..=7 => self.read(k),
             8 | 9 => self.plan(k, command.how),
@@ -219,7 +227,7 @@
             19..=22 => self.carry_out(command.what, command.how),
             23..=27 => self.ask(e, usize::from(command.what) % KEEPERS, command.how),
             28 | 29 => self.register(usize::from(command.what) % KEEPERS, e),
-            30 | 31 => self.finish(e, command.what, command.how),
+            30 | 31 | 60..=63 => self.finish(e, command.what, command.how),
             32 => self.freeze_keeper(k, command.how),
             33 => self.freeze_entry(e, command.how),
             34 => self.kill_keeper(k, command.how),
@@ -300,7 +308,7 @@
         }
         let now = self.now;
         for answer in std::mem::take(&mut self.keepers[k].answers) {
-            self.take_answer(k, answer);
+            self.take_answer(k, &answer);
         }
         for engine in self.keepers[k].shards.keys().copied().collect::<Vec<_>>() {
             let keeper = &mut self.keepers[k];
@@ -342,6 +350,13 @@
         }
     }
 
+    /// One of the keepers that believe to hold an engine.
+    fn holder(&self, engine: usize, what: u8) -> usize {
+        let holds = |k: &usize| self.keepers[*k].shards.contains_key(&engine);
+        let holders: Vec<usize> = (0..KEEPERS).filter(holds).collect();
+        holders.get(usize::from(what) % holders.len().max(1)).copied().unwrap_or(0)
+    }
+
     /// What a keeper does when nothing goes wrong: order, hear, grant.
     fn work(&mut self, k: usize) {
         for _ in 0..3 {
@@ -444,7 +459,7 @@
         let (engine, order) = self.keepers[k].orders.remove(index);
         let fence = self.keepers[k].own.may_order(self.now, &resource(engine));
         if fence != Some(order.fence) || self.now >= order.deadline {
-            self.take_answer(k, Answer { engine, order, result: LoadResult::Failed });
+            self.take_answer(k, &Answer { engine, order, result: LoadResult::Failed });
             return;
         }
         let incarnation = self.keepers[k].incarnation;
@@ -496,7 +511,7 @@
         }
     }
 
-    fn take_answer(&mut self, k: usize, answer: Answer) {
+    fn take_answer(&mut self, k: usize, answer: &Answer) {
         let now = self.now;
         let Some(slots) = self.keepers[k].shards.get_mut(&answer.engine) else {
             return;
--- a/crates/core/tests/fuzz/support.rs
+++ b/crates/core/tests/fuzz/support.rs
@@ -34,12 +34,15 @@
     }
 }
 
+/// A world: runs commands and says which promise they broke.
+type World = fn(&[Command]) -> Result<(), String>;
+
 fn setting(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
 
 /// Runs `world` over random sequences of commands. A failing one is shrunk and printed.
-pub(crate) fn check(name: &str, sequences: u64, world: fn(&[Command]) -> Result<(), String>) {
+pub(crate) fn check(name: &str, sequences: u64, world: World) {
     let seed = setting("EGRET_FUZZ_SEED").unwrap_or(SEED);
     let sequences = setting("EGRET_FUZZ_SEQUENCES").unwrap_or(sequences);
     WORLD.with(|cell| cell.set(Some(world)));
@@ -62,6 +65,6 @@
 }
 
 std::thread_local! {
-    static WORLD: std::cell::Cell<Option<fn(&[Command]) -> Result<(), String>>> =
+    static WORLD: std::cell::Cell<Option<World>> =
         const { std::cell::Cell::new(None) };
 }
--- a/crates/entry/src/calls/attempt.rs
+++ b/crates/entry/src/calls/attempt.rs
@@ -156,7 +156,7 @@
         let opened = caller.open(address, Method::POST, path, &headers, body, head_by).await;
         let response = match opened {
             Ok(response) => response,
-            Err(e) => return Err(Self::no_head(&mut ticket, &e)),
+            Err(e) => return Err(Self::no_head(ticket, &e).await),
         };
         if !response.status().is_success() {
             return Err(self.not_success(&mut ticket, response, engine).await);
@@ -194,7 +194,7 @@
         headers
     }
 
-    fn no_head(ticket: &mut OpenTicket, error: &CallError) -> AttemptEnd {
+    async fn no_head(mut ticket: OpenTicket, error: &CallError) -> AttemptEnd {
         match error {
             CallError::NotConnected(_) => {
                 ticket.unused();
@@ -202,7 +202,7 @@
             }
             CallError::Late => AttemptEnd::Broken(Reason::TargetFailed),
             CallError::Broken(_) => {
-                ticket.broken();
+                ticket.broken().await;
                 AttemptEnd::Broken(Reason::TargetFailed)
             }
         }
@@ -247,7 +247,7 @@
             return Err(AttemptEnd::Broken(Reason::TargetFailed));
         };
         let Ok(body) = read else {
-            ticket.broken();
+            ticket.broken().await;
             return Err(AttemptEnd::Broken(Reason::BadAnswer));
         };
         if !expected.whole(&body) {
--- a/crates/entry/src/calls/run.rs
+++ b/crates/entry/src/calls/run.rs
@@ -105,6 +105,7 @@
             suspect: course.suspect(),
         };
         let next = match attempt.choose(&course) {
+            None if course.second_round() => Next::Try,
             None => course.no_target(now()),
             Some(engine) => match attempt.run(&engine).await {
                 Ok(served) => {
@@ -119,8 +120,11 @@
                     entry.traces.step(request, format!("{engine}: {end:?}"));
                     events::ATTEMPT_FAILED
                         .debug(format_args!("request={request} target={engine} {end:?}"));
-                    let mut budget = entry.retries.lock();
-                    course.ended(now(), &engine, end, &mut budget)
+                    let next = {
+                        let mut budget = entry.retries.lock();
+                        course.ended(now(), &engine, end, &mut budget)
+                    };
+                    refuse_suspect(entry, req, &course).unwrap_or(next)
                 }
             },
         };
@@ -134,6 +138,16 @@
     }
 }
 
+/// The final answer if the content has turned out to crash targets.
+fn refuse_suspect(entry: &Entry, req: &ModelRequest, course: &Course) -> Option<Next> {
+    let standing = entry.suspects.lock().standing(now(), req.fingerprint);
+    let Standing::Refused(until) = standing else {
+        return None;
+    };
+    let retry_after_ms = now().ms_until(until);
+    Some(Next::GiveUp { outcome: course.outcome(), reason: Reason::CrashSuspect, retry_after_ms })
+}
+
 #[expect(clippy::cast_precision_loss, reason = "times are far shorter than 2^52 ms")]
 fn observe(entry: &Entry, course: &Course, stall_ms: u64) {
     entry.counts.first_part_ms.observe(now().ms_since(course.begun()) as f64);
--- a/crates/entry/src/calls/stream.rs
+++ b/crates/entry/src/calls/stream.rs
@@ -16,6 +16,9 @@
     volo_http::{body::Body, response::Response},
 };
 
+/// Time for the last event of a stream that is then cut, in milliseconds.
+const LAST_EVENT_MS: u64 = 50;
+
 /// Why a stream ended before its end marker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Cut {
@@ -65,7 +68,7 @@
                 let reason = match cut {
                     Cut::Silent => Reason::TargetFailed,
                     Cut::Broken => {
-                        stream.ticket.broken();
+                        stream.ticket.broken().await;
                         Reason::TargetFailed
                     }
                     Cut::Foreign => Reason::BadAnswer,
@@ -84,6 +87,8 @@
         let state = Some((self, Some(finished)));
         futures::stream::unfold((state, false), |(state, aborted)| async move {
             if aborted {
+                // time for the error event to leave before the connection is cut
+                tokio::time::sleep(Duration::from_millis(LAST_EVENT_MS)).await;
                 return Some((Err(io::Error::other("the answer broke off")), (None, false)));
             }
             let (mut stream, mut finished) = state?;
@@ -103,6 +108,9 @@
                 }
                 Err(cut) => {
                     let part = stream.cut_event(cut);
+                    if cut == Cut::Broken {
+                        stream.ticket.broken().await;
+                    }
                     report(&mut finished, false);
                     Some((Ok(part), (None, true)))
                 }
@@ -163,10 +171,7 @@
         }
     }
 
-    fn cut_event(&mut self, cut: Cut) -> Bytes {
-        if cut == Cut::Broken {
-            self.ticket.broken();
-        }
+    fn cut_event(&self, cut: Cut) -> Bytes {
         let answer = Answer {
             status: StatusCode::BAD_GATEWAY,
             outcome: Outcome::Unknown,
--- a/crates/entry/src/keepers/beat.rs
+++ b/crates/entry/src/keepers/beat.rs
@@ -3,9 +3,7 @@
 use {
     crate::state::Entry,
     egret_core::{Config, EngineView, Member, ModelName, Time},
-    egret_runtime::{
-        BeatMsg, Body, EngineViewMsg, Link, RegisterMsg, SuspectMsg, ViewMsg, events, now,
-    },
+    egret_runtime::{BeatMsg, Body, EngineViewMsg, Link, RegisterMsg, ViewMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -72,7 +70,7 @@
         revision: entry.config.current().revision,
         known: keeper.versions.clone(),
         config: entry.config.newer_than(keeper.revision),
-        suspects: suspects(entry),
+        suspects: entry.suspect_messages(),
         open: if lists_open { entry.tickets.keys() } else { Vec::new() },
         lists_open,
         stopping: entry.stopping(),
@@ -97,7 +95,7 @@
 ) {
     keeper.revision = view.revision;
     entry.config.adopt(&view.config);
-    merge_suspects(entry, &view.suspects);
+    entry.merge_suspects(&view.suspects);
     let config = entry.config.current();
     let mut held = IndexSet::new();
     for engine in view.engines {
@@ -183,18 +181,6 @@
     }
 }
 
-fn suspects(entry: &Entry) -> Vec<SuspectMsg> {
-    let records = entry.suspects.lock().records(now());
-    records.into_iter().map(SuspectMsg::from).collect()
-}
-
-fn merge_suspects(entry: &Entry, messages: &[SuspectMsg]) {
-    let mut suspects = entry.suspects.lock();
-    for message in messages {
-        suspects.merge(now(), (*message).into());
-    }
-}
-
 /// Takes each newer configuration into account.
 pub(crate) async fn follow_config(entry: Arc<Entry>) {
     let mut news = entry.config.subscribe();
--- a/crates/entry/src/keepers/link.rs
+++ b/crates/entry/src/keepers/link.rs
@@ -26,6 +26,11 @@
         link.filter(|link| !link.closed())
     }
 
+    /// All open links.
+    pub(crate) fn all(&self) -> Vec<Arc<Link>> {
+        self.open.lock().values().filter(|link| !link.closed()).cloned().collect()
+    }
+
     /// The link to the keeper on `member`, opened if need be.
     pub(crate) async fn open(&self, entry: &Entry, member: &Member) -> Option<Arc<Link>> {
         if let Some(link) = self.get(&member.host) {
--- a/crates/entry/src/keepers/mod.rs
+++ b/crates/entry/src/keepers/mod.rs
@@ -3,6 +3,7 @@
 mod beat;
 mod fences;
 mod link;
+mod suspects;
 mod tickets;
 
 pub(crate) use {
--- a/crates/entry/src/keepers/tickets.rs
+++ b/crates/entry/src/keepers/tickets.rs
@@ -2,14 +2,17 @@
 
 use {
     crate::state::Entry,
-    egret_core::{Fingerprint, ModelName},
-    egret_runtime::{Body, KeyMsg, ReleaseMsg, TicketMsg},
+    egret_core::{Fingerprint, ModelName, Standing},
+    egret_runtime::{Body, KeyMsg, ReleaseMsg, TicketMsg, now},
     faststr::FastStr,
     indexmap::IndexMap,
     parking_lot::Mutex,
     std::sync::Arc,
 };
 
+/// How long a keeper may take to find out whether an engine has crashed, in milliseconds.
+const VERDICT_MS: u64 = 2500;
+
 /// What is known of an open ticket.
 #[derive(Clone, Debug)]
 pub(crate) struct TicketRecord {
@@ -101,13 +104,14 @@
     entry: Arc<Entry>,
     record: TicketRecord,
     end: &'static str,
+    given_back: bool,
 }
 
 impl OpenTicket {
     /// Opens a granted ticket; none when the engine was taken over meanwhile.
     pub(crate) fn new(entry: &Arc<Entry>, record: TicketRecord) -> Option<Self> {
         let opened = entry.tickets.open(&record);
-        let ticket = Self { entry: entry.clone(), record, end: "unused" };
+        let ticket = Self { entry: entry.clone(), record, end: "unused", given_back: false };
         // dropping it gives it back unused
         opened.then_some(ticket)
     }
@@ -132,29 +136,52 @@
         self.end = "not_resident";
     }
 
-    /// The connection broke.
-    pub(crate) fn broken(&mut self) {
+    /// The connection broke, as it does when an engine crashes: gives the ticket back and waits
+    /// until its keeper knows whether the engine has crashed. If this content is a suspect by
+    /// then, all keepers hear of it before the caller does, so that its next request with the
+    /// same content finds them informed.
+    pub(crate) async fn broken(mut self) {
         self.end = "broken";
+        let Some((holder, release)) = self.take_back() else {
+            return;
+        };
+        let entry = self.entry.clone();
+        let by = now().after_ms(VERDICT_MS);
+        let answer = entry.links.call(&holder, Body::Release(release), by).await;
+        if let Ok(Body::Suspects(known)) = answer {
+            entry.merge_suspects(&known.suspects);
+        }
+        let standing = entry.suspects.lock().standing(now(), self.record.fingerprint);
+        if standing != Standing::Clear {
+            entry.tell_suspects().await;
+        }
     }
-}
 
-impl Drop for OpenTicket {
-    fn drop(&mut self) {
+    /// Closes the ticket here; its keeper and what to tell it, unless that has been done.
+    fn take_back(&mut self) -> Option<(FastStr, ReleaseMsg)> {
+        if std::mem::replace(&mut self.given_back, true) {
+            return None;
+        }
         self.entry.tickets.close(&self.record);
         let holder = {
             let views = self.entry.views.lock();
             views.get(&self.record.engine).map(|v| v.keeper.clone())
         };
-        // without a holder the next one learns from the list of open tickets
-        let Some(holder) = holder else {
-            return;
-        };
         let release = ReleaseMsg {
             key: self.record.key(),
             engine: self.record.engine.to_string(),
             end: self.end.to_owned(),
             fingerprint: self.record.fingerprint.0,
         };
-        self.entry.links.tell(&holder, Body::Release(release));
+        // without a holder the next one learns from the list of open tickets
+        Some((holder?, release))
+    }
+}
+
+impl Drop for OpenTicket {
+    fn drop(&mut self) {
+        if let Some((holder, release)) = self.take_back() {
+            self.entry.links.tell(&holder, Body::Release(release));
+        }
     }
 }
--- a/crates/entry/src/services/journal.rs
+++ b/crates/entry/src/services/journal.rs
@@ -12,7 +12,7 @@
         },
         time::Duration,
     },
-    tokio::sync::{Notify, oneshot},
+    tokio::sync::{Notify, oneshot, watch},
 };
 
 /// Stream of the platform's log that carries the journal.
@@ -41,6 +41,7 @@
     fold: Mutex<Journal>,
     intents: Mutex<Vec<Waiting>>,
     settlements: Mutex<Vec<JournalRecord>>,
+    written: watch::Sender<u64>,
     work: Notify,
     read: AtomicBool,
     numbers: AtomicU64,
@@ -59,6 +60,7 @@
             fold: Mutex::new(Journal::new(key_max_ms)),
             intents: Mutex::default(),
             settlements: Mutex::default(),
+            written: watch::Sender::new(0),
             work: Notify::new(),
             read: AtomicBool::new(false),
             numbers: AtomicU64::new(0),
@@ -94,6 +96,20 @@
         told.await.unwrap_or(Written::Maybe)
     }
 
+    /// Writes a settlement and waits until it is on the log, at most until `deadline`. It is
+    /// written in any case.
+    pub(super) async fn settle_by(&self, record: JournalRecord, deadline: Time) {
+        let mut written = self.written.subscribe();
+        let number = {
+            let mut settlements = self.settlements.lock();
+            settlements.push(record);
+            *written.borrow() + settlements.len() as u64
+        };
+        self.work.notify_one();
+        let left = Duration::from_millis(now().ms_until(deadline));
+        let _ = tokio::time::timeout(left, written.wait_for(|count| *count >= number)).await;
+    }
+
     /// Writes a settlement some time, again and again until the log has it.
     pub(super) fn settle(&self, record: JournalRecord) {
         self.settlements.lock().push(record);
@@ -178,7 +194,9 @@
         };
         let _ = waiting.tell.send(written);
     }
-    if appended.is_err() && !settlements.is_empty() {
+    if appended.is_ok() {
+        journal.written.send_modify(|count| *count += skipped);
+    } else if !settlements.is_empty() {
         events::JOURNAL_UNSETTLED.warn(format_args!("count={}", settlements.len()));
         // settling twice changes nothing, so a lost answer is met by writing again
         journal.settlements.lock().extend(settlements);
--- a/crates/entry/src/services/keyed.rs
+++ b/crates/entry/src/services/keyed.rs
@@ -18,6 +18,9 @@
 /// Shortest time left for reading an intent back, in milliseconds.
 const READ_BACK_MS: u64 = 200;
 
+/// Longest wait for an answer to get into the journal before its caller gets it, in milliseconds.
+const RECORD_MS: u64 = 300;
+
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 256;
 
@@ -122,6 +125,7 @@
         };
         let mut answer = call.answer(outcome, reason, after_ms);
         answer.message = format!("{}: {e}", answer.message);
+        answer.retry_after_ms = (after_ms > 0).then_some(after_ms);
         if reason == Reason::BadRequest {
             answer.status = StatusCode::BAD_REQUEST;
         }
@@ -209,7 +213,7 @@
         entry.traces.step(&call.request, format!("sent to {}", host.name));
         match call.outgoing.send(entry, host, deadline).await {
             Ok(reply) => {
-                record(call, key, attempt, &reply, &host.name);
+                record(call, key, attempt, &reply, &host.name).await;
                 return Ok(served(reply, host));
             }
             Err(e) if e.not_sent() => {}
@@ -224,7 +228,7 @@
     Err(call.answer(Outcome::NotRun, Reason::NoTarget, OPEN_RETRY_MS))
 }
 
-fn record(call: &Call, key: &Key, attempt: &Attempt, reply: &Reply, target: &FastStr) {
+async fn record(call: &Call, key: &Key, attempt: &Attempt, reply: &Reply, target: &FastStr) {
     let short = reply.body.len() <= call.entry.cfg.journal.answer_bytes;
     let text = short.then(|| std::str::from_utf8(&reply.body).ok()).flatten();
     let answer = RecordedAnswer {
@@ -233,9 +237,8 @@
         body: text.map(FastStr::new),
         target: target.clone(),
     };
-    call.entry.journal.settle(JournalRecord::Done {
-        key: key.digest.clone(),
-        attempt: attempt.clone(),
-        answer,
-    });
+    let done = JournalRecord::Done { key: key.digest.clone(), attempt: attempt.clone(), answer };
+    // a repeat through another entry then finds the answer; without the log the caller does
+    // not wait for it
+    call.entry.journal.settle_by(done, now().after_ms(RECORD_MS)).await;
 }
--- a/crates/keeper/src/engines/mod.rs
+++ b/crates/keeper/src/engines/mod.rs
@@ -7,6 +7,6 @@
 
 pub(crate) use {
     effects::run_effects,
-    probe::{probe, probe_all},
+    probe::{probe, probe_all, probe_anew},
     shard::{EngineShard, Verdict},
 };
--- a/crates/keeper/src/engines/probe.rs
+++ b/crates/keeper/src/engines/probe.rs
@@ -7,9 +7,15 @@
     egret_runtime::{Reply, events, now},
     indexmap::IndexSet,
     serde::Deserialize,
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
+/// Wait for a probe that is under way, in milliseconds.
+const BUSY_MS: u64 = 5;
+
 /// How long a probe may take, in milliseconds.
 const PROBE_MS: u64 = 1500;
 
@@ -31,6 +37,14 @@
     }
 }
 
+/// Asks one engine by a question that begins now, after one that may be under way.
+pub(crate) async fn probe_anew(keeper: Arc<Keeper>, shard: Arc<EngineShard>) {
+    while shard.probing.load(Ordering::Acquire) {
+        tokio::time::sleep(Duration::from_millis(BUSY_MS)).await;
+    }
+    probe(keeper, shard).await;
+}
+
 /// Asks one engine, unless it is being asked already.
 pub(crate) async fn probe(keeper: Arc<Keeper>, shard: Arc<EngineShard>) {
     if shard.probing.swap(true, Ordering::AcqRel) {
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -4,11 +4,15 @@
 mod beat;
 
 use {
-    crate::{engines::run_effects, state::Keeper},
+    crate::{
+        engines::{probe_anew, run_effects},
+        peers,
+        state::Keeper,
+    },
     egret_core::{Fingerprint, ModelName, RequestKey, TicketEnd},
     egret_runtime::{
         Body, BorrowMsg, Hello, KeyMsg, LoanMsg, LoansMsg, RegisterMsg, ReleaseMsg, StatusMsg,
-        events, now,
+        SuspectsMsg, events, now,
     },
     faststr::FastStr,
     futures::future::BoxFuture,
@@ -30,10 +34,15 @@
 async fn answer(keeper: &Arc<Keeper>, hello: &Arc<Hello>, body: Body) -> Option<Body> {
     match body {
         Body::Acquire(msg) => Some(acquire::acquire(keeper, hello, msg).await),
+        Body::Release(msg) if msg.end == "broken" => Some(broken(keeper, hello, &msg).await),
         Body::Release(msg) => {
             release(keeper, hello, &msg);
             Some(Body::Ok(Hello::default()))
         }
+        Body::Suspects(msg) => {
+            peers::merge_suspects(keeper, &msg.suspects);
+            Some(Body::Ok(Hello::default()))
+        }
         Body::Beat(msg) => Some(beat::beat(keeper, hello, &msg)),
         Body::Register(msg) => {
             register(keeper, hello, msg);
@@ -89,6 +98,16 @@
     run_effects(keeper, &shard, effects);
 }
 
+/// Takes back a ticket whose connection broke, and answers once it is known whether the engine
+/// has crashed, with what is known of suspects then.
+async fn broken(keeper: &Arc<Keeper>, hello: &Hello, msg: &ReleaseMsg) -> Body {
+    release(keeper, hello, msg);
+    if let Some(shard) = keeper.engine(&msg.engine) {
+        probe_anew(keeper.clone(), shard).await;
+    }
+    Body::Suspects(SuspectsMsg { suspects: peers::suspects(keeper) })
+}
+
 fn register(keeper: &Arc<Keeper>, hello: &Hello, msg: RegisterMsg) {
     let Some(shard) = keeper.engine(&msg.engine) else {
         return;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -21,7 +21,7 @@
 pub use link::{
     AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg, Link,
     LinkError, LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg,
-    SuspectMsg, TicketMsg, ViewMsg, serve_links,
+    SuspectMsg, SuspectsMsg, TicketMsg, ViewMsg, serve_links,
 };
 pub use logs::start_logs;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What is said.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -56,6 +56,9 @@
     /// Asks for, or gives, a description of the process for people, as JSON.
     #[prost(message, tag = "13")]
     Status(StatusMsg),
+    /// Tells of crash suspects at once.
+    #[prost(message, tag = "14")]
+    Suspects(SuspectsMsg),
 }
 
 /// Who speaks.
@@ -200,6 +203,14 @@
     pub stopping: bool,
 }
 
+/// Crash suspects.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SuspectsMsg {
+    /// The suspects.
+    #[prost(message, repeated, tag = "1")]
+    pub suspects: Vec<SuspectMsg>,
+}
+
 /// A crash suspect.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct SuspectMsg {
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -9,7 +9,7 @@
     message::{
         AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg,
         LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg,
-        TicketMsg, ViewMsg,
+        SuspectsMsg, TicketMsg, ViewMsg,
     },
     server::serve_links,
 };
--- a/crates/scenarios/tests/driver/asks.rs
+++ b/crates/scenarios/tests/driver/asks.rs
@@ -36,7 +36,7 @@
             return refusal(&reply);
         }
         let answer: Value = reply.json().unwrap_or_default();
-        let text: String = (0..tokens).map(|i| format!("{model}#{i} ")).collect();
+        let text = expected_text(&model, tokens);
         let right = reply.header("x-adapter") == Some(model.as_str())
             && answer["choices"][0]["text"] == json!(text);
         let whole = if right { "whole" } else { "WRONG" };
@@ -211,6 +211,12 @@
     }
 }
 
+/// The text that the engine stand-in gives.
+fn expected_text(model: &str, tokens: u64) -> String {
+    let token = |index| format!("{model}#{index} ");
+    (0..tokens).map(token).collect::<Vec<_>>().concat()
+}
+
 /// `a0.v1` stands for `base/a0@1`, since arguments of the test language hold no other signs.
 pub(super) fn model_name(short: &str) -> String {
     format!("base/{}", short.replace(".v", "@"))
@@ -230,11 +236,11 @@
     let ahead: i64 = number(case, "expires_in", i64::try_from(KEY_MS).unwrap_or(0));
     let body: String = number(case, "body", "package".to_owned());
     let ahead = if expired { -1 } else { ahead };
-    let expires = unix_ms().saturating_add_signed(ahead);
+    let until = unix_ms().saturating_add_signed(ahead);
     let headers = vec![
         ("x-caller", "scenario".to_owned()),
         ("idempotency-key", key),
-        ("idempotency-expires", expires.to_string()),
+        ("idempotency-expires", until.to_string()),
     ];
     (headers, json!({ "package": body }))
 }
--- a/crates/scenarios/tests/driver/hosts.rs
+++ b/crates/scenarios/tests/driver/hosts.rs
@@ -144,7 +144,9 @@
         let until: String = case.take_arg("until").unwrap();
         let who: Vec<String> = case.try_take_args("who").unwrap().unwrap_or_default();
         match until.as_str() {
-            "loads" => self.deployment().wait("every engine can load", |d| d.every_engine_loads()),
+            "loads" => {
+                self.deployment().wait("every engine can load", Deployment::every_engine_loads)
+            }
             "held" => self.deployment().wait("every engine is held", every_engine_held),
             "revision" => self.deployment().wait("one revision is in force", one_revision),
             "paused" => self.deployment().wait("no engine can load", no_engine_loads),
@@ -164,6 +166,12 @@
                 let model = model_name(&case.take_arg::<String>("model").unwrap());
                 self.deployment().wait("it is resident", |d| resident(d, &model));
             }
+            "up" => {
+                for who in &who {
+                    let address = self.address(who);
+                    self.deployment().wait("it answers", |d| d.healthy(address));
+                }
+            }
             "exit" => return self.exits(&who),
             other => panic!("no condition {other}"),
         }
