--- a/crates/scenarios/tests/driver/hosts.rs
+++ b/crates/scenarios/tests/driver/hosts.rs
@@ -95,24 +95,28 @@
             manifest.adapters.insert(name, Adapter { versions });
         }
         let operator: String = number(case, "by", "desk".to_owned());
-        let (code, _) = self.deployment().apply(&manifest, &operator);
+        let (code, said) = self.deployment().apply(&manifest, &operator);
+        self.revision = self.revision.max(accepted(&said));
         format!("exit {code}")
     }
 
     /// Two operators apply different manifests against the same revision at the same moment.
     pub(super) fn race(&mut self) -> String {
         let deployment = self.deployment();
-        let mut codes: Vec<i32> = std::thread::scope(|scope| {
+        let results: Vec<(i32, String)> = std::thread::scope(|scope| {
             let racer = |adapter: &'static str, operator: &'static str| {
                 let mut manifest = self.manifest();
                 let name = FastStr::from_string(format!("base/{adapter}"));
                 manifest.adapters.insert(name, Adapter { versions: vec![1] });
-                scope.spawn(move || deployment.apply(&manifest, operator).0)
+                scope.spawn(move || deployment.apply(&manifest, operator))
             };
             let racers = [racer("raced-x", "x"), racer("raced-y", "y")];
-            racers.map(|r| r.join().unwrap_or(-1)).to_vec()
+            racers.map(|r| r.join().unwrap_or((-1, String::new()))).to_vec()
         });
+        let mut codes: Vec<i32> = results.iter().map(|(code, _)| *code).collect();
         codes.sort_unstable();
+        let newest = results.iter().map(|(_, said)| accepted(said)).max().unwrap_or(0);
+        self.revision = self.revision.max(newest);
         // whoever read the revision after the other had won planned against it and wins as well
         let fair = codes == [0, 3] || codes == [0, 0];
         format!("one accepted, the other accepted later or told that it lost: {fair}")
@@ -145,10 +149,13 @@
         let who: Vec<String> = case.try_take_args("who").unwrap().unwrap_or_default();
         match until.as_str() {
             "loads" => {
-                self.deployment().wait("every engine can load", Deployment::every_engine_loads)
+                self.deployment().wait("every engine can load", Deployment::every_engine_loads);
             }
             "held" => self.deployment().wait("every engine is held", every_engine_held),
-            "revision" => self.deployment().wait("one revision is in force", one_revision),
+            "revision" => {
+                let revision = self.revision;
+                self.deployment().wait("it is in force everywhere", |d| in_force(d, revision));
+            }
             "paused" => self.deployment().wait("no engine can load", no_engine_loads),
             "leaving" => self
                 .deployment()
@@ -201,13 +208,19 @@
     keepers_engines(deployment).iter().all(|e| e["can_load"] == false)
 }
 
-fn one_revision(deployment: &Deployment) -> bool {
-    let statuses: Vec<_> = (0..deployment.plan.hosts)
-        .flat_map(|n| [deployment.entry_status(n), deployment.keeper_status(n)])
-        .flatten()
-        .collect();
-    let newest = statuses.iter().filter_map(|s| s["revision"].as_u64()).max();
-    statuses.iter().all(|s| s["revision"].as_u64() == newest)
+/// The revision that egretctl said was accepted, 0 for none.
+fn accepted(said: &str) -> u64 {
+    let after = said.split("accepted: revision ").nth(1);
+    after.and_then(|rest| rest.trim().parse().ok()).unwrap_or(0)
+}
+
+/// True when every entry and keeper has at least `revision` in force.
+fn in_force(deployment: &Deployment, revision: u64) -> bool {
+    let newest = |status: Option<serde_json::Value>| {
+        status.is_some_and(|s| s["revision"].as_u64() >= Some(revision.max(1)))
+    };
+    (0..deployment.plan.hosts)
+        .all(|n| newest(deployment.entry_status(n)) && newest(deployment.keeper_status(n)))
 }
 
 fn seen_leaving(deployment: &Deployment, who: &str) -> bool {
--- a/crates/scenarios/tests/driver/mod.rs
+++ b/crates/scenarios/tests/driver/mod.rs
@@ -44,6 +44,7 @@
 #[derive(Default)]
 pub(crate) struct Scenario {
     deployment: Option<Deployment>,
+    revision: u64,
     streams: IndexMap<String, JoinHandle<String>>,
 }
 
--- /dev/null
+++ b/tests.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds everything, then runs all tests. Fuzzing uses fixed seeds.
+set -euo pipefail
+cd "$(dirname "$0")"
+cargo build --workspace --all-targets --quiet
+cargo test --workspace --no-fail-fast
