Policy bench in virtual time, gathering by adapter

Cause: no figure compared policies. egret-load bench drives the same core as the daemons with one trace per seed, virtual time, fakes of engines and store.

--- a/crates/core/src/slots/dispatch.rs
+++ b/crates/core/src/slots/dispatch.rs
@@ -12,24 +12,24 @@
 };
 
 /// Order of waiting requests, least first.
-type Rank = (Class, bool, usize, Reverse<usize>, Time, usize);
+type Rank = (Class, bool, usize, Reverse<u32>, Time, usize);
 
 impl EngineSlots {
     /// Grants tickets while the engine has room.
     pub(super) fn pump(&mut self, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
-        while let Some(key) = self.next_to_run() {
+        while let Some(key) = self.next_to_run(now) {
             effects.push(self.grant(now, &key));
         }
         effects
     }
 
-    fn next_to_run(&self) -> Option<RequestKey> {
+    fn next_to_run(&self, now: Time) -> Option<RequestKey> {
         let full = self.tickets.len() >= self.limits.batch;
         if full || self.queue.is_empty() || self.tickets.values().any(|t| t.alone) {
             return None;
         }
-        let (key, queued) = self.first_ready()?;
+        let (key, queued) = self.first_ready(now)?;
         // a suspect waits until it can run alone, and what comes behind it waits too
         if queued.req.suspect && !self.tickets.is_empty() {
             return None;
@@ -37,28 +37,29 @@
         Some(key.clone())
     }
 
-    fn first_ready(&self) -> Option<(&RequestKey, &Queued)> {
+    fn first_ready(&self, now: Time) -> Option<(&RequestKey, &Queued)> {
         let running: IndexSet<&ModelName> = self.tickets.values().map(|t| &t.model).collect();
         let callers = self.running_by_caller();
-        let mut waiting: IndexMap<&ModelName, usize> = IndexMap::new();
-        for queued in self.queue.values() {
-            *waiting.entry(&queued.req.model).or_default() += 1;
-        }
-        let rank = |(index, queued): (usize, &Queued)| -> Rank {
+        let groups = self.groups();
+        let due = |queued: &Queued| {
+            let model = &queued.req.model;
+            let shares = running.contains(model);
+            self.is_ready(model) && (shares || !self.gathers(now, &groups[model]))
+        };
+        let rank = |index: usize, queued: &Queued| -> Rank {
             let req = &queued.req;
-            let shares = running.contains(&req.model);
-            let gathered = if req.class == Class::Live { 0 } else { waiting[&req.model] };
+            let live = req.class == Class::Live;
+            let apart = !live && !running.contains(&req.model);
+            let gathered = if live { 0 } else { groups[&req.model].waiting };
             let of_caller = callers.get(&req.caller).copied().unwrap_or(0);
             let fair = if req.class == Class::Background { 0 } else { of_caller };
-            let apart = req.class != Class::Live && !shares;
             (req.class, apart, fair, Reverse(gathered), req.deadline, index)
         };
-        let ready = |queued: &Queued| self.is_ready(&queued.req.model);
         self.queue
             .iter()
             .enumerate()
-            .filter(|(_, (_, queued))| ready(queued))
-            .min_by_key(|(index, (_, queued))| rank((*index, queued)))
+            .filter(|(_, (_, queued))| due(queued))
+            .min_by_key(|(index, (_, queued))| rank(*index, queued))
             .map(|(_, pair)| pair)
     }
 
--- a/crates/core/src/slots/engine.rs
+++ b/crates/core/src/slots/engine.rs
@@ -142,10 +142,12 @@
         self.tickets.len()
     }
 
-    /// Requests that wait.
+    /// Requests that wait for room or for a load; those that only gather are not counted.
     #[must_use]
-    pub fn queued(&self) -> usize {
-        self.queue.len()
+    pub fn queued(&self, now: Time) -> usize {
+        let groups = self.groups();
+        let due = groups.values().filter(|group| !self.gathers(now, group));
+        due.map(|group| group.waiting as usize).sum()
     }
 
     /// Typical time a request runs, in milliseconds.
@@ -341,8 +343,8 @@
 
     /// Time until a new request for `model` would start to run, in milliseconds.
     #[must_use]
-    pub fn wait_ms(&self, model: &ModelName) -> u64 {
-        let ahead = (self.tickets.len() + self.queue.len()) as u64;
+    pub fn wait_ms(&self, now: Time, model: &ModelName) -> u64 {
+        let ahead = (self.tickets.len() + self.queued(now)) as u64;
         let batch = self.limits.batch.max(1) as u64;
         let queue_ms = (ahead + 1).saturating_sub(batch) * self.service_ms / batch;
         if self.is_ready(model) { queue_ms } else { queue_ms.max(self.load_ms) }
@@ -368,7 +370,7 @@
         if let Some(refusal) = self.load_impossible(now, &req.model) {
             return Some(refusal);
         }
-        let wait_ms = self.wait_ms(&req.model);
+        let wait_ms = self.wait_ms(now, &req.model);
         if now.after_ms(wait_ms) >= req.deadline {
             return Some((Reason::Deadline, wait_ms));
         }
@@ -396,7 +398,7 @@
     fn refuse_hopeless(&mut self, now: Time) -> Vec<Effect> {
         let hopeless = |(key, queued): (&RequestKey, &Queued)| {
             if now >= queued.req.deadline {
-                return Some((key.clone(), Reason::Deadline, self.wait_ms(&queued.req.model)));
+                return Some((key.clone(), Reason::Deadline, self.wait_ms(now, &queued.req.model)));
             }
             if self.leaving {
                 return Some((key.clone(), Reason::Leaving, 0));
--- a/crates/core/src/slots/loads.rs
+++ b/crates/core/src/slots/loads.rs
@@ -14,27 +14,34 @@
     /// the most urgent first. Those that still gather requests are left out.
     #[must_use]
     pub fn wants(&self, now: Time) -> Vec<Want> {
-        let mut wants: IndexMap<&ModelName, Want> = IndexMap::new();
+        let missing = |want: &Want| !self.slots.contains_key(&want.model);
+        let mut due: Vec<Want> = self
+            .groups()
+            .into_values()
+            .filter(|want| missing(want) && !self.gathers(now, want))
+            .collect();
+        due.sort_by_key(|w| (w.class, std::cmp::Reverse(w.waiting), w.deadline, w.since));
+        due
+    }
+
+    /// What waits, by adapter.
+    pub(super) fn groups(&self) -> IndexMap<&ModelName, Want> {
+        let mut groups: IndexMap<&ModelName, Want> = IndexMap::new();
         for queued in self.queue.values() {
             let model = &queued.req.model;
-            if self.slots.contains_key(model) {
-                continue;
-            }
-            let want = wants.entry(model).or_insert_with(|| Want {
+            let group = groups.entry(model).or_insert_with(|| Want {
                 model: model.clone(),
                 class: Class::Background,
                 waiting: 0,
                 since: queued.since,
                 deadline: Time::NEVER,
             });
-            want.class = want.class.min(queued.req.class);
-            want.waiting += 1;
-            want.since = want.since.min(queued.since);
-            want.deadline = want.deadline.min(queued.req.deadline);
+            group.class = group.class.min(queued.req.class);
+            group.waiting += 1;
+            group.since = group.since.min(queued.since);
+            group.deadline = group.deadline.min(queued.req.deadline);
         }
-        let mut due: Vec<Want> = wants.into_values().filter(|w| !self.gathers(now, w)).collect();
-        due.sort_by_key(|w| (w.class, std::cmp::Reverse(w.waiting), w.deadline, w.since));
-        due
+        groups
     }
 
     /// Starts the load of `model` on `permit`, after an unload if no slot is free. Returns no
@@ -126,7 +133,8 @@
         }
     }
 
-    fn gathers(&self, now: Time, want: &Want) -> bool {
+    /// True while all that wait for an adapter can go on waiting for others to join them.
+    pub(super) fn gathers(&self, now: Time, want: &Want) -> bool {
         let weights = &self.cfg.weights;
         want.class == Class::Background
             && want.waiting < weights.gather_most
--- a/crates/keeper/src/links/beat.rs
+++ b/crates/keeper/src/links/beat.rs
@@ -66,7 +66,7 @@
         engine: shard.name.to_string(),
         fence: slots.fence(),
         running: count(slots.running()),
-        queued: count(slots.queued()),
+        queued: count(slots.queued(now())),
         service_ms: slots.service_ms(),
         loads_waiting: count(slots.wants(now()).len()),
         load_ms: slots.load_ms(),
--- a/crates/keeper/src/status.rs
+++ b/crates/keeper/src/status.rs
@@ -36,7 +36,7 @@
                 "leaving": slots.leaving(),
                 "down": slots.down(),
                 "running": slots.running(),
-                "queued": slots.queued(),
+                "queued": slots.queued(now()),
                 "free_slots": slots.free_slots(),
                 "resident": resident,
                 "granted": counters.granted,
--- /dev/null
+++ b/crates/load/src/bench/deployment.rs
@@ -0,0 +1,390 @@
+//! A deployment in virtual time: slots and permits of the core, fakes around them.
+
+use {
+    super::{
+        Contender,
+        engine::FakeEngine,
+        outcome::Outcome,
+        trace::{Arrival, Trace},
+        weights,
+    },
+    crate::{cli::Fault, live::Shape},
+    egret_core::{
+        Candidates, Effect, EngineLimits, EngineSlots, EngineView, Fingerprint, Grant, LoadOrder,
+        LoadResult, ModelName, OrderKind, Permits, RequestKey, SlotSettings, StoreLimits,
+        TicketEnd, Time, Views, Waiting, Weights, choose, mix,
+    },
+    faststr::FastStr,
+    indexmap::IndexMap,
+    std::time::Instant,
+};
+
+/// Virtual time between two looks at everything, in milliseconds.
+const SLICE_MS: u64 = 5;
+/// Virtual time between two heartbeats, in milliseconds.
+const BEAT_MS: u64 = 200;
+/// Entries, each with views of its own.
+const ENTRIES: usize = 4;
+/// Adapter slots of an engine.
+const SLOTS: usize = 16;
+/// Sequences that an engine runs at once.
+const BATCH: usize = 8;
+/// Time that a load takes, in milliseconds.
+const LOAD_MS: u64 = 250;
+/// Time that an unload takes, in milliseconds.
+const UNLOAD_MS: u64 = 10;
+/// Times as long as a load takes from a slow store.
+const SLOW_FACTOR: u64 = 5;
+/// Time without a keeper, in milliseconds.
+const TAKEOVER_MS: u64 = 5500;
+
+const LIMITS: StoreLimits =
+    StoreLimits { in_transit_max: 8, loads_per_1000_s: 4000, load_timeout_ms: 2000 };
+
+struct Node {
+    name: FastStr,
+    slots: EngineSlots,
+    fake: FakeEngine,
+    lost: bool,
+    loads_from: Time,
+    epoch: u64,
+}
+
+/// A deployment in virtual time.
+pub(crate) struct Deployment {
+    contender: Contender,
+    weights: Weights,
+    fault: Fault,
+    nodes: Vec<Node>,
+    views: Vec<Views>,
+    permits: Permits,
+    orders: Vec<(Time, usize, LoadOrder)>,
+    requests: IndexMap<FastStr, (Arrival, usize)>,
+    outcome: Outcome,
+    now: Time,
+    end: Time,
+}
+
+fn model(adapter: usize) -> ModelName {
+    ModelName::new("base".into(), FastStr::from_string(format!("a{adapter}")), 1)
+}
+
+impl Deployment {
+    /// A deployment of `shape` that decides as `contender` does.
+    pub(crate) fn new(shape: Shape, contender: Contender, fault: Fault) -> Self {
+        let engines = match shape {
+            Shape::Meteora => 9,
+            Shape::Cronometria => 12,
+        };
+        let own = contender.name == "weighted";
+        // gathering belongs to our policy: the baselines run what they get
+        let weights = if own { weights(shape) } else { Weights::default() };
+        let cfg = SlotSettings {
+            eviction: contender.eviction,
+            weights,
+            order_ms: LIMITS.load_timeout_ms,
+            ..SlotSettings::default()
+        };
+        let node = |number: usize| Node {
+            name: FastStr::from_string(format!("engine-{number}")),
+            slots: fresh_slots(cfg),
+            fake: FakeEngine::default(),
+            lost: false,
+            loads_from: Time::ZERO,
+            epoch: 1,
+        };
+        let mut permits = Permits::new(LIMITS);
+        (0..LIMITS.in_transit_max).for_each(|number| permits.own(Time::ZERO, number));
+        Self {
+            contender,
+            weights,
+            fault,
+            nodes: (0..engines).map(node).collect(),
+            views: (0..ENTRIES).map(|_| Views::default()).collect(),
+            permits,
+            orders: Vec::new(),
+            requests: IndexMap::new(),
+            outcome: Outcome::default(),
+            now: Time::ZERO,
+            end: Time::ZERO,
+        }
+    }
+
+    /// Runs the whole trace and lets what is open then come to its end.
+    pub(crate) fn run(mut self, mut trace: Trace) -> Outcome {
+        self.end = trace.end;
+        let seconds = usize::try_from(trace.end.as_millis() / 1000).unwrap_or(0);
+        self.outcome.by_second = vec![0; seconds + 1];
+        let mut next = trace.next();
+        let drained = trace.end.after_ms(180_000);
+        while next.is_some() || (!self.requests.is_empty() && self.now < drained) {
+            self.slice();
+            while let Some(arrival) = next.filter(|a| a.at <= self.now) {
+                self.arrive(arrival);
+                next = trace.next();
+            }
+            self.now = self.now.after_ms(SLICE_MS);
+        }
+        for node in &self.nodes {
+            self.outcome.steps += node.fake.steps;
+            self.outcome.sequences += node.fake.sequences;
+            self.outcome.adapters += node.fake.adapters;
+        }
+        if self.fault != Fault::None {
+            self.outcome.recover(seconds / 2);
+        }
+        self.outcome
+    }
+
+    fn slice(&mut self) {
+        self.strike();
+        self.finish_orders();
+        for number in 0..self.nodes.len() {
+            let done = self.nodes[number].fake.advance(self.now);
+            for key in done {
+                self.outcome.answered += 1;
+                self.requests.swap_remove(&key.request);
+                let slots = &mut self.nodes[number].slots;
+                let effects = slots.release(self.now, &key, TicketEnd::Done);
+                self.effects(number, effects);
+            }
+            let can_load = self.now >= self.nodes[number].loads_from;
+            let lost = self.nodes[number].lost;
+            let effects = self.nodes[number].slots.tick(self.now, can_load && !lost, lost);
+            self.effects(number, effects);
+        }
+        self.start_loads();
+        if self.now.as_millis().is_multiple_of(BEAT_MS) {
+            self.beat();
+        }
+    }
+
+    fn start_loads(&mut self) {
+        let mut wants = Vec::new();
+        for (number, node) in self.nodes.iter().enumerate() {
+            wants.extend(node.slots.wants(self.now).into_iter().map(|want| (number, want)));
+        }
+        wants.sort_by_key(|(_, w)| (w.class, std::cmp::Reverse(w.waiting), w.since));
+        let mut waiting = 0;
+        for (number, want) in wants {
+            let Some(permit) = self.permits.start(self.now, |_| true) else {
+                waiting += 1;
+                continue;
+            };
+            let effects = self.nodes[number].slots.begin_load(self.now, &want.model, permit);
+            if effects.is_empty() {
+                self.permits.not_started(self.now, permit);
+            }
+            self.effects(number, effects);
+        }
+        let estimate = LOAD_MS + waiting * LIMITS.spacing_ms() / u64::from(LIMITS.in_transit_max);
+        for node in &mut self.nodes {
+            node.slots.set_load_ms(estimate);
+        }
+    }
+
+    fn finish_orders(&mut self) {
+        let now = self.now;
+        let finished: Vec<(Time, usize, LoadOrder)> =
+            self.orders.extract_if(.., |(at, _, _)| *at <= now).collect();
+        for (_, number, order) in finished {
+            let slots = &mut self.nodes[number].slots;
+            let effects = match order.kind {
+                OrderKind::Load => slots.loaded(now, &order.model, LoadResult::Done),
+                OrderKind::Unload => slots.unloaded(now, &order.model, LoadResult::Done),
+            };
+            self.effects(number, effects);
+        }
+    }
+
+    fn effects(&mut self, number: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Grant(grant) => self.granted(number, &grant),
+                Effect::Refuse(refusal) => {
+                    self.requests.swap_remove(&refusal.key.request);
+                    self.outcome.refused += 1;
+                    self.count_second();
+                }
+                Effect::Order(order) => self.ordered(number, order),
+                Effect::FreePermit(permit) => self.permits.finish(self.now, permit),
+                Effect::Cancel(_) | Effect::Probe => {}
+            }
+        }
+    }
+
+    fn granted(&mut self, number: usize, grant: &Grant) {
+        let Some((arrival, _)) = self.requests.get(&grant.key.request).copied() else {
+            return;
+        };
+        if grant.stall_ms > 0 {
+            self.outcome.stalled += 1;
+            self.outcome.stall_ms.push(grant.stall_ms);
+            self.outcome.stalled_live += u64::from(arrival.class == egret_core::Class::Live);
+            self.count_second();
+        }
+        self.outcome.late += u64::from(self.now > arrival.deadline);
+        let fake = &mut self.nodes[number].fake;
+        fake.start(self.now, grant.key.clone(), model(arrival.adapter), arrival.tokens);
+    }
+
+    fn ordered(&mut self, number: usize, order: LoadOrder) {
+        let took = match order.kind {
+            OrderKind::Load => {
+                self.outcome.loads += 1;
+                LOAD_MS * self.store_factor()
+            }
+            OrderKind::Unload => UNLOAD_MS,
+        };
+        self.orders.push((self.now.after_ms(took), number, order));
+        let loads = self.orders.iter().filter(|(_, _, o)| o.kind == OrderKind::Load).count();
+        self.outcome.in_transit_max = self.outcome.in_transit_max.max(loads);
+    }
+
+    fn store_factor(&self) -> u64 {
+        let (now, end) = (self.now.as_millis(), self.end.as_millis());
+        let third_quarter = now >= end / 2 && now < end / 4 * 3;
+        if self.fault == Fault::StoreSlow && third_quarter { SLOW_FACTOR } else { 1 }
+    }
+
+    fn count_second(&mut self) {
+        let second = usize::try_from(self.now.as_millis() / 1000).unwrap_or(0);
+        if let Some(count) = self.outcome.by_second.get_mut(second) {
+            *count += 1;
+        }
+    }
+
+    fn beat(&mut self) {
+        for number in 0..self.nodes.len() {
+            let view = self.view(number);
+            let name = self.nodes[number].name.clone();
+            for views in &mut self.views {
+                views.update(&name, view.clone());
+            }
+        }
+    }
+
+    fn view(&self, number: usize) -> EngineView {
+        let node = &self.nodes[number];
+        let slots = &node.slots;
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        EngineView {
+            base: "base".into(),
+            data_centre: "dc".into(),
+            keeper: "keeper".into(),
+            fence: slots.fence(),
+            batch: count(BATCH),
+            running: count(slots.running()),
+            queued: count(slots.queued(self.now)),
+            service_ms: slots.service_ms(),
+            loads_waiting: count(slots.wants(self.now).len()),
+            load_ms: slots.load_ms(),
+            free_slots: count(slots.free_slots()),
+            can_load: slots.can_load(),
+            leaving: node.lost,
+            resident: slots.resident().cloned().collect(),
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        self.outcome.requests += 1;
+        let number = usize::try_from(self.outcome.requests).unwrap_or(0);
+        let request = FastStr::from_string(number.to_string());
+        self.send(&request, arrival, number % ENTRIES, 1);
+    }
+
+    fn send(&mut self, request: &FastStr, arrival: Arrival, entry: usize, attempt: u32) {
+        let model = model(arrival.adapter);
+        let ask = Candidates {
+            model: &model,
+            tried: &[],
+            data_centre: "dc",
+            far_ms: 0,
+            suspect: None,
+            seed: mix(self.outcome.requests, u64::from(attempt)),
+        };
+        let begun = Instant::now();
+        let chosen = choose(self.contender.policy, &self.weights, &self.views[entry], &ask);
+        self.outcome.decision_ns += u64::try_from(begun.elapsed().as_nanos()).unwrap_or(0);
+        self.outcome.decisions += 1;
+        let Some(engine) = chosen else {
+            self.outcome.refused += 1;
+            return;
+        };
+        let copies = self.views[entry].holders(&model).len();
+        self.views[entry].count_sent(&engine, &model);
+        let number = self.nodes.iter().position(|n| n.name == engine).unwrap_or(0);
+        self.requests.insert(request.clone(), (arrival, entry));
+        let waiting = Waiting {
+            key: RequestKey {
+                entry: "entry".into(),
+                incarnation: 1,
+                request: request.clone(),
+                attempt,
+            },
+            model,
+            caller: FastStr::from_string(format!("caller-{}", number % 10)),
+            class: arrival.class,
+            deadline: arrival.deadline,
+            fingerprint: Fingerprint(self.outcome.requests),
+            suspect: false,
+            copies: u32::try_from(copies).unwrap_or(u32::MAX),
+        };
+        let effects = self.nodes[number].slots.acquire(self.now, waiting);
+        self.effects(number, effects);
+    }
+
+    /// Brings the fault in half-way.
+    fn strike(&mut self) {
+        let half = self.end.as_millis() / 2;
+        if self.now.as_millis() != half - half % SLICE_MS {
+            return;
+        }
+        let count = self.nodes.len();
+        match self.fault {
+            Fault::None | Fault::Reversal | Fault::StoreSlow => {}
+            Fault::EngineRestart => self.crash(0, false),
+            Fault::EngineLost => self.crash(0, true),
+            Fault::DataCentreLost => {
+                (0..count).step_by(3).for_each(|number| self.crash(number, true));
+            }
+            Fault::KeepersLost => {
+                (0..count).step_by(2).for_each(|number| self.lose_keeper(number));
+            }
+        }
+    }
+
+    fn crash(&mut self, number: usize, for_good: bool) {
+        let node = &mut self.nodes[number];
+        node.lost = for_good;
+        node.epoch += 1;
+        let broken = node.fake.crash();
+        let (now, epoch) = (self.now, node.epoch);
+        node.slots.sync(now, now.after_ms(1), epoch - 1, &node.slots.resident().cloned().collect());
+        let (_, effects) = node.slots.sync(now, now.after_ms(1), epoch, &indexmap::IndexSet::new());
+        self.effects(number, effects);
+        self.orders.retain(|(_, n, _)| *n != number);
+        for key in broken {
+            let slots = &mut self.nodes[number].slots;
+            slots.release(now, &key, TicketEnd::Unused);
+            self.outcome.broken += 1;
+            // its entry sends it again
+            if let Some((arrival, entry)) = self.requests.get(&key.request).copied() {
+                self.views[entry].set_leaving(&self.nodes[number].name.clone(), true);
+                self.send(&key.request, arrival, entry, key.attempt + 1);
+            }
+        }
+    }
+
+    /// Another keeper takes the engine over: it knows what is resident, but not the demand.
+    fn lose_keeper(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        node.loads_from = self.now.after_ms(TAKEOVER_MS);
+        let effects = node.slots.refuse_all(egret_core::Reason::NoTarget, 0);
+        self.effects(number, effects);
+    }
+}
+
+fn fresh_slots(cfg: SlotSettings) -> EngineSlots {
+    EngineSlots::new(EngineLimits { adapter_slots: SLOTS, batch: BATCH }, cfg, 1)
+}
--- /dev/null
+++ b/crates/load/src/bench/outcome.rs
@@ -0,0 +1,70 @@
+//! What one run came to.
+
+/// Counts of one run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) requests: u64,
+    pub(crate) answered: u64,
+    pub(crate) refused: u64,
+    pub(crate) broken: u64,
+    pub(crate) stalled: u64,
+    pub(crate) stall_ms: Vec<u64>,
+    pub(crate) stalled_live: u64,
+    pub(crate) late: u64,
+    pub(crate) loads: u64,
+    pub(crate) in_transit_max: usize,
+    pub(crate) steps: u64,
+    pub(crate) sequences: u64,
+    pub(crate) adapters: u64,
+    /// Seconds after the fault until a second without any stall or refusal beyond the rate
+    /// before it.
+    pub(crate) recovery_s: Option<u64>,
+    pub(crate) decision_ns: u64,
+    pub(crate) decisions: u64,
+    pub(crate) by_second: Vec<u64>,
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of one run fit a f64")]
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+impl Outcome {
+    /// Stalled or refused requests of 1000.
+    pub(crate) fn stalls(&self) -> f64 {
+        1000.0 * ratio(self.stalled + self.refused, self.requests)
+    }
+
+    /// Refused requests of 1000.
+    pub(crate) fn refusals(&self) -> f64 {
+        1000.0 * ratio(self.refused, self.requests)
+    }
+
+    /// Time that a stalled request waited at the 95th percentile, in milliseconds.
+    pub(crate) fn stall_p95(&self) -> u64 {
+        let mut all = self.stall_ms.clone();
+        all.sort_unstable();
+        all.get(all.len() * 95 / 100).copied().unwrap_or(0)
+    }
+
+    /// Sequences for each distinct adapter in a step.
+    pub(crate) fn efficiency(&self) -> f64 {
+        ratio(self.sequences, self.adapters)
+    }
+
+    /// Nanoseconds that the choice of an engine takes.
+    pub(crate) fn decision_ns(&self) -> u64 {
+        self.decision_ns / self.decisions.max(1)
+    }
+
+    /// Works out the recovery from stalls and refusals by second, for a fault at `at_s`.
+    pub(crate) fn recover(&mut self, at_s: usize) {
+        const WINDOW_S: usize = 10;
+        let before = &self.by_second
+            [at_s.saturating_sub(60).min(self.by_second.len())..at_s.min(self.by_second.len())];
+        let usual = before.iter().sum::<u64>() * WINDOW_S as u64 / before.len().max(1) as u64;
+        let windows = self.by_second.get(at_s..).unwrap_or(&[]).windows(WINDOW_S);
+        let quiet = |window: &[u64]| window.iter().sum::<u64>() <= usual + usual / 4 + 2;
+        self.recovery_s = windows.enumerate().find(|(_, w)| quiet(w)).map(|(s, _)| s as u64);
+    }
+}
--- /dev/null
+++ b/crates/load/src/bench/table.rs
@@ -0,0 +1,118 @@
+//! The comparison as a table.
+
+use {
+    super::{Contender, outcome::Outcome},
+    crate::{cli::Fault, live::Shape},
+    clap::ValueEnum,
+    serde_json::{Value, json},
+    std::fmt::Write,
+};
+
+/// One policy under one fault in one deployment.
+pub(crate) struct Row {
+    pub(crate) shape: Shape,
+    pub(crate) fault: Fault,
+    pub(crate) contender: Contender,
+    pub(crate) runs: Vec<Outcome>,
+}
+
+/// Median, least and greatest of a figure over the seeds.
+struct Spread {
+    median: f64,
+    least: f64,
+    greatest: f64,
+}
+
+fn spread(runs: &[Outcome], figure: impl Fn(&Outcome) -> f64) -> Spread {
+    let mut all: Vec<f64> = runs.iter().map(figure).collect();
+    all.sort_by(f64::total_cmp);
+    let at = |index: usize| all.get(index).copied().unwrap_or(0.0);
+    Spread { median: at(all.len() / 2), least: at(0), greatest: at(all.len().saturating_sub(1)) }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "figures of one run fit a f64")]
+fn float(figure: u64) -> f64 {
+    figure as f64
+}
+
+fn fault_name(fault: Fault) -> String {
+    fault.to_possible_value().map(|v| v.get_name().to_owned()).unwrap_or_default()
+}
+
+/// The table as text: medians over the seeds, least and greatest in brackets.
+pub(crate) fn text(rows: &[Row]) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{:<12} {:<16} {:<17} {:>24} {:>8} {:>9} {:>20} {:>6} {:>7} {:>9} {:>9}",
+        "deployment",
+        "fault",
+        "policy",
+        "stalled+refused of 1000",
+        "refused",
+        "stall p95",
+        "batch efficiency",
+        "late",
+        "loads",
+        "recovery",
+        "decision"
+    );
+    for row in rows {
+        let stalls = spread(&row.runs, Outcome::stalls);
+        let refusals = spread(&row.runs, Outcome::refusals);
+        let p95 = spread(&row.runs, |r| float(r.stall_p95()));
+        let efficiency = spread(&row.runs, Outcome::efficiency);
+        let late = spread(&row.runs, |r| float(r.late));
+        let loads = spread(&row.runs, |r| float(r.loads));
+        let decision = spread(&row.runs, |r| float(r.decision_ns()));
+        let mut recoveries: Vec<u64> = row.runs.iter().filter_map(|r| r.recovery_s).collect();
+        recoveries.sort_unstable();
+        let recovery = recoveries.get(recoveries.len() / 2).map(|s| format!("{s} s"));
+        let _ = writeln!(
+            text,
+            "{:<12} {:<16} {:<17} {:>24} {:>8.1} {:>6.0} ms {:>20} {:>6.0} {:>7.0} {:>9} {:>6.0} ns",
+            row.shape.as_str(),
+            fault_name(row.fault),
+            row.contender.name,
+            format!("{:.1} ({:.1}..{:.1})", stalls.median, stalls.least, stalls.greatest),
+            refusals.median,
+            p95.median,
+            format!(
+                "{:.3} ({:.2}..{:.2})",
+                efficiency.median, efficiency.least, efficiency.greatest
+            ),
+            late.median,
+            loads.median,
+            recovery.unwrap_or_else(|| "-".to_owned()),
+            decision.median,
+        );
+    }
+    text
+}
+
+/// The table as JSON.
+pub(crate) fn json(rows: &[Row]) -> Value {
+    let row = |row: &Row| {
+        let medians = |figure: fn(&Outcome) -> f64| {
+            let spread = spread(&row.runs, figure);
+            json!({ "median": spread.median, "least": spread.least, "greatest": spread.greatest })
+        };
+        json!({
+            "deployment": row.shape.as_str(),
+            "fault": fault_name(row.fault),
+            "policy": row.contender.name,
+            "seeds": row.runs.len(),
+            "stalled_or_refused_of_1000": medians(Outcome::stalls),
+            "refused_of_1000": medians(Outcome::refusals),
+            "stall_p95_ms": medians(|r| float(r.stall_p95())),
+            "batch_efficiency": medians(Outcome::efficiency),
+            "late": medians(|r| float(r.late)),
+            "loads": medians(|r| float(r.loads)),
+            "in_transit_max": row.runs.iter().map(|r| r.in_transit_max).max(),
+            "stalled_live": medians(|r| float(r.stalled_live)),
+            "broken": medians(|r| float(r.broken)),
+            "decision_ns": medians(|r| float(r.decision_ns())),
+        })
+    };
+    json!(rows.iter().map(row).collect::<Vec<_>>())
+}
--- /dev/null
+++ b/crates/load/src/bench/trace.rs
@@ -0,0 +1,96 @@
+//! The requests of one run: the same for every policy.
+
+use {
+    crate::{
+        cli::{BenchArgs, Fault},
+        live::Shape,
+        popularity::Popularity,
+    },
+    egret_core::{Class, Time},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// Adapters of each deployment.
+const ADAPTERS: usize = 3000;
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Time,
+    pub(crate) adapter: usize,
+    pub(crate) class: Class,
+    pub(crate) tokens: u64,
+    pub(crate) deadline: Time,
+}
+
+/// Requests in the order of their arrival, drawn as they are asked for.
+#[derive(Debug)]
+pub(crate) struct Trace {
+    shape: Shape,
+    rng: ChaCha8Rng,
+    popularity: Popularity,
+    rate: f64,
+    at_ms: f64,
+    pub(crate) end: Time,
+    reversal: Option<Time>,
+}
+
+/// Requests a second of each deployment.
+fn own_rate(shape: Shape) -> f64 {
+    match shape {
+        Shape::Meteora => 12.0,
+        Shape::Cronometria => 20.0,
+    }
+}
+
+/// Time until a request must have begun to run.
+fn allowed_ms(class: Class) -> u64 {
+    match class {
+        Class::Live => 5000,
+        Class::Interactive => 20_000,
+        Class::Background => 120_000,
+    }
+}
+
+impl Trace {
+    /// The trace of one run.
+    pub(crate) fn new(shape: Shape, fault: Fault, seed: u64, args: &BenchArgs) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let popularity = Popularity::new(ADAPTERS, args.exponent, &mut rng);
+        let end = Time::from_millis(args.seconds * 1000);
+        let half = Time::from_millis(args.seconds * 500);
+        Self {
+            shape,
+            rng,
+            popularity,
+            rate: args.rate.unwrap_or_else(|| own_rate(shape)),
+            at_ms: 0.0,
+            end,
+            reversal: (fault == Fault::Reversal).then_some(half),
+        }
+    }
+
+    /// The next request, none after the end.
+    pub(crate) fn next(&mut self) -> Option<Arrival> {
+        // exponential gaps make a Poisson process
+        self.at_ms += -(1.0 - self.rng.random::<f64>()).ln() * 1000.0 / self.rate;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "ms of a run")]
+        let at = Time::from_millis(self.at_ms as u64);
+        if at >= self.end {
+            return None;
+        }
+        if self.reversal.is_some_and(|reversal| at >= reversal) {
+            self.popularity.reverse();
+            self.reversal = None;
+        }
+        let class = self.shape.class(&mut self.rng);
+        Some(Arrival {
+            at,
+            adapter: self.popularity.draw(&mut self.rng),
+            class,
+            tokens: self.shape.tokens(&mut self.rng),
+            deadline: at.after_ms(allowed_ms(class)),
+        })
+    }
+}
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -7,12 +7,12 @@
         bench,
         live::{LoadPlan, run_load},
     },
-    args::{Args, Verb},
+    args::{Args, RunArgs, Verb},
     clap::Parser,
     std::process::ExitCode,
 };
 
-pub(crate) use args::{BenchArgs, RunArgs};
+pub(crate) use args::{BenchArgs, Fault};
 
 /// Runs the command that the arguments name.
 #[must_use]
