Demand counts half after 300 s; direct tests of the guards

Cause: with a half-life of 60 s an engine forgets what is popular between two uses of a middling adapter. Also: guards that the fuzz worlds did not miss when taken out get direct tests (cancel before unpin, waits for permits, lost answers, suspects alone, batch limit, repeated release, retry budget).

--- a/crates/core/src/placement/policy.rs
+++ b/crates/core/src/placement/policy.rs
@@ -51,7 +51,7 @@
             gather_ms: 0,
             gather_most: 1,
             gather_slack_ms: 5000,
-            demand_half_life_ms: 60_000,
+            demand_half_life_ms: 300_000,
         }
     }
 }
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -199,3 +199,26 @@
     let next = course.ended(at(10_000), &engine, AttemptEnd::Moved, &mut budget);
     assert!(matches!(next, Next::GiveUp { outcome: Outcome::NotRun, .. }));
 }
+
+#[test]
+fn permits_owned_need_the_right_at_the_start() {
+    let mut permits = Permits::new(LIMITS);
+    permits.own(at(0), 0);
+    assert_eq!(permits.start(at(0), |_| false), None);
+    assert!(permits.lend(at(0), 1, 0, |_| false).is_empty());
+    assert_eq!(permits.start(at(0), |_| true), Some(0));
+}
+
+#[test]
+fn course_spent_budget_ends_the_request() {
+    let mut budget = RetryBudget::default();
+    while budget.take() {}
+    let mut course = Course::new(at(0), at(1000));
+    let next = course.ended(at(1), &"e1".into(), AttemptEnd::NotConnected, &mut budget);
+    let expected = Next::GiveUp {
+        outcome: Outcome::NotRun,
+        reason: Reason::RetryBudget,
+        retry_after_ms: 1000,
+    };
+    assert_eq!(next, expected);
+}
--- /dev/null
+++ b/crates/core/tests/slots.rs
@@ -0,0 +1,244 @@
+//! One engine's slots: batches, suspects, gathering, failures, takeover, restarts.
+
+use {
+    egret_core::{
+        Class, Effect, EngineLimits, EngineSlots, Fingerprint, LoadResult, ModelName, OrderKind,
+        Reason, RequestKey, SlotSettings, TicketEnd, Time, Waiting, Weights,
+    },
+    faststr::FastStr,
+    indexmap::IndexSet,
+};
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn model(number: u32) -> ModelName {
+    ModelName::new("b".into(), FastStr::from_string(format!("a{number}")), 1)
+}
+
+fn key(number: u32) -> RequestKey {
+    RequestKey {
+        entry: "entry".into(),
+        incarnation: 1,
+        request: FastStr::from_string(format!("r{number}")),
+        attempt: 1,
+    }
+}
+
+fn request(number: u32, adapter: u32) -> Waiting {
+    Waiting {
+        key: key(number),
+        model: model(adapter),
+        caller: "caller".into(),
+        class: Class::Interactive,
+        deadline: at(60_000),
+        fingerprint: Fingerprint(u64::from(number)),
+        suspect: false,
+        copies: 1,
+    }
+}
+
+/// Slots that may load, with the first `adapters` resident.
+fn slots(adapters: u32, cfg: SlotSettings) -> EngineSlots {
+    let limits = EngineLimits { adapter_slots: 2, batch: 3 };
+    let mut slots = EngineSlots::new(limits, cfg, 7);
+    let resident: IndexSet<ModelName> = (0..adapters).map(model).collect();
+    slots.sync(at(1), at(1), 1, &resident);
+    slots.tick(at(0), true, false);
+    slots
+}
+
+fn granted(effects: &[Effect]) -> Vec<RequestKey> {
+    let grant = |effect: &Effect| match effect {
+        Effect::Grant(grant) => Some(grant.key.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(grant).collect()
+}
+
+fn refused(effects: &[Effect]) -> Vec<Reason> {
+    let refusal = |effect: &Effect| match effect {
+        Effect::Refuse(refusal) => Some(refusal.reason),
+        _ => None,
+    };
+    effects.iter().filter_map(refusal).collect()
+}
+
+#[test]
+fn acquire_never_more_than_the_batch() {
+    let mut slots = slots(1, SlotSettings::default());
+    let all: usize = (0..10).map(|n| granted(&slots.acquire(at(1), request(n, 0))).len()).sum();
+    assert_eq!(all, 3);
+    assert_eq!(granted(&slots.release(at(2), &key(0), TicketEnd::Done)), [key(3)]);
+}
+
+#[test]
+fn acquire_suspect_runs_alone() {
+    let mut slots = slots(1, SlotSettings::default());
+    slots.acquire(at(1), request(0, 0));
+    let suspect = Waiting { suspect: true, ..request(1, 0) };
+    assert!(granted(&slots.acquire(at(1), suspect)).is_empty());
+    assert_eq!(granted(&slots.release(at(2), &key(0), TicketEnd::Done)), [key(1)]);
+    // and nothing beside it
+    assert!(granted(&slots.acquire(at(3), request(2, 0))).is_empty());
+    assert_eq!(granted(&slots.release(at(4), &key(1), TicketEnd::Done)), [key(2)]);
+}
+
+#[test]
+fn release_abandoned_keeps_the_pin_until_the_engine_confirms() {
+    let mut slots = slots(1, SlotSettings::default());
+    slots.acquire(at(1), request(0, 0));
+    let effects = slots.release(at(2), &key(0), TicketEnd::Abandoned);
+    assert!(matches!(effects[..], [Effect::Cancel(_)]));
+    assert!(slots.pinned(&model(0)));
+    slots.cancelled(at(3), &key(0));
+    assert!(!slots.pinned(&model(0)));
+}
+
+#[test]
+fn acquire_deadline_out_of_reach_is_refused_at_once() {
+    let mut slots = slots(1, SlotSettings::default());
+    let late = Waiting { deadline: at(100), ..request(0, 1) };
+    assert_eq!(refused(&slots.acquire(at(1), late)), [Reason::Deadline]);
+}
+
+#[test]
+fn acquire_cold_without_the_right_is_refused_at_once() {
+    let mut slots = slots(1, SlotSettings::default());
+    slots.tick(at(1), false, false);
+    assert_eq!(refused(&slots.acquire(at(2), request(0, 1))), [Reason::LoadsPaused]);
+    assert_eq!(granted(&slots.acquire(at(2), request(1, 0))).len(), 1);
+}
+
+#[test]
+fn loaded_failure_answers_all_that_wait_and_backs_off() {
+    let mut slots = slots(0, SlotSettings::default());
+    slots.acquire(at(1), request(0, 1));
+    slots.acquire(at(1), request(1, 1));
+    let effects = slots.begin_load(at(2), &model(1), 0);
+    assert!(matches!(&effects[..], [Effect::Order(o)] if o.kind == OrderKind::Load));
+    let effects = slots.loaded(at(3), &model(1), LoadResult::Failed);
+    assert_eq!(refused(&effects), [Reason::LoadFailed, Reason::LoadFailed]);
+    assert!(effects.contains(&Effect::FreePermit(0)));
+    assert_eq!(refused(&slots.acquire(at(4), request(2, 1))), [Reason::LoadFailed]);
+    assert!(refused(&slots.acquire(at(600), request(3, 1))).is_empty());
+}
+
+#[test]
+fn begin_load_evicts_only_what_nobody_uses_or_wants() {
+    let mut slots = slots(2, SlotSettings::default());
+    slots.acquire(at(1), request(0, 0));
+    slots.acquire(at(1), request(1, 5));
+    let effects = slots.begin_load(at(2), &model(5), 0);
+    let Some(Effect::Order(order)) = effects.first() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!((order.kind, &order.model), (OrderKind::Unload, &model(1)));
+    let effects = slots.unloaded(at(3), &model(1), LoadResult::Done);
+    assert!(matches!(&effects[..], [Effect::Order(o)] if o.model == model(5)));
+    assert_eq!(granted(&slots.loaded(at(4), &model(5), LoadResult::Done)), [key(1)]);
+}
+
+#[test]
+fn begin_load_waits_for_registration_after_a_takeover() {
+    let mut slots = slots(2, SlotSettings::default());
+    slots.require(["other".into()].into_iter().collect());
+    slots.acquire(at(1), request(0, 5));
+    assert!(slots.begin_load(at(2), &model(5), 0).is_empty());
+    slots.register(at(3), &"other".into(), 1, Vec::new());
+    assert_eq!(slots.begin_load(at(4), &model(5), 0).len(), 1);
+}
+
+#[test]
+fn unloaded_lost_answer_is_not_granted_until_a_later_probe() {
+    let mut slots = slots(2, SlotSettings::default());
+    slots.acquire(at(1), request(0, 5));
+    slots.begin_load(at(2), &model(5), 0);
+    slots.unloaded(at(3), &model(0), LoadResult::Lost);
+    slots.unloaded(at(3), &model(1), LoadResult::Lost);
+    let unsure = if slots.is_ready(&model(0)) { model(1) } else { model(0) };
+    let number = u32::from(unsure == model(1));
+    assert!(granted(&slots.acquire(at(4), request(1, number))).is_empty());
+    let listed: IndexSet<ModelName> = [model(0), model(1)].into_iter().collect();
+    // asked while the order may still be carried out
+    slots.sync(at(100), at(100), 1, &listed);
+    assert!(!slots.is_ready(&unsure));
+    slots.sync(at(9000), at(9000), 1, &listed);
+    assert!(slots.is_ready(&unsure));
+}
+
+#[test]
+fn sync_list_older_than_an_unload_brings_nothing_back() {
+    let mut slots = slots(2, SlotSettings::default());
+    slots.acquire(at(1), request(0, 5));
+    let effects = slots.begin_load(at(10), &model(5), 0);
+    let Some(Effect::Order(order)) = effects.first() else {
+        panic!("{effects:?}");
+    };
+    let victim = order.model.clone();
+    slots.unloaded(at(20), &victim, LoadResult::Done);
+    let listed: IndexSet<ModelName> = [model(0), model(1)].into_iter().collect();
+    slots.sync(at(21), at(15), 1, &listed);
+    assert!(!slots.is_ready(&victim));
+}
+
+#[test]
+fn sync_restart_names_what_ran_and_forgets_what_was_resident() {
+    let mut slots = slots(1, SlotSettings::default());
+    slots.acquire(at(1), request(3, 0));
+    let (crashed, _) = slots.sync(at(10), at(10), 2, &IndexSet::new());
+    assert_eq!(crashed, [Fingerprint(3)]);
+    assert!(!slots.is_ready(&model(0)));
+    // the same crash is not counted again when its entry reports late
+    slots.release(at(11), &key(3), TicketEnd::Broken);
+    let (crashed, _) = slots.sync(at(12), at(12), 2, &IndexSet::new());
+    assert!(crashed.is_empty());
+}
+
+#[test]
+fn lost_engine_then_started_anew_counts_one_crash() {
+    let mut slots = slots(1, SlotSettings::default());
+    slots.acquire(at(1), request(3, 0));
+    let (crashed, _) = slots.lost(at(5));
+    assert_eq!(crashed, [Fingerprint(3)]);
+    assert_eq!(refused(&slots.acquire(at(6), request(4, 0))), [Reason::NoTarget]);
+    slots.release(at(7), &key(3), TicketEnd::Broken);
+    let (crashed, _) = slots.sync(at(8), at(8), 2, &IndexSet::new());
+    assert!(crashed.is_empty());
+}
+
+#[test]
+fn gather_holds_background_until_enough_wait_or_time_is_up() {
+    let weights =
+        Weights { gather_ms: 10_000, gather_most: 3, gather_slack_ms: 1000, ..Weights::default() };
+    let cfg = SlotSettings { weights, ..SlotSettings::default() };
+    let mut slots = slots(1, cfg);
+    let background = |n| Waiting { class: Class::Background, ..request(n, 0) };
+    assert!(granted(&slots.acquire(at(1), background(0))).is_empty());
+    assert!(granted(&slots.acquire(at(2), background(1))).is_empty());
+    assert_eq!(granted(&slots.acquire(at(3), background(2))).len(), 3);
+    (0..3).for_each(|n| {
+        slots.release(at(4), &key(n), TicketEnd::Done);
+    });
+    assert!(granted(&slots.acquire(at(5), background(3))).is_empty());
+    assert_eq!(granted(&slots.tick(at(10_005), true, false)), [key(3)]);
+    slots.release(at(10_006), &key(3), TicketEnd::Done);
+    // live air is never held
+    let live = Waiting { class: Class::Live, ..request(4, 0) };
+    assert_eq!(granted(&slots.acquire(at(10_007), live)), [key(4)]);
+}
+
+#[test]
+fn acquire_one_callers_flood_leaves_room_in_the_queue() {
+    let cfg = SlotSettings { caller_queue_max: 4, ..SlotSettings::default() };
+    let mut slots = slots(1, cfg);
+    let refusals: Vec<Reason> =
+        (0..20).flat_map(|n| refused(&slots.acquire(at(1), request(n, 0)))).collect();
+    assert_eq!(refusals.len(), 20 - 3 - 4);
+    assert!(refusals.iter().all(|r| *r == Reason::CallerLimit));
+    let other = Waiting { caller: "other".into(), ..request(100, 0) };
+    assert!(refused(&slots.acquire(at(1), other)).is_empty());
+    // and it is served before the rest of the flood
+    assert_eq!(granted(&slots.release(at(2), &key(0), TicketEnd::Done)), [key(100)]);
+}
--- a/crates/load/src/bench/deployment.rs
+++ b/crates/load/src/bench/deployment.rs
@@ -21,6 +21,8 @@
 
 /// Virtual time between two looks at everything, in milliseconds.
 const SLICE_MS: u64 = 5;
+/// Virtual time between two looks at the queues, in milliseconds, as in the keeper.
+const TICK_MS: u64 = 20;
 /// Virtual time between two heartbeats, in milliseconds.
 const BEAT_MS: u64 = 200;
 /// Entries, each with views of its own.
@@ -148,15 +150,23 @@
                 let effects = slots.release(self.now, &key, TicketEnd::Done);
                 self.effects(number, effects);
             }
+        }
+        if self.now.as_millis().is_multiple_of(TICK_MS) {
+            self.tick();
+        }
+        if self.now.as_millis().is_multiple_of(BEAT_MS) {
+            self.beat();
+        }
+    }
+
+    fn tick(&mut self) {
+        for number in 0..self.nodes.len() {
             let can_load = self.now >= self.nodes[number].loads_from;
             let lost = self.nodes[number].lost;
             let effects = self.nodes[number].slots.tick(self.now, can_load && !lost, lost);
             self.effects(number, effects);
         }
         self.start_loads();
-        if self.now.as_millis().is_multiple_of(BEAT_MS) {
-            self.beat();
-        }
     }
 
     fn start_loads(&mut self) {
--- a/crates/load/src/bench/mod.rs
+++ b/crates/load/src/bench/mod.rs
@@ -8,11 +8,14 @@
 mod trace;
 
 use {
-    crate::{cli::BenchArgs, live::Shape},
+    crate::{
+        cli::{BenchArgs, Fault},
+        live::Shape,
+    },
     deployment::Deployment,
     egret_core::{Eviction, Policy, Weights},
     outcome::Outcome,
-    std::process::ExitCode,
+    std::{process::ExitCode, thread::ScopedJoinHandle},
     trace::Trace,
 };
 
@@ -46,20 +49,31 @@
     }
 }
 
+/// Runs all contenders, each in a thread of its own.
+fn compare(shape: Shape, fault: Fault, args: &BenchArgs) -> Vec<table::Row> {
+    let runs = |contender: Contender| -> Vec<Outcome> {
+        let run = |seed| {
+            let trace = Trace::new(shape, fault, seed, args);
+            Deployment::new(shape, contender, fault).run(trace)
+        };
+        (1..=args.seeds).map(run).collect()
+    };
+    std::thread::scope(|scope| {
+        let started = CONTENDERS.map(|c| (c, scope.spawn(move || runs(c))));
+        let row = |(contender, thread): (Contender, ScopedJoinHandle<'_, Vec<Outcome>>)| {
+            let runs = thread.join().unwrap_or_default();
+            table::Row { shape, fault, contender, runs }
+        };
+        started.into_iter().map(row).collect()
+    })
+}
+
 /// Runs the comparison and prints it.
 pub(crate) fn run(args: &BenchArgs) -> ExitCode {
     let mut rows = Vec::new();
     for shape in &args.shapes {
         for fault in &args.faults {
-            for contender in CONTENDERS {
-                let runs: Vec<Outcome> = (1..=args.seeds)
-                    .map(|seed| {
-                        let trace = Trace::new(*shape, *fault, seed, args);
-                        Deployment::new(*shape, contender, *fault).run(trace)
-                    })
-                    .collect();
-                rows.push(table::Row { shape: *shape, fault: *fault, contender, runs });
-            }
+            rows.extend(compare(*shape, *fault, args));
         }
     }
     if args.json {
