--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -173,6 +173,13 @@
         self.permits.values().filter(|p| p.free(now, &self.limits)).count()
     }
 
+    /// True when at least half of the permits could start a load now: the rest of the budget is
+    /// then spare.
+    #[must_use]
+    pub fn spare(&self, now: Time) -> bool {
+        !self.permits.is_empty() && 2 * self.free(now) >= self.permits.len()
+    }
+
     /// Permits that this keeper may use at all.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -53,6 +53,21 @@
         count.map_or(0.0, |c| c.decayed(now, self.half_life_ms))
     }
 
+    /// The adapter with the most uses that still count among those that `wanted` picks, if it
+    /// has at least `least` of them.
+    #[must_use]
+    pub fn most_used(
+        &self,
+        now: Time,
+        least: f64,
+        wanted: impl Fn(&ModelName) -> bool,
+    ) -> Option<ModelName> {
+        let candidates = self.counts.iter().filter(|(model, _)| wanted(model));
+        let uses = candidates.map(|(model, c)| (c.decayed(now, self.half_life_ms), model));
+        let best = uses.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        (best.0 >= least).then(|| best.1.clone())
+    }
+
     /// Adapters remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/src/slots/loads.rs
+++ b/crates/core/src/slots/loads.rs
@@ -9,6 +9,9 @@
     indexmap::IndexMap,
 };
 
+/// Uses that still count, from which on an adapter is worth a prefetch.
+const PREFETCH_USES_MIN: f64 = 1.5;
+
 impl EngineSlots {
     /// Adapters that waiting requests need and that are neither resident nor on their way,
     /// the most urgent first. Those that still gather requests are left out.
@@ -24,6 +27,18 @@
         due
     }
 
+    /// An adapter worth loading into a slot that holds nothing, though nobody waits for it: one
+    /// that was used here lately. Nothing gives way to it.
+    #[must_use]
+    pub fn prefetch(&self, now: Time) -> Option<ModelName> {
+        if self.free_slots() == 0 || !self.can_load || self.down {
+            return None;
+        }
+        let failed = |model: &ModelName| self.failures.get(model).is_some_and(|f| f.retry_at > now);
+        let missing = |model: &ModelName| !self.slots.contains_key(model) && !failed(model);
+        self.demand.most_used(now, PREFETCH_USES_MIN, missing)
+    }
+
     /// What waits, by adapter.
     pub(super) fn groups(&self) -> IndexMap<&ModelName, Want> {
         let mut groups: IndexMap<&ModelName, Want> = IndexMap::new();
--- a/crates/keeper/src/loader.rs
+++ b/crates/keeper/src/loader.rs
@@ -32,6 +32,9 @@
         tick += 1;
         tick_engines(&keeper);
         let left = start_loads(&keeper);
+        if left == 0 {
+            prefetch(&keeper);
+        }
         estimate_loads(&keeper, left);
         if left > 0 && tick.is_multiple_of(BORROW_TICKS) {
             tokio::spawn(peers::borrow(keeper.clone(), left));
@@ -82,6 +85,30 @@
     left
 }
 
+/// Refills one slot that holds nothing, for instance after a restart of its engine, if the
+/// budget has something to spare.
+fn prefetch(keeper: &Arc<Keeper>) {
+    if !keeper.permits.lock().spare(now()) {
+        return;
+    }
+    let found = keeper.shards().into_iter().find_map(|shard| {
+        let model = shard.slots.lock().prefetch(now())?;
+        Some((shard, model))
+    });
+    let Some((shard, model)) = found else {
+        return;
+    };
+    let usable: Vec<u16> = keeper.ownership.lock().usable_permits(now());
+    let Some(permit) = keeper.permits.lock().start(now(), |n| usable.contains(&n)) else {
+        return;
+    };
+    let effects = shard.slots.lock().begin_load(now(), &model, permit);
+    if effects.is_empty() {
+        keeper.permits.lock().not_started(now(), permit);
+    }
+    run_effects(keeper, &shard, effects);
+}
+
 fn collect_wants(keeper: &Keeper) -> Vec<(Arc<EngineShard>, Want)> {
     let mut all = Vec::new();
     for shard in keeper.shards() {
--- a/crates/load/src/bench/deployment.rs
+++ b/crates/load/src/bench/deployment.rs
@@ -15,7 +15,7 @@
         TicketEnd, Time, Views, Waiting, Weights, choose, mix,
     },
     faststr::FastStr,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::time::Instant,
 };
 
@@ -62,6 +62,7 @@
     permits: Permits,
     orders: Vec<(Time, usize, LoadOrder)>,
     requests: IndexMap<FastStr, (Arrival, usize)>,
+    seen: IndexSet<usize>,
     outcome: Outcome,
     now: Time,
     end: Time,
@@ -106,6 +107,7 @@
             permits,
             orders: Vec::new(),
             requests: IndexMap::new(),
+            seen: IndexSet::new(),
             outcome: Outcome::default(),
             now: Time::ZERO,
             end: Time::ZERO,
@@ -187,12 +189,32 @@
             }
             self.effects(number, effects);
         }
+        if waiting == 0 && self.contender.name == "weighted" {
+            self.prefetch();
+        }
         let estimate = LOAD_MS + waiting * LIMITS.spacing_ms() / u64::from(LIMITS.in_transit_max);
         for node in &mut self.nodes {
             node.slots.set_load_ms(estimate);
         }
     }
 
+    fn prefetch(&mut self) {
+        if !self.permits.spare(self.now) {
+            return;
+        }
+        let found = self.nodes.iter().enumerate().find_map(|(number, node)| {
+            let model = node.slots.prefetch(self.now)?;
+            Some((number, model))
+        });
+        let Some((number, model)) = found else {
+            return;
+        };
+        if let Some(permit) = self.permits.start(self.now, |_| true) {
+            let effects = self.nodes[number].slots.begin_load(self.now, &model, permit);
+            self.effects(number, effects);
+        }
+    }
+
     fn finish_orders(&mut self) {
         let now = self.now;
         let finished: Vec<(Time, usize, LoadOrder)> =
@@ -298,6 +320,9 @@
 
     fn arrive(&mut self, arrival: Arrival) {
         self.outcome.requests += 1;
+        if self.seen.insert(arrival.adapter) {
+            self.outcome.first_uses += 1;
+        }
         let number = usize::try_from(self.outcome.requests).unwrap_or(0);
         let request = FastStr::from_string(number.to_string());
         self.send(&request, arrival, number % ENTRIES, 1);
@@ -371,7 +396,7 @@
         let broken = node.fake.crash();
         let (now, epoch) = (self.now, node.epoch);
         node.slots.sync(now, now.after_ms(1), epoch - 1, &node.slots.resident().cloned().collect());
-        let (_, effects) = node.slots.sync(now, now.after_ms(1), epoch, &indexmap::IndexSet::new());
+        let (_, effects) = node.slots.sync(now, now.after_ms(1), epoch, &IndexSet::new());
         self.effects(number, effects);
         self.orders.retain(|(_, n, _)| *n != number);
         for key in broken {
--- a/crates/load/src/bench/outcome.rs
+++ b/crates/load/src/bench/outcome.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
     pub(crate) requests: u64,
+    /// Requests that were the first to name their adapter: without a prefetch they must stall.
+    pub(crate) first_uses: u64,
     pub(crate) answered: u64,
     pub(crate) refused: u64,
     pub(crate) broken: u64,
@@ -35,6 +37,11 @@
         1000.0 * ratio(self.stalled + self.refused, self.requests)
     }
 
+    /// First uses of an adapter of 1000 requests: what no policy avoids.
+    pub(crate) fn floor(&self) -> f64 {
+        1000.0 * ratio(self.first_uses, self.requests)
+    }
+
     /// Refused requests of 1000.
     pub(crate) fn refusals(&self) -> f64 {
         1000.0 * ratio(self.refused, self.requests)
--- a/crates/load/src/bench/table.rs
+++ b/crates/load/src/bench/table.rs
@@ -44,11 +44,12 @@
     let mut text = String::new();
     let _ = writeln!(
         text,
-        "{:<12} {:<16} {:<17} {:>24} {:>8} {:>9} {:>20} {:>6} {:>7} {:>9} {:>9}",
+        "{:<12} {:<16} {:<17} {:>24} {:>6} {:>8} {:>9} {:>20} {:>6} {:>7} {:>9} {:>9}",
         "deployment",
         "fault",
         "policy",
         "stalled+refused of 1000",
+        "floor",
         "refused",
         "stall p95",
         "batch efficiency",
@@ -70,11 +71,12 @@
         let recovery = recoveries.get(recoveries.len() / 2).map(|s| format!("{s} s"));
         let _ = writeln!(
             text,
-            "{:<12} {:<16} {:<17} {:>24} {:>8.1} {:>6.0} ms {:>20} {:>6.0} {:>7.0} {:>9} {:>6.0} ns",
+            "{:<12} {:<16} {:<17} {:>24} {:>6.1} {:>8.1} {:>6.0} ms {:>20} {:>6.0} {:>7.0} {:>9} {:>6.0} ns",
             row.shape.as_str(),
             fault_name(row.fault),
             row.contender.name,
             format!("{:.1} ({:.1}..{:.1})", stalls.median, stalls.least, stalls.greatest),
+            spread(&row.runs, Outcome::floor).median,
             refusals.median,
             p95.median,
             format!(
@@ -103,6 +105,7 @@
             "policy": row.contender.name,
             "seeds": row.runs.len(),
             "stalled_or_refused_of_1000": medians(Outcome::stalls),
+            "first_uses_of_1000": medians(Outcome::floor),
             "refused_of_1000": medians(Outcome::refusals),
             "stall_p95_ms": medians(|r| float(r.stall_p95())),
             "batch_efficiency": medians(Outcome::efficiency),
