Choice of an engine looks at each engine once

Cause: the weighted choice hashed and sorted all engines. It now keeps the two best in one pass and looks holders up in the index.

--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -30,9 +30,14 @@
     z ^ (z >> 31)
 }
 
+/// Hash of a text, the half of [`rendezvous`] that depends on one side only.
+pub(crate) fn text_hash(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
+}
+
 /// Weight of `node` for `key` in rendezvous hashing (Thaler and Ravishankar 1998):
 /// the node with the highest weight comes first.
 #[must_use]
 pub fn rendezvous(key: &str, node: &str) -> u64 {
-    mix(xxh3_64(key.as_bytes()), xxh3_64(node.as_bytes()))
+    mix(text_hash(key), text_hash(node))
 }
--- a/crates/core/src/ownership/rights.rs
+++ b/crates/core/src/ownership/rights.rs
@@ -5,6 +5,7 @@
     crate::Time,
     faststr::FastStr,
     indexmap::IndexMap,
+    std::sync::Arc,
 };
 
 /// Delay between the keepers that could claim a resource nobody holds.
@@ -54,6 +55,16 @@
     claimed: IndexMap<Resource, Time>,
     vacant_since: IndexMap<Resource, Time>,
     reset_again_at: Time,
+    proposed: Proposed,
+}
+
+/// Proposals, kept until the keepers seen live or the resources change: working them out costs
+/// the product of both.
+#[derive(Clone, Debug, Default)]
+struct Proposed {
+    live: Vec<FastStr>,
+    resources: Vec<Resource>,
+    proposals: Arc<IndexMap<Resource, FastStr>>,
 }
 
 impl Ownership {
@@ -70,6 +81,7 @@
             claimed: IndexMap::new(),
             vacant_since: IndexMap::new(),
             reset_again_at: Time::ZERO,
+            proposed: Proposed::default(),
         }
     }
 
@@ -173,7 +185,7 @@
         if !self.claims.contiguous() {
             return self.reset(now);
         }
-        let proposals = assign(resources, live);
+        let proposals = self.proposals(live, resources);
         let mut given = self.unreleased(now);
         if settled {
             given.extend(self.surplus(live, &proposals));
@@ -208,6 +220,22 @@
         records
     }
 
+    fn proposals(
+        &mut self,
+        live: &[FastStr],
+        resources: &[Resource],
+    ) -> Arc<IndexMap<Resource, FastStr>> {
+        let known = &self.proposed;
+        if known.live != live || known.resources != resources {
+            self.proposed = Proposed {
+                live: live.to_vec(),
+                resources: resources.to_vec(),
+                proposals: Arc::new(assign(resources, live)),
+            };
+        }
+        self.proposed.proposals.clone()
+    }
+
     fn reset(&mut self, now: Time) -> Vec<ClaimRecord> {
         if now < self.reset_again_at {
             return Vec::new();
--- a/crates/core/src/placement/choose.rs
+++ b/crates/core/src/placement/choose.rs
@@ -5,7 +5,11 @@
         policy::{Policy, Weights},
         views::{EngineView, Views},
     },
-    crate::{ModelName, mix, rendezvous},
+    crate::{
+        ModelName,
+        hash::{mix, text_hash},
+        rendezvous,
+    },
     faststr::FastStr,
 };
 
@@ -41,9 +45,7 @@
     views: &Views,
     ask: &Candidates<'_>,
 ) -> Option<FastStr> {
-    let usable = |(name, view): &(&FastStr, &EngineView)| {
-        view.base == ask.model.base && !view.leaving && !ask.tried.contains(*name)
-    };
+    let usable = |(name, view): &(&FastStr, &EngineView)| usable(name, view, ask);
     if let Some(content) = ask.suspect {
         let first = views.iter().filter(usable).max_by_key(|(n, _)| mix(content, key_of(n)));
         return first.map(|(name, _)| name.clone());
@@ -67,44 +69,45 @@
     rendezvous("", name)
 }
 
+/// The cheapest of the first engines in rendezvous order and of those that hold the model.
 fn weighted<'a>(
     weights: &Weights,
     views: &'a Views,
     ask: &Candidates<'_>,
 ) -> Option<(&'a FastStr, &'a EngineView)> {
-    let key = ask.model.to_string();
-    let mut best: Option<(u64, &FastStr, &EngineView)> = None;
-    let mut consider = |cost: u64, name: &'a FastStr, view: &'a EngineView| {
-        if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-            best = Some((cost, name, view));
-        }
-    };
-    for (rank, (name, view)) in ranked(views, ask, &key).into_iter().enumerate() {
+    let first = first_ranked(views, ask);
+    let holders = views.holders(ask.model).iter().filter_map(|name| views.get_pair(name));
+    let holders = holders.filter(|(name, view)| usable(name, view, ask));
+    let ranked = first.into_iter().flatten().enumerate();
+    let candidates = ranked.chain(holders.map(|pair| (COLD_CANDIDATES, pair)));
+    let cost = |(rank, (_, view)): &(usize, (&FastStr, &EngineView))| {
         let resident = view.resident.contains(ask.model);
-        if resident || rank < COLD_CANDIDATES {
-            let cost = cost_ms(weights, view, resident) + far_ms(view, ask) + RANK_MS * rank as u64;
-            consider(cost, name, view);
-        }
-    }
-    best.map(|(_, name, view)| (name, view))
+        cost_ms(weights, view, resident) + far_ms(view, ask) + RANK_MS * *rank as u64
+    };
+    candidates.min_by_key(cost).map(|(_, pair)| pair)
+}
+
+fn usable(name: &FastStr, view: &EngineView, ask: &Candidates<'_>) -> bool {
+    view.base == ask.model.base && !view.leaving && !ask.tried.contains(name)
 }
 
-/// Usable holders of the model and the first engines in rendezvous order, best rank first.
-fn ranked<'a>(
+/// The usable engines with the highest rendezvous weights, the best first.
+fn first_ranked<'a>(
     views: &'a Views,
     ask: &Candidates<'_>,
-    key: &str,
-) -> Vec<(&'a FastStr, &'a EngineView)> {
-    let usable = |(name, view): &(&FastStr, &EngineView)| {
-        view.base == ask.model.base && !view.leaving && !ask.tried.contains(*name)
-    };
-    let mut all: Vec<(u64, &FastStr, &EngineView)> = views
-        .iter()
-        .filter(usable)
-        .map(|(name, view)| (rendezvous(key, name), name, view))
-        .collect();
-    all.sort_unstable_by_key(|(weight, _, _)| std::cmp::Reverse(*weight));
-    all.into_iter().map(|(_, name, view)| (name, view)).collect()
+) -> [Option<(&'a FastStr, &'a EngineView)>; COLD_CANDIDATES] {
+    let key = text_hash(&ask.model.to_string());
+    let mut best: [(u64, Option<(&FastStr, &EngineView)>); COLD_CANDIDATES] =
+        [(0, None); COLD_CANDIDATES];
+    for (name, view) in views.iter().filter(|(name, view)| usable(name, view, ask)) {
+        let weight = mix(key, text_hash(name));
+        let Some(place) = best.iter().position(|(other, _)| weight >= *other) else {
+            continue;
+        };
+        best[place..].rotate_right(1);
+        best[place] = (weight, Some((name, view)));
+    }
+    best.map(|(_, pair)| pair)
 }
 
 fn cost_ms(weights: &Weights, view: &EngineView, resident: bool) -> u64 {
--- a/crates/core/src/placement/views.rs
+++ b/crates/core/src/placement/views.rs
@@ -64,6 +64,11 @@
         self.engines.get(name)
     }
 
+    /// The engine named `name`, with its name.
+    pub(super) fn get_pair(&self, name: &str) -> Option<(&FastStr, &EngineView)> {
+        self.engines.get_key_value(name)
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = (&FastStr, &EngineView)> {
         self.engines.iter()
--- a/crates/load/src/cli/args.rs
+++ b/crates/load/src/cli/args.rs
@@ -20,6 +20,8 @@
     Run(RunArgs),
     /// Compare policies by deployment and fault, in virtual time
     Bench(BenchArgs),
+    /// Measure what state, messages and decisions cost, at several sizes
+    Slopes,
 }
 
 #[derive(ClapArgs, Clone, Debug)]
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -6,6 +6,7 @@
     crate::{
         bench,
         live::{LoadPlan, run_load},
+        slopes,
     },
     args::{Args, RunArgs, Verb},
     clap::Parser,
@@ -20,6 +21,7 @@
     match Args::parse().verb {
         Verb::Run(args) => run_live(&args),
         Verb::Bench(args) => bench::run(&args),
+        Verb::Slopes => slopes::run(),
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 mod live;
 mod popularity;
+mod slopes;
 
 pub use {
     live::{LoadPlan, LoadReport, Shape, run_load},
--- /dev/null
+++ b/crates/load/src/slopes.rs
@@ -0,0 +1,223 @@
+//! What state, messages and decisions cost, at several sizes, for `docs/CAPACITY.md`.
+
+use {
+    egret_core::{
+        Adapter, Attempt, BaseModel, Candidates, Config, Demand, EngineView, Journal,
+        JournalRecord, KeyDigest, ModelName, Policy, Resource, Time, Views, Weights, assign,
+        choose,
+    },
+    egret_runtime::{
+        AcquireMsg, BeatMsg, Body, EngineViewMsg, Frame, GrantMsg, KeyMsg, ReleaseMsg, ResidentMsg,
+        ViewMsg,
+    },
+    faststr::FastStr,
+    prost::Message,
+    std::{fmt::Write, hint::black_box, process::ExitCode, time::Instant},
+};
+
+/// Times that a short piece of work is repeated.
+const REPEATS: u32 = 2000;
+
+/// Adapters resident on an engine.
+const RESIDENT: usize = 16;
+
+/// Prints all slopes.
+pub(crate) fn run() -> ExitCode {
+    println!("memory, bytes each (from the process's resident size)");
+    for count in [3000, 11_000, 100_000] {
+        println!("  configuration, adapter   {count:>7}: {:>6}", memory(count, config));
+        println!("  demand, adapter          {count:>7}: {:>6}", memory(count, demand));
+        println!("  journal, key             {count:>7}: {:>6}", memory(count, journal));
+    }
+    for count in [100, 1000, 3500] {
+        println!("  view, engine of 16       {count:>7}: {:>6}", memory(count, views));
+    }
+    messages();
+    decisions();
+    ExitCode::SUCCESS
+}
+
+/// Resident bytes of this process.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|v| v.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+fn memory<T>(count: usize, build: fn(usize) -> T) -> u64 {
+    let before = resident_bytes();
+    let copies: Vec<T> = (0..4).map(|_| build(count)).collect();
+    let after = resident_bytes();
+    // never given back, so that what is built next can't take its place
+    std::mem::forget(black_box(copies));
+    after.saturating_sub(before) / (4 * count as u64)
+}
+
+fn model(number: usize) -> ModelName {
+    ModelName::new("base-7b".into(), FastStr::from_string(format!("adapter-{number:06}")), 3)
+}
+
+fn config(adapters: usize) -> Config {
+    let mut config = Config::default();
+    config.manifest.base_models.insert("base-7b".into(), BaseModel {});
+    for number in 0..adapters {
+        let adapter = Adapter { versions: vec![1, 2] };
+        config.manifest.adapters.insert(model(number).adapter_key(), adapter);
+    }
+    config
+}
+
+fn demand(adapters: usize) -> Demand {
+    let mut demand = Demand::new(300_000);
+    (0..adapters).for_each(|number| demand.used(Time::from_millis(1), &model(number)));
+    demand
+}
+
+fn journal(keys: usize) -> Journal {
+    let mut journal = Journal::new(900_000);
+    for number in 0..keys {
+        let attempt = Attempt { entry: "entry-1".into(), incarnation: 1, number: number as u64 };
+        let record = JournalRecord::Intent {
+            key: KeyDigest::new("caller", "studio", &number.to_string()),
+            body: FastStr::from_string(egret_core::digest(&number.to_le_bytes())),
+            attempt,
+            expires_unix_ms: 900_000,
+        };
+        journal.observe(number as u64, record);
+    }
+    journal
+}
+
+fn views(engines: usize) -> Views {
+    let mut views = Views::default();
+    for number in 0..engines {
+        let first = number * RESIDENT;
+        let view = EngineView {
+            base: "base-7b".into(),
+            data_centre: "dc".into(),
+            keeper: "keeper".into(),
+            fence: 1,
+            batch: 8,
+            service_ms: 500,
+            load_ms: 300,
+            can_load: true,
+            resident: (first..first + RESIDENT).map(model).collect(),
+            ..EngineView::default()
+        };
+        views.update(&FastStr::from_string(format!("engine-{number}")), view);
+    }
+    views
+}
+
+fn framed(body: Body) -> usize {
+    const LENGTH_BYTES: usize = 4;
+    LENGTH_BYTES + Frame { id: 1_000_000, body: Some(body) }.encoded_len()
+}
+
+fn engine_message(lists: bool) -> EngineViewMsg {
+    let models = (0..RESIDENT).map(|n| model(n).to_string()).collect();
+    EngineViewMsg {
+        engine: "engine-1234".to_owned(),
+        fence: 1_000_000,
+        running: 6,
+        queued: 3,
+        service_ms: 700,
+        load_ms: 400,
+        can_load: true,
+        registered: true,
+        version: 1 << 40,
+        resident: lists.then_some(ResidentMsg { models }),
+        ..EngineViewMsg::default()
+    }
+}
+
+fn messages() {
+    let key = || KeyMsg { request: "entry-123-19be1a2b3c4-1000000".to_owned(), attempt: 1 };
+    let acquire = AcquireMsg {
+        key: key(),
+        engine: "engine-1234".to_owned(),
+        model: model(1).to_string(),
+        caller: "key-0123456789ab".to_owned(),
+        class: "interactive".to_owned(),
+        remaining_ms: 20_000,
+        fingerprint: 1,
+        suspect: false,
+        copies: 2,
+    };
+    let release = ReleaseMsg {
+        key: key(),
+        engine: "engine-1234".to_owned(),
+        end: "done".to_owned(),
+        fingerprint: 1,
+    };
+    let grant = GrantMsg { fence: 1_000_000, stall_ms: 300 };
+    let view = |engines: usize, lists: bool| ViewMsg {
+        engines: (0..engines).map(|_| engine_message(lists)).collect(),
+        revision: 1_000_000,
+        ..ViewMsg::default()
+    };
+    let known = (0..9).map(|n| (format!("engine-{n:04}"), 1_u64 << 40)).collect();
+    let beat = BeatMsg { entry: true, revision: 1_000_000, known, ..BeatMsg::default() };
+    println!("messages, bytes");
+    println!("  acquire {}", framed(Body::Acquire(acquire)));
+    println!("  grant {}", framed(Body::Grant(grant)));
+    println!("  release {}", framed(Body::Release(release)));
+    println!("  beat that knows 9 engines {}", framed(Body::Beat(beat)));
+    println!("  view of 9 engines, nothing new {}", framed(Body::View(view(9, false))));
+    println!("  view of 9 engines, all residents {}", framed(Body::View(view(9, true))));
+    let view = view(9, false);
+    let took = nanoseconds(|| {
+        let bytes = view.encode_to_vec();
+        black_box(ViewMsg::decode(bytes.as_slice()).is_ok());
+    });
+    println!("  encoding and decoding a view of 9 engines: {took} ns");
+}
+
+fn nanoseconds(mut work: impl FnMut()) -> u128 {
+    let begun = Instant::now();
+    (0..REPEATS).for_each(|_| work());
+    begun.elapsed().as_nanos() / u128::from(REPEATS)
+}
+
+fn decisions() {
+    println!("choice of an engine, ns (engines of one base model in one data centre)");
+    for count in [12, 56, 100, 1000] {
+        let views = views(count);
+        let mut line = format!("  {count:>5} engines:");
+        let policies = [
+            ("random", Policy::Random),
+            ("rendezvous", Policy::Rendezvous),
+            ("least loaded", Policy::LeastLoaded),
+            ("weighted", Policy::Weighted),
+        ];
+        for (name, policy) in policies {
+            let mut number = 0;
+            let took = nanoseconds(|| {
+                number += 1;
+                let model = model(number % 11_000);
+                let ask = Candidates {
+                    model: &model,
+                    tried: &[],
+                    data_centre: "dc",
+                    far_ms: 1,
+                    suspect: None,
+                    seed: number as u64,
+                };
+                black_box(choose(policy, &Weights::default(), &views, &ask));
+            });
+            let _ = write!(line, " {name} {took}");
+        }
+        println!("{line}");
+    }
+    println!("proposals of keepers, microseconds (only when hosts or engines change)");
+    for (engines, keepers) in [(12, 4), (390, 45), (3500, 410)] {
+        let resources: Vec<Resource> = (0..engines)
+            .map(|n| Resource::Engine(FastStr::from_string(format!("engine-{n}"))))
+            .collect();
+        let hosts: Vec<FastStr> =
+            (0..keepers).map(|n| FastStr::from_string(format!("entry-{n}"))).collect();
+        let begun = Instant::now();
+        black_box(assign(&resources, &hosts));
+        println!("  {engines} engines, {keepers} keepers: {}", begun.elapsed().as_micros());
+    }
+}
--- /dev/null
+++ b/crates/scenarios/examples/idle_cost.rs
@@ -0,0 +1,55 @@
+//! Measures what entries and keepers cost while nothing is asked of them, at several numbers of
+//! hosts: processor time, memory, and reads of the log.
+
+use {
+    egret_scenarios::{Deployment, Plan},
+    std::{fs, time::Duration},
+};
+
+/// How long each deployment is watched.
+const WATCH: Duration = Duration::from_secs(10);
+
+/// Clock ticks in a second, as the kernel counts processor time of processes.
+const TICKS_A_SECOND: f64 = 100.0;
+
+fn ticks(id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let field = |n: usize| fields.get(n).and_then(|v| v.parse::<f64>().ok()).unwrap_or(0.0);
+    field(11) + field(12)
+}
+
+fn resident_mb(id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{id}/statm")).unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|v| v.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * 4096.0 / 1e6
+}
+
+fn main() {
+    println!(
+        "hosts engines adapters | entry: % of a core, MB | keeper: % of a core, MB | log reads/s"
+    );
+    for (hosts, engines, adapters) in
+        [(2, 8, 3000), (4, 8, 3000), (8, 8, 3000), (4, 32, 3000), (4, 8, 11_000)]
+    {
+        let plan = Plan { hosts, engines, adapters, adapter_slots: 16, ..Plan::small() };
+        let mut deployment = Deployment::start(plan);
+        let entry = deployment.process("entry-1").id();
+        let keeper = deployment.process("keeper-1").id();
+        let log = deployment.layout.log();
+        let reads =
+            |d: &Deployment| d.get(log, "/stats").and_then(|s| s["reads"].as_f64()).unwrap_or(0.0);
+        let before = (ticks(entry), ticks(keeper), reads(&deployment));
+        std::thread::sleep(WATCH);
+        let after = (ticks(entry), ticks(keeper), reads(&deployment));
+        let share = |ticks: f64| 100.0 * ticks / TICKS_A_SECOND / WATCH.as_secs_f64();
+        println!(
+            "{hosts:>5} {engines:>7} {adapters:>8} | {:>5.2} {:>6.1} | {:>5.2} {:>6.1} | {:>6.1}",
+            share(after.0 - before.0),
+            resident_mb(entry),
+            share(after.1 - before.1),
+            resident_mb(keeper),
+            (after.2 - before.2) / WATCH.as_secs_f64(),
+        );
+    }
+}
--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -49,6 +49,12 @@
         &self.name
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to this very process.
     pub fn signal(&self, signal: Signal) {
         if let Ok(id) = i32::try_from(self.child.id()) {
