--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -53,6 +53,12 @@
         count.map_or(0.0, |c| c.decayed(now, self.half_life_ms))
     }
 
+    /// Uses of `model` in a millisecond, lately.
+    #[must_use]
+    pub fn rate(&self, now: Time, model: &ModelName) -> f64 {
+        self.uses(now, model) * std::f64::consts::LN_2 / self.half_life_ms
+    }
+
     /// The adapter with the most uses that still count among those that `wanted` picks, if it
     /// has at least `least` of them.
     #[must_use]
--- a/crates/core/src/slots/evict.rs
+++ b/crates/core/src/slots/evict.rs
@@ -5,6 +5,9 @@
     crate::{Eviction, ModelName, Time},
 };
 
+/// Usual intervals between two uses after which an adapter counts as less popular.
+const IDLE_INTERVALS: f64 = 3.0;
+
 impl EngineSlots {
     /// The adapter to unload next, none while every one is in use or wanted.
     pub(super) fn victim(&self, now: Time) -> Option<ModelName> {
@@ -22,10 +25,14 @@
         chosen.map(|(model, _)| model.clone())
     }
 
-    /// Uses that would have to wait for a reload, in the time of the demand's half-life. Another
-    /// copy elsewhere takes part of them.
+    /// Uses in a millisecond that would have to wait for a reload. Another copy elsewhere takes
+    /// part of them. An adapter that was not used for several times its usual interval has lost
+    /// its popularity: then the time since its last use bounds its rate.
     fn worth(&self, now: Time, (model, slot): &(&ModelName, &Slot)) -> f64 {
-        self.demand.uses(now, model) / f64::from(slot.copies.max(1))
+        #[expect(clippy::cast_precision_loss, reason = "hours in milliseconds fit a f64")]
+        let idle_ms = now.ms_since(slot.last_use).max(1) as f64;
+        let rate = self.demand.rate(now, model).min(IDLE_INTERVALS / idle_ms);
+        rate / f64::from(slot.copies.max(1))
     }
 
     fn wanted(&self, model: &ModelName) -> bool {
