Loads start at once, only running gathers

Cause: requests that gathered before their load counted as stalled one by one, and the load began late.

--- a/crates/core/src/slots/loads.rs
+++ b/crates/core/src/slots/loads.rs
@@ -18,11 +18,7 @@
     #[must_use]
     pub fn wants(&self, now: Time) -> Vec<Want> {
         let missing = |want: &Want| !self.slots.contains_key(&want.model);
-        let mut due: Vec<Want> = self
-            .groups()
-            .into_values()
-            .filter(|want| missing(want) && !self.gathers(now, want))
-            .collect();
+        let mut due: Vec<Want> = self.groups().into_values().filter(missing).collect();
         due.sort_by_key(|w| (w.class, std::cmp::Reverse(w.waiting), w.deadline, w.since));
         due
     }
