--- a/crates/core/src/journal/fold.rs
+++ b/crates/core/src/journal/fold.rs
@@ -158,6 +158,12 @@
         Ok(())
     }
 
+    /// True when `key` is in use.
+    #[must_use]
+    pub fn knows(&self, key: &KeyDigest) -> bool {
+        self.entries.contains_key(key)
+    }
+
     /// What may be done for a request with `key` and a body of digest `body`.
     #[must_use]
     pub fn lookup(&self, key: &KeyDigest, body: &str) -> Lookup {
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        keyed::{Keyed, keyed},
+        keyed::{Keyed, keyed, truthful},
         target::{Outgoing, ServiceHost, targets},
     },
     crate::{
@@ -48,7 +48,11 @@
     };
     let path = head.uri.path().strip_prefix("/services/").unwrap_or_default();
     let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-    let service = FastStr::new(service);
+    let asked = Keyed {
+        service: FastStr::new(service),
+        caller: caller.clone(),
+        headers: head.headers.clone(),
+    };
     if !entry.config.ready() || entry.leaving() {
         let (reason, message) = if entry.leaving() {
             (Reason::Leaving, "this host is leaving; another one takes the request")
@@ -56,15 +60,14 @@
             (Reason::NotReady, "no configuration is in force here yet")
         };
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        // with a key the request may have run through another host before
         let answer = refusal(status, reason, message, Some(RETRY_AFTER_MS));
-        return refuse(&entry, unknown_if_keyed(&head.headers, answer));
+        return refuse(&entry, truthful(&entry, &asked, answer).await);
     }
     let Some(admitted) = Admitted::new(&entry, &caller) else {
         let status = StatusCode::TOO_MANY_REQUESTS;
         let message = "too many requests of this caller are open";
         let answer = refusal(status, Reason::CallerLimit, message, Some(RETRY_AFTER_MS));
-        return refuse(&entry, unknown_if_keyed(&head.headers, answer));
+        return refuse(&entry, truthful(&entry, &asked, answer).await);
     };
     let body = match read_limited(body, entry.cfg.limits.body_bytes).await {
         Ok(body) => body,
@@ -74,14 +77,12 @@
         }
     };
     let config = entry.config.current();
-    let Some(hosts) = targets(&entry, &config, &service, &request) else {
-        let message = format!("no such service: {service}");
-        return refuse(
-            &entry,
-            refusal(StatusCode::NOT_FOUND, Reason::UnknownModel, &message, None),
-        );
+    let Some(hosts) = targets(&entry, &config, &asked.service, &request) else {
+        let message = format!("no such service: {}", asked.service);
+        let answer = refusal(StatusCode::NOT_FOUND, Reason::UnknownModel, &message, None);
+        return refuse(&entry, truthful(&entry, &asked, answer).await);
     };
-    entry.traces.begin(&request, &format!("service {service}"), &caller);
+    entry.traces.begin(&request, &format!("service {}", asked.service), &caller);
     let query = head.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
     let outgoing = Outgoing {
         method: head.method.clone(),
@@ -91,27 +92,14 @@
     };
     let call = Call { entry: entry.clone(), request: request.clone(), hosts, outgoing };
     let repeatable = matches!(head.method, Method::GET | Method::HEAD);
-    let served = if repeatable {
-        call.repeatable().await
-    } else {
-        let asked = Keyed { service, caller, headers: head.headers };
-        keyed(call, asked, admitted).await
-    };
+    let served =
+        if repeatable { call.repeatable().await } else { keyed(call, asked, admitted).await };
     match served {
         Ok(served) => respond(&entry, &request, served),
         Err(answer) => refuse(&entry, answer),
     }
 }
 
-/// A refusal before the journal was looked into says nothing of earlier requests with the key.
-fn unknown_if_keyed(headers: &HeaderMap, mut answer: Answer) -> Answer {
-    if headers.contains_key("idempotency-key") {
-        answer.outcome = Outcome::Unknown;
-        answer.message.push_str("; whether an earlier request with this key ran is not known here");
-    }
-    answer
-}
-
 fn passed_on(headers: &HeaderMap, request: &FastStr) -> HeaderMap {
     let mut passed = HeaderMap::new();
     for name in &PASSED_ON {
--- a/crates/entry/src/services/keyed.rs
+++ b/crates/entry/src/services/keyed.rs
@@ -2,7 +2,7 @@
 
 use {
     super::call::{Call, Served, served},
-    crate::state::Admitted,
+    crate::state::{Admitted, Entry},
     egret_core::{
         AfterIntent, Attempt, BeginError, Journal, JournalRecord, KeyDigest, Lookup, Outcome,
         Reason, RecordedAnswer, Time, digest,
@@ -21,6 +21,9 @@
 /// Longest wait for an answer to get into the journal before its caller gets it, in milliseconds.
 const RECORD_MS: u64 = 300;
 
+/// Longest look into the journal for a request that is refused anyway, in milliseconds.
+const TRUTH_MS: u64 = 500;
+
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 256;
 
@@ -59,6 +62,24 @@
     })
 }
 
+/// Makes a refusal true for a request with a key: it says "not run" only if the journal, read to
+/// its end after the request came, does not know the key.
+pub(super) async fn truthful(entry: &Entry, asked: &Keyed, mut answer: Answer) -> Answer {
+    let text = |name: &str| asked.headers.get(name).and_then(|v| v.to_str().ok());
+    let Some(key) = text("idempotency-key") else {
+        return answer;
+    };
+    let expires = text("idempotency-expires").and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let digest = KeyDigest::new(&asked.caller, &asked.service, key);
+    let read = entry.journal.refresh(entry, now().after_ms(TRUTH_MS)).await;
+    let free = entry.journal.with(|j| j.begin(unix_ms(), expires).is_ok() && !j.knows(&digest));
+    if !(read && free) {
+        answer.outcome = Outcome::Unknown;
+        answer.message.push_str("; an earlier request with this key may have run");
+    }
+    answer
+}
+
 fn read_key(call: &Call, asked: &Keyed) -> Result<Key, Answer> {
     let bad = |message: &str| Answer {
         status: StatusCode::BAD_REQUEST,
--- a/crates/load/src/live/report.rs
+++ b/crates/load/src/live/report.rs
@@ -89,7 +89,9 @@
         if got.outcome != "done" {
             let reason = format!("{}/{}", got.outcome, got.reason);
             *self.reasons.entry(reason).or_default() += 1;
-            self.without_retry_after += u64::from(!got.retry_after);
+            // one that was not even connected has no headers
+            let told = got.retry_after || got.outcome == "not_sent";
+            self.without_retry_after += u64::from(!told);
         }
         self.wrong += u64::from(got.wrong);
         if got.stall_ms > 0 {
--- a/crates/scenarios/examples/idle_cost.rs
+++ b/crates/scenarios/examples/idle_cost.rs
@@ -2,8 +2,14 @@
 //! hosts: processor time, memory, and reads of the log.
 
 use {
+    egret_runtime::{Body, Hello, Link, StatusMsg, now, serve_links},
     egret_scenarios::{Deployment, Plan},
-    std::{fs, time::Duration},
+    std::{
+        fs,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// How long each deployment is watched.
@@ -25,7 +31,32 @@
     pages.unwrap_or(0.0) * 4096.0 / 1e6
 }
 
+/// Questions and answers on one link.
+const ROUND_TRIPS: u32 = 5000;
+
+/// Measures the hop from an entry to a keeper: question and answer on one link, in microseconds.
+async fn round_trip() -> u128 {
+    let address: SocketAddr = "127.19.0.1:7100".parse().expect("an address");
+    let answerer = Arc::new(|_: Arc<Hello>, body: Body| Box::pin(async move { Some(body) }) as _);
+    tokio::spawn(serve_links(address, "s".to_owned(), answerer));
+    let hello = Hello { host: "h".to_owned(), incarnation: 1, secret: "s".to_owned() };
+    let link = loop {
+        match Link::connect(address, &hello, now().after_ms(1000)).await {
+            Ok(link) => break link,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let begun = Instant::now();
+    for _ in 0..ROUND_TRIPS {
+        let question = Body::Status(StatusMsg::default());
+        link.call(question, now().after_ms(1000)).await.expect("the link answers");
+    }
+    begun.elapsed().as_micros() / u128::from(ROUND_TRIPS)
+}
+
 fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be built");
+    println!("hop from entry to keeper and back: {} microseconds", runtime.block_on(round_trip()));
     println!(
         "hosts engines adapters | entry: % of a core, MB | keeper: % of a core, MB | log reads/s"
     );
--- a/crates/scenarios/tests/driver/hosts.rs
+++ b/crates/scenarios/tests/driver/hosts.rs
@@ -173,6 +173,11 @@
                 let model = model_name(&case.take_arg::<String>("model").unwrap());
                 self.deployment().wait("it is resident", |d| resident(d, &model));
             }
+            "down" => self.deployment().wait("keepers see it down", |d| {
+                let engines = keepers_engines(d);
+                who.iter()
+                    .all(|w| engines.iter().any(|e| e["engine"] == json!(w) && e["down"] == true))
+            }),
             "up" => {
                 for who in &who {
                     let address = self.address(who);
--- a/crates/scenarios/tests/live.rs
+++ b/crates/scenarios/tests/live.rs
@@ -44,6 +44,16 @@
     run("graceful_stop");
 }
 
+#[test]
+fn rolling_replacement() {
+    run("rolling_replacement");
+}
+
+#[test]
+fn data_centre_lost() {
+    run("data_centre_lost");
+}
+
 #[test]
 fn crash_suspects() {
     run("crash_suspects");
