One start for both daemons, one place for final answers

Cause: read-through; the start of the daemons, the audit settings, the counting of final answers and the examples' load stood twice; admission to an engine's slots moves to a file of its own. No behaviour changes; core tests pass.

--- a/crates/core/src/slots/mod.rs
+++ b/crates/core/src/slots/mod.rs
@@ -1,5 +1,6 @@
 //! The adapter slots, the queue and the tickets of one engine, as its keeper decides on them.
 
+mod admit;
 mod dispatch;
 mod engine;
 mod evict;
--- a/crates/entry/src/calls/run.rs
+++ b/crates/entry/src/calls/run.rs
@@ -5,7 +5,10 @@
         attempt::{Attempt, Brought, Served},
         parse::{Kind, ModelRequest, Unacceptable, caller, parse},
     },
-    crate::state::{Admitted, Entry},
+    crate::{
+        finish::{count, refuse},
+        state::{Admitted, Entry},
+    },
     egret_core::{Course, Next, Outcome, Reason, Standing},
     egret_runtime::{Answer, events, now, read_limited},
     faststr::FastStr,
@@ -177,26 +180,6 @@
     }
 }
 
-fn refuse(entry: &Entry, answer: Answer) -> Response {
-    count(entry, answer.outcome, answer.reason.as_str());
-    let (request, reason) = (&answer.request, answer.reason);
-    entry.traces.step(request, format!("final answer {} {reason}", answer.outcome.as_str()));
-    match answer.outcome {
-        Outcome::Unknown => {
-            events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
-        }
-        Outcome::NotRun | Outcome::Done => {
-            events::REQUEST_REFUSED.debug(format_args!("request={request} reason={reason}"));
-        }
-    }
-    answer.into_response()
-}
-
-fn count(entry: &Entry, outcome: Outcome, reason: &str) {
-    let labels = vec![("outcome", outcome.as_str().to_owned()), ("reason", reason.to_owned())];
-    entry.counts.answers.get_or_create(&labels).inc();
-}
-
 fn respond(
     entry: &Arc<Entry>,
     req: &ModelRequest,
--- a/crates/entry/src/conf.rs
+++ b/crates/entry/src/conf.rs
@@ -2,7 +2,7 @@
 
 use {
     egret_core::{Policy, Weights},
-    egret_runtime::{LogSettings, PlatformSettings},
+    egret_runtime::{AuditSettings, LogSettings, PlatformSettings},
     faststr::FastStr,
     serde::Deserialize,
     std::net::SocketAddr,
@@ -148,20 +148,6 @@
     }
 }
 
-/// The audit trail.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct AuditSettings {
-    /// Milliseconds between two appends to the log.
-    pub interval_ms: u64,
-}
-
-impl Default for AuditSettings {
-    fn default() -> Self {
-        Self { interval_ms: 2000 }
-    }
-}
-
 impl Settings {
     /// Values that can't be used, as pairs of key and problem.
     #[must_use]
--- /dev/null
+++ b/crates/entry/src/finish.rs
@@ -0,0 +1,30 @@
+//! Final answers: counted, traced, logged.
+
+use {
+    crate::state::Entry,
+    egret_core::Outcome,
+    egret_runtime::{Answer, events},
+    volo_http::response::Response,
+};
+
+/// Counts a final answer.
+pub(crate) fn count(entry: &Entry, outcome: Outcome, reason: &str) {
+    let labels = vec![("outcome", outcome.as_str().to_owned()), ("reason", reason.to_owned())];
+    entry.counts.answers.get_or_create(&labels).inc();
+}
+
+/// Gives a caller the final answer that its request was refused or has an unknown outcome.
+pub(crate) fn refuse(entry: &Entry, answer: Answer) -> Response {
+    count(entry, answer.outcome, answer.reason.as_str());
+    let (request, reason) = (&answer.request, answer.reason);
+    entry.traces.step(request, format!("final answer {} {reason}", answer.outcome.as_str()));
+    match answer.outcome {
+        Outcome::Unknown => {
+            events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
+        }
+        Outcome::NotRun | Outcome::Done => {
+            events::REQUEST_REFUSED.debug(format_args!("request={request} reason={reason}"));
+        }
+    }
+    answer.into_response()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod calls;
 pub mod cli;
 mod conf;
+mod finish;
 mod keepers;
 mod services;
 mod state;
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         calls::caller,
+        finish::{count, refuse},
         state::{Admitted, Entry},
     },
     egret_core::{AttemptEnd, Course, Next, Outcome, Reason},
@@ -189,8 +190,7 @@
 }
 
 fn respond(entry: &Entry, request: &FastStr, served: Served) -> Response {
-    let labels = vec![("outcome", "done".to_owned()), ("reason", "done".to_owned())];
-    entry.counts.answers.get_or_create(&labels).inc();
+    count(entry, Outcome::Done, "done");
     entry.traces.step(request, format!("answered by {}", served.target));
     events::REQUEST_DONE.debug(format_args!("request={request}"));
     let mut response = Response::new(Body::from(served.body));
@@ -209,19 +209,3 @@
     }
     response
 }
-
-fn refuse(entry: &Entry, answer: Answer) -> Response {
-    let labels = vec![
-        ("outcome", answer.outcome.as_str().to_owned()),
-        ("reason", answer.reason.as_str().to_owned()),
-    ];
-    entry.counts.answers.get_or_create(&labels).inc();
-    let (request, reason) = (&answer.request, answer.reason);
-    entry.traces.step(request, format!("final answer {} {reason}", answer.outcome.as_str()));
-    if answer.outcome == Outcome::Unknown {
-        events::REQUEST_UNKNOWN.warn(format_args!("request={request} reason={reason}"));
-    } else {
-        events::REQUEST_REFUSED.debug(format_args!("request={request} reason={reason}"));
-    }
-    answer.into_response()
-}
--- a/crates/keeper/src/cli/mod.rs
+++ b/crates/keeper/src/cli/mod.rs
@@ -6,36 +6,16 @@
     crate::{conf::Settings, links, loader, ownership, peers, snapshots, state::Keeper, web},
     args::Args,
     clap::Parser,
-    egret_runtime::{HostsClient, LogClient, events, load_settings, serve_links, start_logs},
+    egret_runtime::{HostsClient, LogClient, events, load_settings, run_daemon, serve_links},
     std::{process::ExitCode, sync::Arc},
 };
 
-/// Exit code for settings that were refused.
-const EXIT_SETTINGS: u8 = 2;
-
 /// Runs the keeper until it is told to stop.
 #[must_use]
 pub fn run() -> ExitCode {
     let args = Args::parse();
-    let cfg = match load_settings(&args.common.config, Settings::faults) {
-        Ok(cfg) => cfg,
-        Err(e) => {
-            eprintln!("egret-keeper: {e}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    if args.common.check {
-        println!("{}: settings are right", args.common.config.display());
-        return ExitCode::SUCCESS;
-    }
-    start_logs(&cfg.logs);
-    match serve(cfg) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("egret-keeper: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    let settings = load_settings(&args.common.config, Settings::faults);
+    run_daemon("egret-keeper", &args.common, settings, |cfg: &Settings| &cfg.logs, serve)
 }
 
 fn serve(cfg: Settings) -> std::io::Result<()> {
--- a/crates/runtime/src/conf.rs
+++ b/crates/runtime/src/conf.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// The audit trail.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AuditSettings {
+    /// Milliseconds between two appends to the log.
+    pub interval_ms: u64,
+}
+
+impl Default for AuditSettings {
+    fn default() -> Self {
+        Self { interval_ms: 2000 }
+    }
+}
+
 /// Where the platform's services are.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod clock;
 mod conf;
+mod daemon;
 mod event;
 mod link;
 mod logs;
@@ -16,7 +17,8 @@
 pub use args::CommonArgs;
 pub use audit::{Audit, AuditRecord};
 pub use clock::{now, unix_ms};
-pub use conf::{ConfError, LogFormat, LogSettings, PlatformSettings, load_settings};
+pub use conf::{AuditSettings, ConfError, LogFormat, LogSettings, PlatformSettings, load_settings};
+pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
     AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg, Link,
--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -6,6 +6,7 @@
         process::Process,
     },
     egret_core::Manifest,
+    egret_load::{LoadPlan, Shape},
     egret_runtime::{Caller, HostEntry, Reply, now},
     http::{HeaderMap, Method},
     indexmap::IndexMap,
@@ -345,6 +346,25 @@
         })
     }
 
+    /// A load of Meteora's shape on this deployment: 20 requests a second for 2 s.
+    #[must_use]
+    pub fn load_plan(&self) -> LoadPlan {
+        LoadPlan {
+            entries: self.entries(),
+            engines: self.engines(),
+            shape: Shape::Meteora,
+            base: "base".to_owned(),
+            adapters: self.plan.adapters,
+            rate: 20.0,
+            seconds: 2,
+            exponent: 1.1,
+            shift_every: 0,
+            publications: 0.05,
+            service: "studio".to_owned(),
+            seed: 1,
+        }
+    }
+
     /// Addresses of all entries.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
