--- a/crates/core/src/placement/views.rs
+++ b/crates/core/src/placement/views.rs
@@ -25,12 +25,8 @@
     pub queued: u32,
     /// Typical time a request runs, in milliseconds.
     pub service_ms: u64,
-    /// Adapters waiting to be loaded there.
-    pub loads_waiting: u32,
     /// Typical time from asking for a load to its end, in milliseconds.
     pub load_ms: u64,
-    /// Adapter slots that hold nothing.
-    pub free_slots: u32,
     /// False while its keeper may not order loads.
     pub can_load: bool,
     /// True when it is to get no new work.
@@ -105,7 +101,6 @@
         };
         view.queued += 1;
         if view.resident.insert(model.clone()) {
-            view.loads_waiting += 1;
             let engine = FastStr::new(name);
             self.holders.entry(model.clone()).or_default().push(engine);
         }
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -62,7 +62,6 @@
     STARTED = 1001 "process started";
     STOPPING = 1002 "graceful stop began";
     STOPPED = 1003 "graceful stop ended";
-    SETTINGS_REFUSED = 1004 "settings refused";
     LOG_UNREACHABLE = 1010 "platform log can't be read";
     LOG_REACHABLE = 1011 "platform log can be read again";
     LOG_RECORD_UNKNOWN = 1012 "record of a log stream not understood";
@@ -75,7 +74,6 @@
     REQUEST_UNKNOWN = 1103 "request ended with unknown outcome";
     ATTEMPT_FAILED = 1104 "attempt failed";
     ANSWER_DROPPED = 1105 "answer that matches no open attempt dropped";
-    JOURNAL_SETTLED = 1110 "journal entry settled";
     JOURNAL_UNSETTLED = 1111 "journal entry could not be settled";
     REGISTERED = 1120 "open tickets registered with a keeper";
     CLAIM_APPENDED = 1201 "claim appended";
@@ -85,10 +83,8 @@
     ORDER_FAILED = 1211 "order failed";
     ORDER_FENCED = 1212 "order refused for its fencing number";
     ORDER_WITHHELD = 1213 "order withheld because the right had lapsed";
-    ENGINE_RESTARTED = 1220 "engine restarted";
     ENGINE_LOST = 1221 "engine takes no connections";
     SUSPECTS_FOUND = 1222 "contents became crash suspects";
     TICKET_CANCELLED = 1230 "lapsed ticket cancelled at the engine";
     PERMITS_LENT = 1240 "weight store permits lent";
-    STANDIN_FAULT = 1401 "fault switch set on a stand-in";
 }
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -263,15 +263,9 @@
     /// Typical time a request runs, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub service_ms: u64,
-    /// Adapters waiting to be loaded.
-    #[prost(uint32, tag = "6")]
-    pub loads_waiting: u32,
     /// Typical time from wanting an adapter to having it, in milliseconds.
     #[prost(uint64, tag = "7")]
     pub load_ms: u64,
-    /// Slots that hold nothing.
-    #[prost(uint32, tag = "8")]
-    pub free_slots: u32,
     /// True when loads may be ordered.
     #[prost(bool, tag = "9")]
     pub can_load: bool,
