One pool of links for entries and keepers

Cause: read-through; the keeper kept its links in a global, the entry in a type of its own with the same logic. Both use LinkPool now.

--- a/crates/entry/src/keepers/beat.rs
+++ b/crates/entry/src/keepers/beat.rs
@@ -6,7 +6,7 @@
     egret_runtime::{BeatMsg, Body, EngineViewMsg, Link, RegisterMsg, ViewMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Heartbeats between two that list all open tickets.
@@ -51,7 +51,8 @@
             forget(&entry, &member.host, &mut keeper);
             return;
         };
-        if let Some(link) = entry.links.open(&entry, &member).await {
+        let address = SocketAddr::new(member.ip, entry.cfg.keeper_port);
+        if let Some(link) = entry.links.open(&member.host, address).await {
             beat_once(&entry, &member, &mut keeper, &link).await;
         }
         let silent_ms = now().ms_since(keeper.heard);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         conf::Settings,
-        keepers::{Informed, KeeperLinks, OpenTickets},
+        keepers::{Informed, OpenTickets},
         services::JournalState,
         trace::Traces,
     },
     egret_core::{CallerLimits, RetryBudget, Suspects, Time, Views},
-    egret_runtime::{Audit, Caller, ConfigWatch, HostsWatch, LogClient, Metrics, now, unix_ms},
+    egret_runtime::{
+        Audit, Caller, ConfigWatch, Hello, HostsWatch, LinkPool, LogClient, Metrics, now, unix_ms,
+    },
     faststr::FastStr,
     parking_lot::Mutex,
     prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
@@ -54,7 +56,7 @@
     pub(crate) config: ConfigWatch,
     pub(crate) hosts: HostsWatch,
     pub(crate) views: Mutex<Views>,
-    pub(crate) links: KeeperLinks,
+    pub(crate) links: LinkPool,
     pub(crate) tickets: OpenTickets,
     pub(crate) informed: Informed,
     pub(crate) suspects: Mutex<Suspects>,
@@ -77,14 +79,16 @@
     pub(crate) fn new(cfg: Settings) -> Self {
         let metrics = Metrics::default();
         let limits = &cfg.limits;
+        let incarnation = unix_ms();
+        let hello = Hello { host: cfg.host.to_string(), incarnation, secret: cfg.secret.clone() };
         Self {
             host: cfg.host.clone(),
-            incarnation: unix_ms(),
+            incarnation,
             started: now(),
             config: ConfigWatch::default(),
             hosts: HostsWatch::default(),
             views: Mutex::default(),
-            links: KeeperLinks::default(),
+            links: LinkPool::new(hello),
             tickets: OpenTickets::default(),
             informed: Informed::default(),
             suspects: Mutex::default(),
--- a/crates/keeper/src/peers.rs
+++ b/crates/keeper/src/peers.rs
@@ -3,15 +3,9 @@
 use {
     crate::state::Keeper,
     egret_core::{Loan, Member},
-    egret_runtime::{BeatMsg, Body, BorrowMsg, Hello, Link, SuspectMsg, ViewMsg, now},
+    egret_runtime::{BeatMsg, Body, BorrowMsg, Link, SuspectMsg, ViewMsg, now},
     faststr::FastStr,
-    indexmap::IndexMap,
-    parking_lot::Mutex,
-    std::{
-        net::SocketAddr,
-        sync::{Arc, LazyLock},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// How often heartbeats are sent, in milliseconds.
@@ -20,13 +14,6 @@
 /// How long the answer to a heartbeat may take, in milliseconds.
 const ANSWER_MS: u64 = 1000;
 
-/// Longest time to open a link, in milliseconds.
-const CONNECT_MS: u64 = 800;
-
-type Links = Mutex<IndexMap<FastStr, Arc<Link>>>;
-
-static LINKS: LazyLock<Links> = LazyLock::new(Links::default);
-
 /// Sends heartbeats for ever.
 pub(crate) async fn beat(keeper: Arc<Keeper>) {
     loop {
@@ -57,7 +44,7 @@
     match answer {
         Ok(Body::View(view)) => heard(&keeper, &member.host, &view),
         // silent or broken: the next heartbeat opens a new link
-        _ => forget(&member.host),
+        _ => keeper.links.close(&member.host),
     }
 }
 
@@ -110,25 +97,6 @@
 }
 
 async fn link(keeper: &Keeper, member: &Member) -> Option<Arc<Link>> {
-    let open = LINKS.lock().get(&member.host).cloned();
-    if let Some(link) = open.filter(|link| !link.closed()) {
-        return Some(link);
-    }
-    let hello = Hello {
-        host: keeper.host.to_string(),
-        incarnation: keeper.incarnation,
-        secret: keeper.cfg.secret.clone(),
-    };
     let address = SocketAddr::new(member.ip, keeper.cfg.links.port());
-    let link = Link::connect(address, &hello, now().after_ms(CONNECT_MS)).await.ok()?;
-    let link = Arc::new(link);
-    LINKS.lock().insert(member.host.clone(), link.clone());
-    Some(link)
-}
-
-fn forget(host: &FastStr) {
-    let link = LINKS.lock().swap_remove(host);
-    if let Some(link) = link {
-        link.close();
-    }
+    keeper.links.open(&member.host, address).await
 }
--- a/crates/keeper/src/state.rs
+++ b/crates/keeper/src/state.rs
@@ -3,7 +3,9 @@
 use {
     crate::{conf::Settings, engines::EngineShard},
     egret_core::{Ownership, Permits, Resource, StoreLimits, Suspects, Time},
-    egret_runtime::{Audit, Caller, ConfigWatch, HostsWatch, LogClient, Metrics, now, unix_ms},
+    egret_runtime::{
+        Audit, Caller, ConfigWatch, Hello, HostsWatch, LinkPool, LogClient, Metrics, now, unix_ms,
+    },
     faststr::FastStr,
     indexmap::IndexMap,
     parking_lot::Mutex,
@@ -54,6 +56,7 @@
     pub(crate) permits: Mutex<Permits>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) engines: Mutex<IndexMap<FastStr, Arc<EngineShard>>>,
+    pub(crate) links: LinkPool,
     pub(crate) log: LogClient,
     pub(crate) engine_caller: Caller,
     pub(crate) metrics: Metrics,
@@ -69,6 +72,7 @@
         let incarnation = unix_ms();
         let times = cfg.times(limits.load_timeout_ms);
         let metrics = Metrics::default();
+        let hello = Hello { host: cfg.host.to_string(), incarnation, secret: cfg.secret.clone() };
         Self {
             host: cfg.host.clone(),
             incarnation,
@@ -79,6 +83,7 @@
             permits: Mutex::new(Permits::new(limits)),
             suspects: Mutex::default(),
             engines: Mutex::default(),
+            links: LinkPool::new(hello),
             log: LogClient::new(cfg.platform.log),
             engine_caller: Caller::pooled(),
             counts: Counts::new(&metrics),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -22,8 +22,8 @@
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
     AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg, Link,
-    LinkError, LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg,
-    SuspectMsg, SuspectsMsg, TicketMsg, ViewMsg, serve_links,
+    LinkError, LinkPool, LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg,
+    StatusMsg, SuspectMsg, SuspectsMsg, TicketMsg, ViewMsg, serve_links,
 };
 pub use logs::start_logs;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod message;
+mod pool;
 mod server;
 
 pub use {
@@ -11,6 +12,7 @@
         LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg,
         SuspectsMsg, TicketMsg, ViewMsg,
     },
+    pool::LinkPool,
     server::serve_links,
 };
 
