--- a/crates/entry/src/calls/run.rs
+++ b/crates/entry/src/calls/run.rs
@@ -6,14 +6,14 @@
         parse::{Kind, ModelRequest, Unacceptable, caller, parse},
     },
     crate::{
-        finish::{count, refuse},
+        finish::{count, label, refuse},
         state::{Admitted, Entry},
     },
     egret_core::{Course, Next, Outcome, Reason, Standing},
     egret_runtime::{Answer, events, now, read_limited},
     faststr::FastStr,
     futures::StreamExt,
-    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header},
+    http::{HeaderMap, HeaderName, StatusCode, header},
     http_body_util::StreamBody,
     std::{sync::Arc, time::Duration},
     volo_http::{body::Body, request::Request, response::Response},
@@ -212,11 +212,7 @@
         (HeaderName::from_static("x-egret-outcome"), "done".to_owned()),
         (HeaderName::from_static("x-egret-stall-ms"), served.stall_ms.to_string()),
     ];
-    for (name, value) in labels {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            response.headers_mut().insert(name, value);
-        }
-    }
+    label(&mut response, labels);
     response
 }
 
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -4,9 +4,19 @@
     crate::state::Entry,
     egret_core::Outcome,
     egret_runtime::{Answer, events},
+    http::{HeaderName, HeaderValue},
     volo_http::response::Response,
 };
 
+/// Sets headers of an answer; a value that no header can hold is left out.
+pub(crate) fn label<const N: usize>(response: &mut Response, labels: [(HeaderName, String); N]) {
+    for (name, value) in labels {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+}
+
 /// Counts a final answer.
 pub(crate) fn count(entry: &Entry, outcome: Outcome, reason: &str) {
     let labels = vec![("outcome", outcome.as_str().to_owned()), ("reason", reason.to_owned())];
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         calls::caller,
-        finish::{count, refuse},
+        finish::{count, label, refuse},
         state::{Admitted, Entry},
     },
     egret_core::{AttemptEnd, Course, Next, Outcome, Reason},
@@ -202,10 +202,6 @@
         (HeaderName::from_static("x-egret-outcome"), "done".to_owned()),
         (HeaderName::from_static("x-egret-repeated"), served.repeated.to_string()),
     ];
-    for (name, value) in headers {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            response.headers_mut().insert(name, value);
-        }
-    }
+    label(&mut response, headers);
     response
 }
