--- /dev/null
+++ b/crates/core/src/events.rs
@@ -0,0 +1,89 @@
+//! Whole events of a stream.
+
+use {
+    bytes::{Bytes, BytesMut},
+    thiserror::Error,
+};
+
+/// An event's number does not follow the one before it.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("event {found} follows event {last}")]
+pub struct OutOfOrder {
+    /// Number of the event before.
+    pub last: u64,
+    /// Number of this event.
+    pub found: u64,
+}
+
+/// Cuts a stream of server-sent events (WHATWG HTML, section 9.2) at the ends of events, so that
+/// a stream that breaks off within an event can go on elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct EventCutter {
+    part: BytesMut,
+    last: Option<u64>,
+}
+
+impl EventCutter {
+    /// A cutter for a stream whose caller already has the event `last`.
+    #[must_use]
+    pub fn after(last: Option<u64>) -> Self {
+        Self { last, ..Self::default() }
+    }
+
+    /// Number of the last whole event.
+    #[must_use]
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// True when the bytes so far end with a whole event.
+    #[must_use]
+    pub fn at_boundary(&self) -> bool {
+        self.part.is_empty()
+    }
+
+    /// Forgets the beginning of an event whose rest will not come.
+    pub fn drop_part(&mut self) {
+        self.part.clear();
+    }
+
+    /// Adds bytes; returns the events that are whole now, which may be none.
+    ///
+    /// # Errors
+    ///
+    /// When the number of an event is not one above the number before it.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OutOfOrder> {
+        self.part.extend_from_slice(bytes);
+        let mut whole = 0;
+        while let Some(end) = self.event_end(whole) {
+            if let Some(found) = event_number(&self.part[whole..end]) {
+                match self.last {
+                    Some(last) if found != last + 1 => return Err(OutOfOrder { last, found }),
+                    _ => self.last = Some(found),
+                }
+            }
+            whole = end;
+        }
+        Ok(self.part.split_to(whole).freeze())
+    }
+
+    // end of the event that begins at `from`: after its blank line
+    fn event_end(&self, from: usize) -> Option<usize> {
+        let bytes = &self.part[from..];
+        let mut line_empty = false;
+        for (i, byte) in bytes.iter().enumerate() {
+            match byte {
+                b'\n' if line_empty => return Some(from + i + 1),
+                b'\n' => line_empty = true,
+                b'\r' => {}
+                _ => line_empty = false,
+            }
+        }
+        None
+    }
+}
+
+fn event_number(event: &[u8]) -> Option<u64> {
+    let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/core/src/fleet/registry.rs
@@ -0,0 +1,161 @@
+//! Targets as they register themselves.
+
+use {
+    crate::Time,
+    faststr::FastStr,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Leaving,
+}
+
+/// An adapter that an engine holds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct HeldAdapter {
+    /// Name of the adapter, without its base model.
+    pub name: FastStr,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A base model that an engine holds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// Name of the base model.
+    pub name: FastStr,
+    /// Its adapters.
+    pub adapters: Vec<HeldAdapter>,
+}
+
+/// A target as it last described itself.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// Identity of this start of the target.
+    pub id: FastStr,
+    /// Service it belongs to.
+    pub service: FastStr,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: FastStr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: TargetState,
+    /// Unix time of its start in milliseconds, 0 when it does not say.
+    pub born_ms: u64,
+    /// Base models that it holds, if it is an engine.
+    pub models: Vec<HeldModel>,
+}
+
+/// Targets by id.
+///
+/// An entry that vanishes while the registry could not be read may have lapsed only because the
+/// target could not renew it. Such a target stays in use until `lapse_ms` after the registry is
+/// back, unless it had said that it leaves.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    targets: IndexMap<FastStr, Known>,
+    trusted_from: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    target: Arc<Target>,
+    // set once its entry has vanished: until when it may still be used
+    gone_at: Option<Time>,
+}
+
+impl Fleet {
+    /// Notes that the registry is back after it could not be read: until `until`, entries that
+    /// vanish may come back.
+    pub fn regained(&mut self, until: Time) {
+        self.trusted_from = self.trusted_from.max(until);
+    }
+
+    /// Takes an entry. Entries of an earlier start of the same id are ignored, and a target that
+    /// leaves does not come back before it starts again.
+    pub fn saw(&mut self, mut target: Target) {
+        if let Some(known) = self.targets.get(&target.id) {
+            if target.born_ms < known.target.born_ms {
+                return;
+            }
+            if target.born_ms == known.target.born_ms && known.target.state == TargetState::Leaving
+            {
+                target.state = TargetState::Leaving;
+            }
+        }
+        let known = Known { target: Arc::new(target), gone_at: None };
+        self.targets.insert(known.target.id.clone(), known);
+    }
+
+    /// Notes that the entry of `id` has vanished.
+    pub fn vanished(&mut self, now: Time, id: &str) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        if known.target.state == TargetState::Leaving || now >= self.trusted_from {
+            self.targets.swap_remove(id);
+        } else {
+            known.gone_at = Some(self.trusted_from);
+        }
+    }
+
+    /// Notes that the entry of `id` names no target any more: it can't be read, or another
+    /// writer has replaced it.
+    pub fn unreadable(&mut self, id: &str) {
+        self.targets.swap_remove(id);
+    }
+
+    /// Takes a whole listing: what it lacks has vanished.
+    pub fn listed(&mut self, now: Time, targets: Vec<Target>) {
+        let missing: Vec<FastStr> = self
+            .targets
+            .keys()
+            .filter(|id| !targets.iter().any(|t| t.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.vanished(now, &id);
+        }
+        for target in targets {
+            self.saw(target);
+        }
+    }
+
+    /// Drops targets whose entries did not come back in time.
+    pub fn expire(&mut self, now: Time) {
+        self.targets.retain(|_, known| known.gone_at.is_none_or(|at| now < at));
+    }
+
+    /// The target `id`, if it takes new work.
+    #[must_use]
+    pub fn ready(&self, id: &str) -> Option<&Arc<Target>> {
+        self.get(id).filter(|t| t.state == TargetState::Ready)
+    }
+
+    /// The target `id`.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
+        self.targets.get(id).map(|known| &known.target)
+    }
+
+    /// Targets that take new work.
+    pub fn all_ready(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let targets = self.targets.values().map(|known| &known.target);
+        targets.filter(|t| t.state == TargetState::Ready)
+    }
+
+    /// All targets.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.values().map(|known| &known.target)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,8 @@
 mod admission;
 mod config;
 mod course;
+mod events;
+mod fleet;
 mod hash;
 mod journal;
 mod membership;
@@ -15,11 +17,17 @@
 mod ownership;
 mod permits;
 mod placement;
+mod residency;
 mod retry;
+mod routing;
+mod send;
 mod slots;
+mod steer;
 mod stream;
 mod suspects;
+mod tenure;
 mod time;
+mod window;
 
 pub use admission::CallerLimits;
 pub use config::{
@@ -28,6 +36,8 @@
     diff, validate,
 };
 pub use course::{AttemptEnd, Course, Next};
+pub use events::{EventCutter, OutOfOrder};
+pub use fleet::{Fleet, Health, HeldAdapter, HeldModel, Target, TargetState};
 pub use hash::{Fingerprint, digest, fingerprint, mix, rendezvous};
 pub use journal::{
     AfterIntent, Attempt, BeginError, Entry as JournalEntry, Journal, JournalRecord, KeyDigest,
@@ -39,10 +49,18 @@
 pub use ownership::{ClaimRecord, Claims, Holding, Ownership, OwnershipTimes, Resource, assign};
 pub use permits::{Loan, Permits, StoreLimits};
 pub use placement::{Candidates, Demand, EngineView, Eviction, Policy, Views, Weights, choose};
+pub use residency::{AdapterOrder, Book, Held, NextOrder, OrderAnswer, Report};
 pub use retry::{RetryBudget, backoff_ms};
+pub use routing::{
+    CallerBounds, EngineTraits, Route, RouteKind, Routing, Selected, Service, Share,
+};
+pub use send::{Final, Send, SendEnd, Step};
 pub use slots::{
     Cancel, Effect, EngineLimits, EngineSlots, Grant, LoadOrder, LoadResult, OrderKind, Refusal,
     RequestKey, SlotCounters, SlotSettings, Ticket, TicketEnd, Waiting, Want,
 };
+pub use steer::{Candidate, Place, steer_adapter, steer_plain};
 pub use suspects::{Standing, SuspectRecord, Suspects};
+pub use tenure::{Fencing, Tenure, TenureRecord};
 pub use time::Time;
+pub use window::{RetryBounds, RetryWindow};
--- /dev/null
+++ b/crates/core/src/routing/table.rs
@@ -0,0 +1,86 @@
+//! One revision of the routes, and the choice of a route.
+
+use {
+    super::route::{CallerBounds, Route, Service, Share},
+    crate::hash::text_hash,
+    faststr::FastStr,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// One revision of routes and services.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Routing {
+    /// Number of the revision; a newer one is larger.
+    pub revision: u64,
+    /// Routes by host name, those with longer prefixes first.
+    by_host: IndexMap<FastStr, Vec<Arc<Route>>>,
+    services: IndexMap<FastStr, Arc<Service>>,
+    /// Bounds on callers.
+    pub bounds: CallerBounds,
+}
+
+/// The route of a request and the service it goes to.
+#[derive(Clone, Debug)]
+pub struct Selected {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service.
+    pub service: Arc<Service>,
+}
+
+impl Routing {
+    /// A revision. Routes to services that are not declared match no request.
+    #[must_use]
+    pub fn new(
+        revision: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        bounds: CallerBounds,
+    ) -> Self {
+        let mut by_host: IndexMap<FastStr, Vec<Arc<Route>>> = IndexMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
+        Self { revision, by_host, services, bounds }
+    }
+
+    /// True once a revision is known.
+    #[must_use]
+    pub fn known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Services by name.
+    #[must_use]
+    pub fn services(&self) -> &IndexMap<FastStr, Arc<Service>> {
+        &self.services
+    }
+
+    /// The route of a request for `path` at `host`: the one with the longest prefix. The request
+    /// id decides between the shares of a split route.
+    #[must_use]
+    pub fn select(&self, host: &str, path: &str, request: &str) -> Option<Selected> {
+        let routes = self.by_host.get(host)?;
+        let route = routes.iter().find(|route| path.starts_with(route.prefix.as_str()))?;
+        let share = pick_share(&route.shares, text_hash(request))?;
+        let service = self.services.get(&share.service)?.clone();
+        Some(Selected { route: route.clone(), service })
+    }
+}
+
+fn pick_share(shares: &[Share], hash: u64) -> Option<&Share> {
+    let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
+    let mut point = hash.checked_rem(total)?;
+    shares.iter().find(|share| {
+        let weight = u64::from(share.weight);
+        let here = point < weight;
+        point = point.saturating_sub(weight);
+        here
+    })
+}
--- /dev/null
+++ b/crates/core/src/steer.rs
@@ -0,0 +1,114 @@
+//! Choice of a target for a request.
+//!
+//! Answers the load patterns of a day as a whole: even load within a data centre, because bytes
+//! between data centres are dear and an engine's steps grow with its batch; other data centres
+//! when the near targets fail or are fuller by [`FAR_MILLI`] of their slots.
+
+use {crate::hash::rendezvous, faststr::FastStr};
+
+/// What a target in another data centre costs, in thousandths of its slots: a near one is
+/// preferred until it is fuller by this share.
+const FAR_MILLI: u64 = 500;
+
+/// Share of an engine's slots, in thousandths, up to which a resident adapter is used where it
+/// is. Above it another engine gets a copy.
+const CROWDED_MILLI: u64 = 450;
+
+/// An engine may run this many requests more than the average of its data centre and still be
+/// the one that loads an adapter (consistent hashing with bounded loads, Mirrokni et al. 2018).
+const BOUND_EXTRA: u64 = 4;
+
+/// What a choice needs to know of a target.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its id.
+    pub id: FastStr,
+    /// True when it is in this host's data centre.
+    pub near: bool,
+    /// Requests that run there, as far as is known.
+    pub running: u64,
+    /// Requests that it runs at once.
+    pub slots: u64,
+    /// Failures among its latest answers, in thousandths.
+    pub failing_milli: u64,
+    /// True when it holds the adapter that the request names.
+    pub resident: bool,
+    /// True when adapters can be loaded there now.
+    pub loads: bool,
+}
+
+impl Candidate {
+    fn fill_milli(&self) -> u64 {
+        self.running * 1000 / self.slots.max(1)
+    }
+
+    fn cost(&self) -> u64 {
+        let far = if self.near { 0 } else { FAR_MILLI };
+        // a target that fails half of its answers is avoided as if its slots were taken twice
+        self.fill_milli() + 4 * self.failing_milli + far
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Place<'a> {
+    /// To this target as it is.
+    Use(&'a Candidate),
+    /// To this engine, once the adapter is loaded there.
+    Load(&'a Candidate),
+    /// No target can serve it.
+    Nowhere,
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.id == other.id
+    }
+}
+
+impl Eq for Candidate {}
+
+/// The target for a request that any of `candidates` can serve. Ties go by `key`.
+#[must_use]
+pub fn steer_plain<'a>(candidates: &'a [Candidate], key: &str) -> Place<'a> {
+    let best = candidates.iter().min_by_key(|c| (c.cost(), rendezvous(key, &c.id)));
+    best.map_or(Place::Nowhere, Place::Use)
+}
+
+/// The engine for a request that names the adapter `adapter`. `busy` tells that the weight store
+/// has as many adapters under way as it serves at full speed: a copy elsewhere is then better
+/// than one more load.
+#[must_use]
+pub fn steer_adapter<'a>(candidates: &'a [Candidate], adapter: &str, busy: bool) -> Place<'a> {
+    let resident = candidates
+        .iter()
+        .filter(|c| c.resident)
+        .min_by_key(|c| (c.cost(), rendezvous(adapter, &c.id)));
+    let loading = loader(candidates, adapter);
+    match (resident, loading) {
+        (None, None) => Place::Nowhere,
+        (None, Some(l)) => Place::Load(l),
+        (Some(r), None) => Place::Use(r),
+        (Some(r), Some(_)) if busy => Place::Use(r),
+        (Some(r), Some(l)) => {
+            let good_place = r.near && r.fill_milli() < CROWDED_MILLI && r.failing_milli < 300;
+            if good_place || l.cost() + CROWDED_MILLI / 2 >= r.cost() {
+                Place::Use(r)
+            } else {
+                Place::Load(l)
+            }
+        }
+    }
+}
+
+// the first in rendezvous order that is not fuller than its data centre's average allows: the
+// same few engines see the same adapters and load them from their own copies
+fn loader<'a>(candidates: &'a [Candidate], adapter: &str) -> Option<&'a Candidate> {
+    let able = || candidates.iter().filter(|c| c.loads && !c.resident && c.failing_milli < 500);
+    let near = able().any(|c| c.near);
+    let pool: Vec<&Candidate> = able().filter(|c| c.near == near).collect();
+    let total: u64 = pool.iter().map(|c| c.running).sum();
+    let bound = total.checked_div(pool.len() as u64)? * 5 / 4 + BOUND_EXTRA;
+    let within = pool.iter().filter(|c| c.running <= bound);
+    within.max_by_key(|c| rendezvous(adapter, &c.id)).copied()
+}
--- /dev/null
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -0,0 +1,143 @@
+//! One send of a request to one target.
+
+use {
+    super::request::Outgoing,
+    crate::state::{Edge, Running},
+    egret_core::{SendEnd, Target, Time},
+    egret_platform::{AnswerHead, PassOn, judge, pass_on},
+    egret_runtime::{Conn, HttpError, events, now},
+    http::{HeaderMap, Request, StatusCode},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    std::sync::Arc,
+};
+
+/// An answer whose head is there. Dropping it closes the connection, which makes the target
+/// stop.
+#[derive(Debug)]
+pub(crate) struct Answering {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) conn: Conn,
+    pub(crate) target: Arc<Target>,
+    // counts the request as running there
+    _running: Running,
+}
+
+/// Sends a request to `target` and waits for the head of the answer until `deadline`.
+///
+/// # Errors
+///
+/// How the send ended when there is no answer for the caller.
+pub(crate) async fn send(
+    edge: &Arc<Edge>,
+    out: &Outgoing,
+    target: Arc<Target>,
+    last_event: Option<u64>,
+    deadline: Time,
+) -> Result<Answering, SendEnd> {
+    let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
+    let running = Running::new(edge, &target.id, adapter);
+    let repeatable = out.kind().repeatable();
+    let mut conn = match edge.pool.take(&target, repeatable, deadline).await {
+        Ok(taken) => taken.conn,
+        Err(e) => {
+            health(edge, &target, Health::Down);
+            return Err(failed(edge, out, &target, SendEnd::NotSent, &e.to_string()));
+        }
+    };
+    let request = request(edge, out, &target, last_event);
+    let answer = match conn.send(request, deadline).await {
+        Ok(answer) => answer,
+        Err(e @ HttpError::NotSent(_)) => {
+            return Err(failed(edge, out, &target, SendEnd::NotSent, &e.to_string()));
+        }
+        Err(e) => {
+            // other connections to it may be as dead as this one
+            edge.pool.drop_target(&target.id);
+            health(edge, &target, Health::Bad);
+            return Err(failed(edge, out, &target, SendEnd::Lost, &e.to_string()));
+        }
+    };
+    let (head, body) = answer.into_parts();
+    match judge(head.status, &head.headers, &out.head.id) {
+        AnswerHead::Ours => {}
+        AnswerHead::Refused => {
+            let reason = format!("refused with {}", head.status.as_u16());
+            return Err(failed(edge, out, &target, SendEnd::Refused, &reason));
+        }
+        AnswerHead::Elsewhere => {
+            return Err(failed(edge, out, &target, SendEnd::Refused, "not there"));
+        }
+        AnswerHead::Foreign => {
+            health(edge, &target, Health::Bad);
+            return Err(failed(edge, out, &target, SendEnd::Lost, "foreign answer"));
+        }
+    }
+    Ok(Answering {
+        status: head.status,
+        headers: head.headers,
+        body,
+        conn,
+        target,
+        _running: running,
+    })
+}
+
+fn request(
+    edge: &Edge,
+    out: &Outgoing,
+    target: &Target,
+    last_event: Option<u64>,
+) -> Request<Full<bytes::Bytes>> {
+    let engine = out.selected.service.engine.is_some();
+    let version = out.head.adapter.as_ref().filter(|_| engine).and_then(|a| edge.version(a));
+    let with = PassOn {
+        left_ms: now().ms_until(out.deadline),
+        target: &target.id,
+        version,
+        rank: engine.then_some(out.selected.route.urgency),
+        last_event,
+    };
+    let mut request = Request::new(Full::new(out.body.clone()));
+    *request.method_mut() = out.method.clone();
+    *request.uri_mut() = out.uri.clone();
+    *request.headers_mut() = pass_on(&out.headers, &with);
+    request
+}
+
+/// What an answer says of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Health {
+    Good,
+    Bad,
+    Down,
+}
+
+/// Notes what an answer says of its target.
+pub(crate) fn health(edge: &Edge, target: &Target, health: Health) {
+    let mut at_targets = edge.at_targets.lock();
+    let at = at_targets.entry(target.id.clone()).or_default();
+    match health {
+        Health::Good => at.health.good(now()),
+        Health::Bad => at.health.bad(now()),
+        Health::Down => at.health.down(now()),
+    }
+}
+
+/// Logs and counts a failed send.
+pub(crate) fn failed(
+    edge: &Edge,
+    out: &Outgoing,
+    target: &Target,
+    end: SendEnd,
+    reason: &str,
+) -> SendEnd {
+    events::ATTEMPT_FAILED.info(format_args!(
+        "request={} target={} end={end:?} reason={reason}",
+        out.head.id, target.id
+    ));
+    edge.counts.sends_failed.get_or_create(&vec![("end", format!("{end:?}"))]).inc();
+    end
+}
--- /dev/null
+++ b/crates/edge/src/dispatch/place.rs
@@ -0,0 +1,187 @@
+//! The target for a request, and the adapter that it needs there.
+
+use {
+    super::request::Outgoing,
+    crate::{orders, peers, state::Edge},
+    egret_core::{Candidate, Place, Target, Time, steer_adapter, steer_plain},
+    egret_runtime::{events, now},
+    faststr::FastStr,
+    std::sync::Arc,
+};
+
+/// Longest wait for an adapter's load, in milliseconds: a load from the weight store takes a
+/// quarter of a second at full speed.
+const LOAD_WAIT_MS: u64 = 2500;
+
+/// Adapters under way over all engines from which on a copy elsewhere is better than one more
+/// load.
+const TRANSIT_BUSY: usize = 6;
+
+/// Where a request can go.
+#[derive(Clone, Debug)]
+pub(crate) enum Placed {
+    /// To this target.
+    At(Arc<Target>),
+    /// The adapter could not be loaded at this engine in time.
+    NotLoaded(FastStr),
+    /// No target takes it.
+    Nowhere,
+}
+
+/// Finds a target that is not in `tried`, and has the adapter loaded there if need be.
+pub(crate) async fn place(
+    edge: &Arc<Edge>,
+    out: &Outgoing,
+    tried: &[FastStr],
+    deadline: Time,
+) -> Placed {
+    let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
+    let version = adapter.and_then(|adapter| edge.version(adapter));
+    let candidates = candidates(edge, out, adapter, version, tried);
+    let chosen = match adapter {
+        None => steer_plain(&candidates, &out.head.id),
+        Some(adapter) => steer_adapter(&candidates, adapter, transit(edge) >= TRANSIT_BUSY),
+    };
+    let (id, load) = match chosen {
+        Place::Nowhere => return Placed::Nowhere,
+        Place::Use(candidate) => (candidate.id.clone(), false),
+        Place::Load(candidate) => (candidate.id.clone(), true),
+    };
+    let Some(target) = edge.fleet.read().ready(&id).cloned() else {
+        return Placed::Nowhere;
+    };
+    if let (true, Some(adapter)) = (load, adapter) {
+        let began = now();
+        let loaded = load_at(edge, &id, adapter, version, deadline).await;
+        #[allow(clippy::cast_precision_loss)]
+        edge.counts.stalls_ms.observe(now().ms_since(began) as f64);
+        if !loaded {
+            events::ATTEMPT_FAILED.info(format_args!(
+                "request={} target={id} adapter={adapter} reason=not_loaded waited_ms={}",
+                out.head.id,
+                now().ms_since(began)
+            ));
+            return Placed::NotLoaded(id);
+        }
+        // the target may have begun to leave during the load
+        return edge.fleet.read().ready(&id).cloned().map_or(Placed::Nowhere, Placed::At);
+    }
+    Placed::At(target)
+}
+
+async fn load_at(
+    edge: &Arc<Edge>,
+    engine: &FastStr,
+    adapter: &FastStr,
+    version: Option<u64>,
+    deadline: Time,
+) -> bool {
+    let by = deadline.min(now().after_ms(LOAD_WAIT_MS));
+    if edge.drivers.get(engine).is_some() {
+        return orders::load_here(edge, engine, adapter, version, by).await;
+    }
+    let holder = edge.tenure.lock().holder(engine).cloned();
+    match holder {
+        Some(host) => peers::ask_load(edge, &host, engine, adapter, version, by).await,
+        None => false,
+    }
+}
+
+fn transit(edge: &Edge) -> usize {
+    let own: usize = edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum();
+    own + edge.peers.lock().transit()
+}
+
+fn candidates(
+    edge: &Edge,
+    out: &Outgoing,
+    adapter: Option<&FastStr>,
+    version: Option<u64>,
+    tried: &[FastStr],
+) -> Vec<Candidate> {
+    let now = now();
+    let service = &out.selected.service;
+    let targets: Vec<Arc<Target>> = edge
+        .fleet
+        .read()
+        .all_ready()
+        .filter(|t| t.service == service.name && !tried.contains(&t.id))
+        .cloned()
+        .collect();
+    let mut candidates = Vec::with_capacity(targets.len());
+    for target in targets {
+        let (running, failing_milli, down) = {
+            let at_targets = edge.at_targets.lock();
+            at_targets.get(&target.id).map_or((0, 0, false), |at| {
+                (u64::from(at.running), at.health.rate_milli(now), at.health.is_down(now))
+            })
+        };
+        if down {
+            continue;
+        }
+        let running = running + edge.peers.lock().running(&target.id);
+        let holds = match (&service.engine, &out.head.base) {
+            (Some(_), Some(base)) => held(edge, &target, base, adapter, version),
+            _ => Held { base: true, adapter: true, loads: false },
+        };
+        if !holds.base {
+            continue;
+        }
+        candidates.push(Candidate {
+            id: target.id.clone(),
+            near: target.data_centre == edge.cfg.data_centre,
+            running,
+            slots: u64::from(target.slots),
+            failing_milli,
+            resident: holds.adapter,
+            loads: holds.loads,
+        });
+    }
+    candidates
+}
+
+// what an engine holds: by this host's own book, by the host that orders it, or else by the
+// engine's registration, which is older
+struct Held {
+    base: bool,
+    adapter: bool,
+    loads: bool,
+}
+
+fn held(
+    edge: &Edge,
+    target: &Target,
+    base: &FastStr,
+    adapter: Option<&FastStr>,
+    version: Option<u64>,
+) -> Held {
+    let registered_base = target.models.iter().any(|model| model.name == *base);
+    let current = |found: Option<u64>| found.is_some_and(|v| version.is_none_or(|want| v >= want));
+    if let Some(driver) = edge.drivers.get(&target.id) {
+        let book = driver.book.lock();
+        let able = book.able();
+        let there = adapter.is_some_and(|adapter| book.has(adapter, version));
+        return Held { base: registered_base || able, adapter: there, loads: able };
+    }
+    let holder = edge.tenure.lock().holder(&target.id).cloned();
+    if let Some(host) = holder {
+        let peers = edge.peers.lock();
+        if peers.alive(&host) {
+            let view = peers.all().get(&host).and_then(|peer| peer.engines.get(&target.id));
+            if let Some(view) = view {
+                let there = current(adapter.and_then(|a| view.held.get(a.as_str()).copied()));
+                return Held {
+                    base: registered_base || view.able,
+                    adapter: there,
+                    loads: view.able,
+                };
+            }
+        }
+    }
+    let registered = adapter.and_then(|adapter| {
+        let name = adapter.split_once('/').map(|(_, name)| name)?;
+        let model = target.models.iter().find(|model| model.name == *base)?;
+        model.adapters.iter().find(|a| a.name == name).map(|a| a.version)
+    });
+    Held { base: registered_base, adapter: current(registered), loads: false }
+}
--- /dev/null
+++ b/crates/edge/src/dispatch/request.rs
@@ -0,0 +1,134 @@
+//! A request as it was read from its caller.
+
+use {
+    crate::{
+        front::{Answer, refusal},
+        state::Edge,
+    },
+    bytes::Bytes,
+    egret_core::{Fingerprint, RouteKind, Selected, Time, fingerprint, mix},
+    egret_platform::{CallerHead, HeadError},
+    egret_runtime::{before, events, now},
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+    http_body_util::{BodyExt, Limited},
+    hyper::body::Incoming,
+    std::sync::Arc,
+};
+
+/// Shortest time after which a caller that was refused may come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// Callers that are refused together come back over this time, in milliseconds.
+const RETRY_SPREAD_MS: u64 = 500;
+
+/// Wait of a caller that does not say how long it waits, in milliseconds: what the route allows
+/// is the bound then.
+const WAITS_MS: u64 = 600_000;
+
+/// A request that is to be sent to a target.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) head: CallerHead,
+    pub(crate) id: HeaderValue,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) selected: Selected,
+    pub(crate) content: Fingerprint,
+    pub(crate) arrived: Time,
+    pub(crate) deadline: Time,
+}
+
+impl Outgoing {
+    /// Reads a request and finds its route.
+    ///
+    /// # Errors
+    ///
+    /// The answer when it is refused.
+    pub(crate) async fn read(edge: &Edge, req: Request<Incoming>) -> Result<Self, Box<Answer>> {
+        let arrived = now();
+        let (parts, body) = req.into_parts();
+        let id = CallerHead::id(&parts.headers).cloned();
+        let refuse = |status: StatusCode, reason: &str| {
+            let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then(|| retry_after_ms(&id));
+            events::REQUEST_REFUSED.info(format_args!(
+                "request={} status={} reason={reason}",
+                text(id.as_ref()),
+                status.as_u16()
+            ));
+            Box::new(refusal(status, id.as_ref(), retry, reason))
+        };
+        let routing = edge.routing();
+        if !routing.known() {
+            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet"));
+        }
+        let head = CallerHead::read(&parts.headers)
+            .map_err(|e: HeadError| refuse(StatusCode::BAD_REQUEST, &e.to_string()))?;
+        let host = host_of(&parts.headers, &parts.uri)
+            .ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "a request needs one Host"))?;
+        let selected = routing
+            .select(host, parts.uri.path(), &head.id)
+            .ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no route for this host and path"))?;
+        let left_ms = head.waits_ms.unwrap_or(WAITS_MS).min(selected.route.timeout_ms);
+        let deadline = arrived.after_ms(left_ms);
+        let limit = routing.bounds.body_bytes;
+        let read = before(deadline, Limited::new(body, limit).collect()).await;
+        let body = match read {
+            Some(Ok(body)) => body.to_bytes(),
+            Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+            }
+            Some(Err(_)) => return Err(refuse(StatusCode::BAD_REQUEST, "the body broke off")),
+            None => {
+                return Err(refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"));
+            }
+        };
+        let content = fingerprint(parts.uri.path(), &body);
+        let named = CallerHead::content(&parts.headers).map(|value| fingerprint("", value).0);
+        let content = Fingerprint(named.fold(content.0, mix));
+        Ok(Self {
+            id: id.expect("a head without an id is refused"),
+            head,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            selected,
+            content,
+            arrived,
+            deadline,
+        })
+    }
+
+    pub(crate) fn kind(&self) -> RouteKind {
+        self.selected.route.kind
+    }
+
+    /// When its caller may come back.
+    pub(crate) fn retry_after_ms(&self) -> u64 {
+        retry_after_ms(&Some(self.id.clone()))
+    }
+}
+
+// spread by the request's id, so that callers do not come back together
+fn retry_after_ms(id: &Option<HeaderValue>) -> u64 {
+    let bytes = id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
+    RETRY_AFTER_MS + fingerprint("", bytes).0 % RETRY_SPREAD_MS
+}
+
+pub(crate) fn text(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    let host = hosts.next()?.to_str().ok()?;
+    if hosts.next().is_some() || uri.authority().is_some() {
+        return None;
+    }
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
+/// A request is shared by its sends and by its answer's body.
+pub(crate) type Shared = Arc<Outgoing>;
--- /dev/null
+++ b/crates/edge/src/front/accept.rs
@@ -0,0 +1,128 @@
+//! Listeners and connections.
+
+use {
+    super::answer::{Answer, plain},
+    crate::{dispatch, state::Edge},
+    bytes::Bytes,
+    egret_runtime::events,
+    http::{HeaderValue, Request, StatusCode, header},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
+    tokio::net::{TcpListener, TcpStream},
+};
+
+/// How much longer than the idle timeout that callers know a connection is kept, in
+/// milliseconds, so that a caller that uses it just in time does not meet a closed one.
+const IDLE_MARGIN_MS: u64 = 2000;
+
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const BUF_BYTES_MIN: usize = 8192;
+
+/// Pause after a failed accept, in milliseconds: descriptors may have run out.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Listeners that are bound.
+pub(crate) struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+}
+
+/// Binds all listeners.
+///
+/// # Errors
+///
+/// When an address can't be bound.
+pub(crate) async fn bind(edge: &Edge) -> std::io::Result<Listeners> {
+    let listen = &edge.cfg.listen;
+    Ok(Listeners {
+        callers: TcpListener::bind(listen.callers).await?,
+        ready: TcpListener::bind(listen.ready).await?,
+        metrics: TcpListener::bind(listen.metrics).await?,
+    })
+}
+
+/// Begins to take connections.
+pub(crate) fn start(edge: &Arc<Edge>, listeners: Listeners) {
+    let e = edge.clone();
+    tokio::spawn(accept_all(listeners.callers, move |stream, peer| {
+        tokio::spawn(serve_caller(e.clone(), stream, peer));
+    }));
+    let e = edge.clone();
+    tokio::spawn(accept_all(listeners.ready, move |stream, _| {
+        let e = e.clone();
+        tokio::spawn(serve_simple(stream, move || readiness(&e)));
+    }));
+    let e = edge.clone();
+    tokio::spawn(accept_all(listeners.metrics, move |stream, _| {
+        let e = e.clone();
+        tokio::spawn(serve_simple(stream, move || {
+            plain(StatusCode::OK, Bytes::from(e.metrics.render()))
+        }));
+    }));
+}
+
+async fn accept_all(listener: TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => serve(stream, peer),
+            Err(e) => {
+                events::ACCEPT_FAILED.warn(format_args!("problem={e}"));
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+fn readiness(edge: &Edge) -> Answer {
+    let status = if edge.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    plain(status, Bytes::new())
+}
+
+async fn serve_simple(stream: TcpStream, answer: impl Fn() -> Answer) {
+    let service = service_fn(|_: Request<Incoming>| {
+        let answer = answer();
+        async move { Ok::<Answer, Infallible>(answer) }
+    });
+    // the one that asked may be gone; nothing is owed to it then
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn serve_caller(edge: Arc<Edge>, stream: TcpStream, peer: SocketAddr) {
+    // events of a stream are small and must not wait for each other
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let bounds = edge.routing().bounds;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(bounds.idle_ms + IDLE_MARGIN_MS))
+        .max_buf_size(bounds.head_bytes.max(BUF_BYTES_MIN))
+        .title_case_headers(true);
+    let service = service_fn(|req: Request<Incoming>| {
+        let edge = edge.clone();
+        async move { Ok::<Answer, Infallible>(serve_request(edge, req, peer).await) }
+    });
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // how a caller's connection ends is its own business
+        _ = conn.as_mut() => {}
+        () = edge.closing() => {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.await;
+        }
+    }
+}
+
+async fn serve_request(edge: Arc<Edge>, req: Request<Incoming>, peer: SocketAddr) -> Answer {
+    // what follows such a body may be meant as another request by one of the two framings
+    // (RFC 9112, section 6.1), so nothing is read after it
+    let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut answer = dispatch::serve(&edge, req, peer).await;
+    if chunked || edge.stopping() || answer.status() == StatusCode::BAD_REQUEST {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
--- /dev/null
+++ b/crates/edge/src/front/mod.rs
@@ -0,0 +1,9 @@
+//! Where callers, the balancer and the collector connect.
+
+mod accept;
+mod answer;
+
+pub(crate) use {
+    accept::{bind, start},
+    answer::{Answer, BodyError, plain, refusal},
+};
--- /dev/null
+++ b/crates/edge/src/orders/driver.rs
@@ -0,0 +1,294 @@
+//! Gives orders to one engine, one after the other.
+
+use {
+    crate::state::Edge,
+    bytes::Bytes,
+    egret_core::{AdapterOrder, Book, NextOrder, OrderAnswer, Target, Time},
+    egret_platform::{
+        OrderCall, order_answer, order_body, order_headers, order_path, read_report, report_path,
+    },
+    egret_runtime::{ConnSet, before, events, now},
+    faststr::FastStr,
+    http::{Method, StatusCode},
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::{Notify, oneshot},
+};
+
+/// Time in which an engine answers an order, in milliseconds; it answers at once, and an order
+/// whose answer is lost is given again.
+const ORDER_MS: u64 = 150;
+
+/// Time in which an engine answers a question for its report, in milliseconds.
+const REPORT_MS: u64 = 800;
+
+/// Pause while this host may not order, in milliseconds.
+const NO_RIGHT_MS: u64 = 50;
+
+/// Longest pause of a driver that has nothing to do, in milliseconds.
+const IDLE_MS: u64 = 1000;
+
+/// Adapters that the weight store has under way at full speed, over all engines.
+const TRANSIT_FULL_SPEED: usize = 8;
+
+/// Loads that a host may have under way whatever the others have, so that nobody starves.
+const TRANSIT_OWN_MIN: usize = 2;
+
+/// Loads of base models allowed in a window beyond the rate, over all hosts.
+const BASE_EXTRA: u64 = 3;
+
+/// Orders one engine.
+#[derive(Debug)]
+pub(crate) struct Driver {
+    pub(crate) engine: FastStr,
+    pub(crate) book: Mutex<Book>,
+    wake: Notify,
+    waiting: Mutex<Vec<Waiting>>,
+    conns: ConnSet,
+    ended: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    adapter: FastStr,
+    version: Option<u64>,
+    deadline: Time,
+    tx: oneshot::Sender<bool>,
+}
+
+/// Drivers of the engines that this host holds.
+#[derive(Debug, Default)]
+pub(crate) struct Drivers {
+    by_engine: Mutex<IndexMap<FastStr, Arc<Driver>>>,
+    base_loads: Mutex<Vec<Time>>,
+}
+
+impl Drivers {
+    /// The driver of `engine`, if this host holds it.
+    pub(crate) fn get(&self, engine: &str) -> Option<Arc<Driver>> {
+        self.by_engine.lock().get(engine).cloned()
+    }
+
+    /// All drivers.
+    pub(crate) fn all(&self) -> Vec<Arc<Driver>> {
+        self.by_engine.lock().values().cloned().collect()
+    }
+}
+
+/// Starts drivers for engines that this host has come to hold, and ends the others.
+pub(crate) fn keep_drivers(edge: &Arc<Edge>, engines: &[Arc<Target>]) {
+    let routing = edge.routing();
+    let mine: Vec<&Arc<Target>> = {
+        let tenure = edge.tenure.lock();
+        engines.iter().filter(|engine| tenure.mine(&engine.id)).collect()
+    };
+    let mut drivers = edge.drivers.by_engine.lock();
+    drivers.retain(|engine, driver| {
+        let keep = mine.iter().any(|target| target.id == *engine);
+        if !keep {
+            driver.ended.store(true, Ordering::Release);
+            driver.wake.notify_one();
+        }
+        keep
+    });
+    for target in mine {
+        let service = routing.services().get(&target.service);
+        let Some(traits) = service.and_then(|s| s.engine.as_ref()) else {
+            continue;
+        };
+        if drivers.contains_key(&target.id) {
+            continue;
+        }
+        let slots = usize::try_from(traits.adapter_slots).unwrap_or(0);
+        let driver = Arc::new(Driver {
+            engine: target.id.clone(),
+            book: Mutex::new(Book::new(slots, traits.models.clone())),
+            wake: Notify::new(),
+            waiting: Mutex::default(),
+            conns: ConnSet::new(target.address),
+            ended: AtomicBool::new(false),
+        });
+        drivers.insert(target.id.clone(), driver.clone());
+        events::HOLDING_CHANGED.info(format_args!("engine={} held=true", target.id));
+        let base_max = base_loads_max(edge, traits.loads_per_s_milli);
+        tokio::spawn(drive(edge.clone(), driver, base_max));
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+fn base_loads_max(edge: &Edge, loads_per_s_milli: u64) -> usize {
+    let orders = &edge.cfg.orders;
+    let rated = loads_per_s_milli as f64 / 1000.0 * orders.ceiling_window_s as f64;
+    let all = (rated * orders.ceiling_over) as u64 + BASE_EXTRA;
+    usize::try_from(all / edge.hosts()).unwrap_or(1).max(1)
+}
+
+/// Has `adapter` loaded at an engine that this host orders; true once it is there.
+pub(crate) async fn load_here(
+    edge: &Arc<Edge>,
+    engine: &str,
+    adapter: &FastStr,
+    version: Option<u64>,
+    deadline: Time,
+) -> bool {
+    let Some(driver) = edge.drivers.get(engine) else {
+        return false;
+    };
+    let (tx, rx) = oneshot::channel();
+    {
+        let mut book = driver.book.lock();
+        if book.has(adapter, version) {
+            book.used(now(), adapter);
+            return true;
+        }
+        book.want(now(), adapter, version);
+    }
+    driver.waiting.lock().push(Waiting { adapter: adapter.clone(), version, deadline, tx });
+    driver.wake.notify_one();
+    before(deadline, rx).await.is_some_and(|answer| answer.unwrap_or(false))
+}
+
+async fn drive(edge: Arc<Edge>, driver: Arc<Driver>, base_max: usize) {
+    while !driver.ended.load(Ordering::Acquire) {
+        let Some(fence) = edge.tenure.lock().fence(now(), &driver.engine) else {
+            driver.settle(now());
+            tokio::time::sleep(Duration::from_millis(NO_RIGHT_MS)).await;
+            continue;
+        };
+        match driver.next(&edge, base_max) {
+            NextOrder::Wait(at) => driver.wait(at).await,
+            NextOrder::Report => driver.report().await,
+            NextOrder::Order(order) => driver.order(&edge, &order, fence).await,
+        }
+        driver.settle(now());
+    }
+    driver.waiting.lock().clear();
+    events::HOLDING_CHANGED.info(format_args!("engine={} held=false", driver.engine));
+}
+
+impl Driver {
+    fn next(&self, edge: &Edge, base_max: usize) -> NextOrder {
+        let now = now();
+        let own: usize =
+            edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum();
+        let (theirs, in_use) = {
+            let peers = edge.peers.lock();
+            let held: Vec<FastStr> = self.book.lock().held().keys().cloned().collect();
+            let used = held.into_iter().filter(|adapter| peers.uses(&self.engine, adapter));
+            (peers.transit(), used.collect::<Vec<FastStr>>())
+        };
+        let mine: Vec<FastStr> = {
+            let at_targets = edge.at_targets.lock();
+            at_targets
+                .get(&self.engine)
+                .map(|at| at.adapters.keys().cloned().collect())
+                .unwrap_or_default()
+        };
+        let room = TRANSIT_FULL_SPEED
+            .saturating_sub(own + theirs)
+            .max(TRANSIT_OWN_MIN.saturating_sub(own));
+        let base_room = {
+            let mut loads = edge.drivers.base_loads.lock();
+            let window = edge.cfg.orders.ceiling_window_s * 1000;
+            loads.retain(|at| now.ms_since(*at) <= window);
+            loads.len() < base_max
+        };
+        let busy = |adapter: &str| mine.iter().chain(&in_use).any(|a| a == adapter);
+        let mut book = self.book.lock();
+        for adapter in mine.iter().chain(&in_use) {
+            book.used(now, adapter);
+        }
+        book.next(now, busy, room, base_room)
+    }
+
+    async fn wait(&self, at: Time) {
+        let left = now().ms_until(at).min(IDLE_MS);
+        let _ = tokio::time::timeout(Duration::from_millis(left), self.wake.notified()).await;
+    }
+
+    async fn report(&self) {
+        let deadline = now().after_ms(REPORT_MS);
+        let headers = order_headers(&self.engine);
+        let reply =
+            self.conns.call(Method::GET, report_path(), headers, Bytes::new(), deadline).await;
+        let report = match &reply {
+            Ok(reply) if reply.status == StatusCode::OK => read_report(&reply.body).ok(),
+            _ => None,
+        };
+        let mut book = self.book.lock();
+        match report {
+            Some(report) => {
+                events::ENGINE_REPORTED.info(format_args!(
+                    "engine={} seq={} adapters={} pending={} models={}",
+                    self.engine,
+                    report.seq,
+                    report.adapters.len(),
+                    report.pending.len(),
+                    report.models.len()
+                ));
+                book.reported(now(), report);
+            }
+            None => {
+                events::ENGINE_LOST.warn(format_args!("engine={} no report", self.engine));
+                book.not_reported(now());
+            }
+        }
+    }
+
+    async fn order(&self, edge: &Edge, order: &AdapterOrder, fence: u64) {
+        let seq = self.book.lock().seq();
+        if matches!(order, AdapterOrder::LoadBase { .. }) {
+            edge.drivers.base_loads.lock().push(now());
+        }
+        let call = OrderCall { order, seq, host: &edge.cfg.host, fence };
+        let deadline = now().after_ms(ORDER_MS);
+        let headers = order_headers(&self.engine);
+        let reply =
+            self.conns.call(Method::POST, order_path(), headers, order_body(&call), deadline).await;
+        let answer = match &reply {
+            Ok(reply) => order_answer(reply.status),
+            Err(_) => OrderAnswer::Silent,
+        };
+        let code = reply.map_or(0, |reply| reply.status.as_u16());
+        events::ORDER_DONE.debug(format_args!(
+            "engine={} order={order:?} seq={seq} fence={fence} status={code}",
+            self.engine
+        ));
+        edge.counts.orders.get_or_create(&vec![("status", code.to_string())]).inc();
+        match answer {
+            OrderAnswer::Fenced => {
+                events::ORDER_FENCED.warn(format_args!("engine={} fence={fence}", self.engine));
+                edge.tenure.lock().refused(&self.engine, fence);
+            }
+            OrderAnswer::Rejected | OrderAnswer::Silent => events::ORDER_FAILED.warn(format_args!(
+                "engine={} order={order:?} seq={seq} status={code}",
+                self.engine
+            )),
+            _ => {}
+        }
+        self.book.lock().answered(now(), order, answer);
+    }
+
+    // answers those who wait for an adapter that is there, and those whose time is over
+    fn settle(&self, now: Time) {
+        let waiting = std::mem::take(&mut *self.waiting.lock());
+        let mut still = Vec::new();
+        for one in waiting {
+            if self.book.lock().has(&one.adapter, one.version) {
+                let _ = one.tx.send(true);
+            } else if now >= one.deadline || one.tx.is_closed() {
+                let _ = one.tx.send(false);
+            } else {
+                still.push(one);
+            }
+        }
+        self.waiting.lock().extend(still);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/orders/mod.rs
@@ -0,0 +1,13 @@
+//! Orders to engines: which host gives them, and what they hold.
+
+mod claims;
+mod driver;
+
+pub(crate) use driver::{Drivers, load_here};
+
+use {crate::state::Edge, std::sync::Arc};
+
+/// Begins to claim engines and to order those that are held.
+pub(crate) fn start(edge: &Arc<Edge>) {
+    tokio::spawn(claims::keep(edge.clone()));
+}
--- /dev/null
+++ b/crates/edge/src/peers/ask.rs
@@ -0,0 +1,70 @@
+//! Questions between hosts: loads of adapters at engines that the other one orders.
+
+use {
+    crate::{orders, state::Edge},
+    egret_core::Time,
+    egret_runtime::{AdapterAskMsg, Body, Hello, StatusMsg, events, now, serve_links},
+    faststr::FastStr,
+    futures::future::BoxFuture,
+    std::sync::Arc,
+};
+
+/// Serves the links of the other hosts.
+pub(crate) async fn serve(edge: Arc<Edge>) {
+    let address = edge.cfg.listen.links;
+    let answerer = {
+        let edge = edge.clone();
+        move |hello: Arc<Hello>, body: Body| answer(edge.clone(), hello, body)
+    };
+    if let Err(e) = serve_links(address, String::new(), Arc::new(answerer)).await {
+        events::LINK_REFUSED.error(format_args!("address={address} problem={e}"));
+    }
+}
+
+fn answer(edge: Arc<Edge>, hello: Arc<Hello>, body: Body) -> BoxFuture<'static, Option<Body>> {
+    Box::pin(async move {
+        match body {
+            Body::HostBeat(beat) => {
+                edge.peers.lock().beat(beat);
+                None
+            }
+            Body::AdapterAsk(ask) => {
+                let adapter = FastStr::from_string(ask.adapter);
+                let version = (ask.version > 0).then_some(ask.version);
+                let deadline = now().after_ms(ask.remaining_ms);
+                let loaded =
+                    orders::load_here(&edge, &ask.engine, &adapter, version, deadline).await;
+                events::ADAPTER_ASKED.debug(format_args!(
+                    "peer={} engine={} adapter={adapter} loaded={loaded}",
+                    hello.host, ask.engine
+                ));
+                Some(if loaded { Body::Ok(Hello::default()) } else { refuse() })
+            }
+            // questions of other programs
+            _ => Some(refuse()),
+        }
+    })
+}
+
+fn refuse() -> Body {
+    Body::Status(StatusMsg { json: String::new() })
+}
+
+/// Asks `host` to load an adapter at an engine that it orders; true once it is there.
+pub(crate) async fn ask_load(
+    edge: &Edge,
+    host: &str,
+    engine: &str,
+    adapter: &FastStr,
+    version: Option<u64>,
+    deadline: Time,
+) -> bool {
+    let ask = AdapterAskMsg {
+        engine: engine.to_owned(),
+        adapter: adapter.to_string(),
+        version: version.unwrap_or(0),
+        remaining_ms: now().ms_until(deadline),
+    };
+    let answer = edge.links.call(host, Body::AdapterAsk(ask), deadline).await;
+    matches!(answer, Ok(Body::Ok(_)))
+}
--- /dev/null
+++ b/crates/edge/src/peers/known.rs
@@ -0,0 +1,157 @@
+//! What is known of the other hosts.
+
+use {
+    egret_core::Time,
+    egret_runtime::{HostBeatMsg, now},
+    faststr::FastStr,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Time without a heartbeat after which a host counts as gone, in milliseconds; three
+/// heartbeats between data centres may be lost.
+const ALIVE_MS: u64 = 2500;
+
+/// Time without a heartbeat after which a host draws on no shared budget any more, in
+/// milliseconds: longer than any window in which such a budget is counted.
+const BUDGET_MS: u64 = 30_000;
+
+/// A host as it stands on the log.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HostRecord {
+    /// Where it takes links.
+    pub(crate) address: SocketAddr,
+    /// Its data centre.
+    pub(crate) data_centre: FastStr,
+    /// Distinguishes its processes.
+    pub(crate) incarnation: u64,
+}
+
+/// What an engine holds, as the host says that orders it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EngineView {
+    /// True when that host can load adapters there.
+    pub(crate) able: bool,
+    /// Adapters on their way to it.
+    pub(crate) transit: usize,
+    /// Adapters that it holds, with their versions.
+    pub(crate) held: IndexMap<FastStr, u64>,
+}
+
+/// Requests of a host at one target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TheirLoad {
+    pub(crate) running: u32,
+    pub(crate) adapters: Vec<FastStr>,
+}
+
+/// Another host.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) record: HostRecord,
+    pub(crate) heard: Time,
+    pub(crate) loads: IndexMap<FastStr, TheirLoad>,
+    pub(crate) engines: IndexMap<FastStr, EngineView>,
+}
+
+/// The other hosts, by name.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers {
+    all: IndexMap<FastStr, Peer>,
+}
+
+impl Peers {
+    /// Takes the record of `host`; this host's own is left out.
+    pub(crate) fn saw(&mut self, me: &FastStr, host: &str, record: Option<HostRecord>) {
+        if me == host {
+            return;
+        }
+        let Some(record) = record else {
+            self.all.swap_remove(host);
+            return;
+        };
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.record = record;
+            return;
+        }
+        let peer =
+            Peer { record, heard: Time::ZERO, loads: IndexMap::new(), engines: IndexMap::new() };
+        self.all.insert(FastStr::new(host), peer);
+    }
+
+    /// Takes a heartbeat.
+    pub(crate) fn beat(&mut self, beat: HostBeatMsg) {
+        let Some(peer) = self.all.get_mut(beat.host.as_str()) else {
+            return;
+        };
+        peer.heard = now();
+        peer.loads = beat
+            .loads
+            .into_iter()
+            .map(|load| {
+                let adapters = load.adapters.into_iter().map(FastStr::from_string).collect();
+                (FastStr::from_string(load.target), TheirLoad { running: load.running, adapters })
+            })
+            .collect();
+        peer.engines = beat
+            .engines
+            .into_iter()
+            .map(|engine| {
+                let transit = usize::try_from(engine.transit).unwrap_or(0);
+                let held =
+                    engine.held.into_iter().map(|h| (FastStr::from_string(h.name), h.version));
+                let view = EngineView { able: engine.able, transit, held: held.collect() };
+                (FastStr::from_string(engine.engine), view)
+            })
+            .collect();
+    }
+
+    /// Notes that `host` does not take links any more.
+    pub(crate) fn lost(&mut self, host: &str) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.loads.clear();
+        }
+    }
+
+    /// All hosts that have a record.
+    pub(crate) fn all(&self) -> &IndexMap<FastStr, Peer> {
+        &self.all
+    }
+
+    /// True when `host` was heard of lately.
+    pub(crate) fn alive(&self, host: &str) -> bool {
+        self.all.get(host).is_some_and(|peer| now() < peer.heard.after_ms(ALIVE_MS))
+    }
+
+    /// Hosts that may draw on a shared budget. While none was heard, all that have a record
+    /// count.
+    pub(crate) fn known(&self) -> u64 {
+        let now = now();
+        let lately = self.all.values().filter(|p| now < p.heard.after_ms(BUDGET_MS)).count();
+        let count = if lately == 0 { self.all.len() } else { lately };
+        count as u64
+    }
+
+    /// Requests of live hosts at `target`.
+    pub(crate) fn running(&self, target: &str) -> u64 {
+        let now = now();
+        let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
+        live.filter_map(|peer| peer.loads.get(target)).map(|load| u64::from(load.running)).sum()
+    }
+
+    /// True when a live host has a request for `adapter` at `target`.
+    pub(crate) fn uses(&self, target: &str, adapter: &str) -> bool {
+        let now = now();
+        let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
+        live.filter_map(|peer| peer.loads.get(target))
+            .any(|load| load.adapters.iter().any(|a| a == adapter))
+    }
+
+    /// Adapters on their way to the engines of live hosts.
+    pub(crate) fn transit(&self) -> usize {
+        let now = now();
+        let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
+        live.flat_map(|peer| peer.engines.values()).map(|engine| engine.transit).sum()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/pool.rs
@@ -0,0 +1,114 @@
+//! Connections to targets that are kept for the next request.
+
+use {
+    egret_core::{Target, Time},
+    egret_runtime::{Conn, HttpError, now},
+    faststr::FastStr,
+    http::HeaderMap,
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+};
+
+/// Longest time for which a connection is kept when its target does not say how long it keeps
+/// it, in milliseconds.
+const IDLE_MS: u64 = 4000;
+
+/// A target's own idle timeout is undercut by this much, in milliseconds, since it may close
+/// the connection while a request is on its way.
+const IDLE_MARGIN_MS: u64 = 700;
+
+/// Longest idle time of a connection that carries a request which may not be repeated, in
+/// milliseconds: a connection that was cut meanwhile would leave its fate unknown.
+const FRESH_MS: u64 = 1500;
+
+/// Connections that are kept for one target.
+const KEPT_MAX: usize = 32;
+
+#[derive(Debug)]
+struct Kept {
+    conn: Conn,
+    since: Time,
+    until: Time,
+}
+
+/// Kept connections by target id.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    kept: Mutex<IndexMap<FastStr, Vec<Kept>>>,
+}
+
+/// A connection to a target, and whether it was used before.
+#[derive(Debug)]
+pub(crate) struct Taken {
+    pub(crate) conn: Conn,
+    pub(crate) kept: bool,
+}
+
+impl Pool {
+    /// A connection to `target`: a kept one that is still sound, otherwise a new one.
+    ///
+    /// # Errors
+    ///
+    /// When there is no connection by `deadline`.
+    pub(crate) async fn take(
+        &self,
+        target: &Target,
+        repeatable: bool,
+        deadline: Time,
+    ) -> Result<Taken, HttpError> {
+        if let Some(conn) = self.take_kept(&target.id, repeatable) {
+            return Ok(Taken { conn, kept: true });
+        }
+        let conn = Conn::open(target.address, deadline).await?;
+        Ok(Taken { conn, kept: false })
+    }
+
+    fn take_kept(&self, target: &str, repeatable: bool) -> Option<Conn> {
+        let now = now();
+        let mut all = self.kept.lock();
+        let kept = all.get_mut(target)?;
+        while let Some(last) = kept.pop() {
+            let fresh = repeatable || now.ms_since(last.since) < FRESH_MS;
+            if now < last.until && fresh && last.conn.ready() {
+                return Some(last.conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was whole. `headers` are those of that answer.
+    pub(crate) fn keep(&self, target: &FastStr, conn: Conn, headers: &HeaderMap) {
+        let value = |name| headers.get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
+        if value("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+            return;
+        }
+        let idle_ms = value("keep-alive").and_then(timeout_ms).unwrap_or(IDLE_MS);
+        let now = now();
+        let until = now.after_ms(idle_ms.saturating_sub(IDLE_MARGIN_MS).min(IDLE_MS));
+        let mut all = self.kept.lock();
+        let kept = all.entry(target.clone()).or_default();
+        if kept.len() < KEPT_MAX {
+            kept.push(Kept { conn, since: now, until });
+        }
+    }
+
+    /// Closes connections that have been idle for too long, and those to targets that are gone.
+    pub(crate) fn expire(&self, known: impl Fn(&str) -> bool) {
+        let now = now();
+        self.kept.lock().retain(|target, kept| {
+            kept.retain(|k| now < k.until && k.conn.ready());
+            !kept.is_empty() && known(target)
+        });
+    }
+
+    /// Closes the kept connections to `target`.
+    pub(crate) fn drop_target(&self, target: &str) {
+        self.kept.lock().swap_remove(target);
+    }
+}
+
+// the timeout of a Keep-Alive header, which is stated in seconds
+fn timeout_ms(value: &str) -> Option<u64> {
+    let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    part.trim().parse::<u64>().ok().map(|seconds| seconds * 1000)
+}
--- /dev/null
+++ b/crates/edge/src/watch/mod.rs
@@ -0,0 +1,17 @@
+//! What is read from the platform's store: routes and versions, targets, hosts and claims.
+
+mod operator;
+mod own;
+mod reach;
+mod targets;
+
+pub(crate) use own::{append_own, engine_key};
+
+use {crate::state::Edge, std::sync::Arc};
+
+/// Begins to follow the store.
+pub(crate) fn start(edge: &Arc<Edge>) {
+    tokio::spawn(operator::follow(edge.clone()));
+    tokio::spawn(targets::follow(edge.clone()));
+    tokio::spawn(own::follow(edge.clone()));
+}
--- /dev/null
+++ b/crates/edge/src/watch/targets.rs
@@ -0,0 +1,85 @@
+//! Targets, as the registry lists them.
+
+use {
+    super::reach::{Reach, answer_by},
+    crate::state::Edge,
+    egret_core::{Target, TargetState},
+    egret_platform::{Page, StoreError, Topic, read_target},
+    egret_runtime::{events, now},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Pause between two reads, in milliseconds. Every target writes a heartbeat about once a
+/// second, so waiting for the next record would return at once; a leaving target must be known
+/// well before it has finished leaving.
+const PAUSE_MS: u64 = 600;
+
+/// Follows the registry.
+pub(crate) async fn follow(edge: Arc<Edge>) {
+    let mut reach = Reach::new("targets", edge.incarnation);
+    let mut next = None;
+    loop {
+        let page = match next {
+            Some(from) => edge.store.read(Topic::Targets, from, 0, answer_by(0)).await,
+            None => edge.store.newest(Topic::Targets, answer_by(0)).await,
+        };
+        match page {
+            Ok(page) => {
+                if reach.answered() {
+                    let until = now().after_ms(edge.cfg.store.lapse_ms);
+                    edge.fleet.write().regained(until);
+                }
+                let whole = next.is_none();
+                next = Some(page.next);
+                take(&edge, &page, whole);
+                *edge.fleet_read.lock() = now();
+                edge.changed.notify_waiters();
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+            Err(StoreError::Gone) => next = None,
+            Err(e) => reach.failed(&e).await,
+        }
+        edge.fleet.write().expire(now());
+    }
+}
+
+fn take(edge: &Edge, page: &Page, whole: bool) {
+    let now = now();
+    let mut listed = Vec::new();
+    let mut fleet = edge.fleet.write();
+    for record in &page.records {
+        let Some(value) = &record.value else {
+            events::TARGET_GONE.info(format_args!("target={}", record.key));
+            fleet.vanished(now, &record.key);
+            continue;
+        };
+        match read_target(&record.key, value) {
+            Ok(target) if whole => listed.push(target),
+            Ok(target) => {
+                note(fleet.get(&target.id).map(|t| &**t), &target);
+                fleet.saw(target);
+            }
+            Err(e) => {
+                events::LOG_RECORD_UNKNOWN
+                    .warn(format_args!("key={} offset={} problem={e}", record.key, record.offset));
+                fleet.unreadable(&record.key);
+            }
+        }
+    }
+    if whole {
+        events::TARGETS_LISTED.info(format_args!("targets={}", listed.len()));
+        fleet.listed(now, listed);
+    }
+}
+
+fn note(before: Option<&Target>, target: &Target) {
+    let state = before.map(|t| t.state);
+    if state == Some(target.state) {
+        return;
+    }
+    match target.state {
+        TargetState::Ready => events::TARGET_READY
+            .info(format_args!("target={} address={}", target.id, target.address)),
+        TargetState::Leaving => events::TARGET_LEAVING.info(format_args!("target={}", target.id)),
+    }
+}
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -53,8 +53,10 @@
             let json = crate::status::status(keeper).to_string();
             Some(Body::Status(StatusMsg { json }))
         }
-        // answers make no sense as questions
-        Body::Hello(_)
+        // answers make no sense as questions, and the rest is for edge hosts
+        Body::HostBeat(_)
+        | Body::AdapterAsk(_)
+        | Body::Hello(_)
         | Body::Grant(_)
         | Body::Refuse(_)
         | Body::View(_)
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -62,11 +62,21 @@
     STARTED = 1001 "process started";
     STOPPING = 1002 "graceful stop began";
     STOPPED = 1003 "graceful stop ended";
+    STOP_CUT = 1004 "graceful stop ran out of time with requests open";
+    ACCEPT_FAILED = 1005 "connection could not be accepted";
     LOG_UNREACHABLE = 1010 "platform log can't be read";
     LOG_REACHABLE = 1011 "platform log can be read again";
     LOG_RECORD_UNKNOWN = 1012 "record of a log stream not understood";
     HOSTS_UNREACHABLE = 1013 "host list can't be read";
+    APPEND_FAILED = 1014 "append to the platform log failed";
+    TARGETS_LISTED = 1015 "registry of targets read as a whole";
+    TARGET_READY = 1016 "target takes new work";
+    TARGET_LEAVING = 1017 "target leaves";
+    TARGET_GONE = 1018 "target's registration ended";
     CONFIG_IN_FORCE = 1020 "configuration came into force";
+    VERSION_ANNOUNCED = 1021 "new version of an adapter announced";
+    SETTINGS_READ = 1022 "settings read again";
+    SETTINGS_REFUSED = 1023 "changed settings refused, the old ones stay";
     LINK_REFUSED = 1030 "link to a peer refused";
     LINK_BROKEN = 1031 "link to a peer broke";
     REQUEST_DONE = 1101 "request answered";
@@ -75,6 +85,8 @@
     ATTEMPT_FAILED = 1104 "attempt failed";
     ANSWER_DROPPED = 1105 "answer that matches no open attempt dropped";
     JOURNAL_UNSETTLED = 1111 "journal entry could not be settled";
+    ADAPTER_ASKED = 1112 "load of an adapter asked for by a peer";
+    STREAM_MOVED = 1113 "stream goes on at another target";
     REGISTERED = 1120 "open tickets registered with a keeper";
     CLAIM_APPENDED = 1201 "claim appended";
     HOLDING_CHANGED = 1202 "holding of a resource changed";
@@ -85,6 +97,7 @@
     ORDER_WITHHELD = 1213 "order withheld because the right had lapsed";
     ENGINE_LOST = 1221 "engine takes no connections";
     SUSPECTS_FOUND = 1222 "contents became crash suspects";
+    ENGINE_REPORTED = 1223 "engine reported what it holds";
     TICKET_CANCELLED = 1230 "lapsed ticket cancelled at the engine";
     PERMITS_LENT = 1240 "weight store permits lent";
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -21,15 +21,16 @@
 pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
-    AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg, Link,
-    LinkError, LinkPool, LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg,
-    StatusMsg, SuspectMsg, SuspectsMsg, TicketMsg, ViewMsg, serve_links,
+    AcquireMsg, AdapterAskMsg, BeatMsg, Body, BorrowMsg, EngineHeldMsg, EngineViewMsg, Frame,
+    GrantMsg, HeldMsg, Hello, HostBeatMsg, KeyMsg, Link, LinkError, LinkPool, LoanMsg, LoansMsg,
+    RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg, SuspectsMsg,
+    TargetLoadMsg, TicketMsg, ViewMsg, serve_links,
 };
 pub use logs::start_logs;
 pub use metrics::Metrics;
 pub use platform::{Appended, Batch, HostEntry, HostsClient, LogClient, LogError, Tail};
 pub use watch::{ConfigWatch, HostsWatch};
 pub use web::{
-    Answer, CallError, Caller, ENGINE_HEADERS, Reply, error_json, json_response, read_limited,
-    serve_http, text_response,
+    Answer, CallError, Caller, Conn, ConnSet, ENGINE_HEADERS, HttpError, Reply, before, error_json,
+    json_response, read_limited, read_whole, serve_http, text_response,
 };
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What is said.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub body: Option<Body>,
 }
 
@@ -59,6 +59,12 @@
     /// Tells of crash suspects at once.
     #[prost(message, tag = "14")]
     Suspects(SuspectsMsg),
+    /// Heartbeat between edge hosts.
+    #[prost(message, tag = "15")]
+    HostBeat(HostBeatMsg),
+    /// Asks the host that orders an engine to load an adapter there.
+    #[prost(message, tag = "16")]
+    AdapterAsk(AdapterAskMsg),
 }
 
 /// Who speaks.
@@ -363,3 +369,82 @@
     #[prost(string, tag = "1")]
     pub json: String,
 }
+
+/// Heartbeat between edge hosts.
+#[derive(Clone, PartialEq, Message)]
+pub struct HostBeatMsg {
+    /// The sender.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Revision of the routes that it has in force.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Milliseconds since it last read the registry.
+    #[prost(uint64, tag = "3")]
+    pub store_age_ms: u64,
+    /// Its requests at targets.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<TargetLoadMsg>,
+    /// Engines that it orders.
+    #[prost(message, repeated, tag = "5")]
+    pub engines: Vec<EngineHeldMsg>,
+}
+
+/// Requests of a host at one target.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TargetLoadMsg {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Requests that are open there.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Adapters that they name.
+    #[prost(string, repeated, tag = "3")]
+    pub adapters: Vec<String>,
+}
+
+/// What an engine holds.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EngineHeldMsg {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// True when adapters can be loaded there now.
+    #[prost(bool, tag = "2")]
+    pub able: bool,
+    /// Adapters on their way to it.
+    #[prost(uint32, tag = "3")]
+    pub transit: u32,
+    /// Adapters that it holds.
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<HeldMsg>,
+}
+
+/// An adapter that an engine holds.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HeldMsg {
+    /// Its name with its base model.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its version, 0 when it is not known.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// Asks the host that orders an engine to load an adapter there.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct AdapterAskMsg {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Name of the adapter with its base model.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Oldest version that will do, 0 for any.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Milliseconds after which the answer is of no use.
+    #[prost(uint64, tag = "4")]
+    pub remaining_ms: u64,
+}
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -8,9 +8,10 @@
 pub use {
     client::{Link, LinkError},
     message::{
-        AcquireMsg, BeatMsg, Body, BorrowMsg, EngineViewMsg, Frame, GrantMsg, Hello, KeyMsg,
-        LoanMsg, LoansMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg,
-        SuspectsMsg, TicketMsg, ViewMsg,
+        AcquireMsg, AdapterAskMsg, BeatMsg, Body, BorrowMsg, EngineHeldMsg, EngineViewMsg, Frame,
+        GrantMsg, HeldMsg, Hello, HostBeatMsg, KeyMsg, LoanMsg, LoansMsg, RefuseMsg, RegisterMsg,
+        ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg, SuspectsMsg, TargetLoadMsg, TicketMsg,
+        ViewMsg,
     },
     pool::LinkPool,
     server::serve_links,
--- a/crates/runtime/src/web/client.rs
+++ b/crates/runtime/src/web/client.rs
@@ -196,7 +196,7 @@
 }
 
 /// Runs `work` until `deadline`; none when it passed first.
-pub(crate) async fn before<F: Future>(deadline: Time, work: F) -> Option<F::Output> {
+pub async fn before<F: Future>(deadline: Time, work: F) -> Option<F::Output> {
     let left = Duration::from_millis(crate::now().ms_until(deadline));
     tokio::time::timeout(left, work).await.ok()
 }
