Stop closes listener and idle connections once the balancer has noticed; one home per adapter

Adapters were loaded in each data centre. Change: after notice (2.3 s) the listener is closed and connections end after their open request. Ruled out: zone-local homes, whose cold loads cost more than the far streams they save.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod config;
 mod course;
+mod crossings;
 mod events;
 mod fleet;
 mod hash;
@@ -36,6 +37,7 @@
     diff, validate,
 };
 pub use course::{AttemptEnd, Course, Next};
+pub use crossings::Crossings;
 pub use events::{EventCutter, OutOfOrder};
 pub use fleet::{Fleet, Health, HeldAdapter, HeldModel, Target, TargetState};
 pub use hash::{Fingerprint, digest, fingerprint, mix, rendezvous};
--- a/crates/core/src/steer.rs
+++ b/crates/core/src/steer.rs
@@ -14,6 +14,10 @@
 /// is. Above it another engine gets a copy.
 const CROWDED_MILLI: u64 = 450;
 
+/// Failures among the latest answers, in thousandths, from which on an engine gets no new
+/// adapters and its adapters get copies elsewhere.
+const FAILING_MILLI: u64 = 400;
+
 /// An engine may run this many requests more than the average of its data centre and still be
 /// the one that loads an adapter (consistent hashing with bounded loads, Mirrokni et al. 2018).
 const BOUND_EXTRA: u64 = 4;
@@ -77,36 +81,46 @@
 
 /// The engine for a request that names the adapter `adapter`. `busy` tells that the weight store
 /// has as many adapters under way as it serves at full speed: a copy elsewhere is then better
-/// than one more load.
+/// than one more load. `copy_near` tells that requests for it have crossed between data centres
+/// so often that a copy near by would have cost less.
+///
+/// An adapter has one home among all engines, which after its first load from the weight store
+/// loads it again from a copy of its own; it gets further engines while its home is crowded.
 #[must_use]
-pub fn steer_adapter<'a>(candidates: &'a [Candidate], adapter: &str, busy: bool) -> Place<'a> {
-    let resident = candidates
-        .iter()
-        .filter(|c| c.resident)
-        .min_by_key(|c| (c.cost(), rendezvous(adapter, &c.id)));
-    let loading = loader(candidates, adapter);
-    match (resident, loading) {
-        (None, None) => Place::Nowhere,
-        (None, Some(l)) => Place::Load(l),
-        (Some(r), None) => Place::Use(r),
-        (Some(r), Some(_)) if busy => Place::Use(r),
-        (Some(r), Some(l)) => {
-            let good_place = r.near && r.fill_milli() < CROWDED_MILLI && r.failing_milli < 300;
-            if good_place || l.cost() + CROWDED_MILLI / 2 >= r.cost() {
-                Place::Use(r)
-            } else {
-                Place::Load(l)
-            }
+pub fn steer_adapter<'a>(
+    candidates: &'a [Candidate],
+    adapter: &str,
+    busy: bool,
+    copy_near: bool,
+) -> Place<'a> {
+    let cost = |c: &&Candidate| (c.cost(), rendezvous(adapter, &c.id));
+    let resident = candidates.iter().filter(|c| c.resident).min_by_key(cost);
+    let Some(resident) = resident else {
+        return loader(candidates, adapter, false).map_or(Place::Nowhere, Place::Load);
+    };
+    let crowded = resident.fill_milli() >= CROWDED_MILLI || resident.failing_milli >= FAILING_MILLI;
+    if busy || !(crowded || copy_near && !resident.near) {
+        return Place::Use(resident);
+    }
+    match loader(candidates, adapter, copy_near) {
+        Some(l) if l.fill_milli() + CROWDED_MILLI / 2 < resident.fill_milli() => Place::Load(l),
+        Some(l) if l.near && !resident.near => Place::Load(l),
+        Some(l) if resident.failing_milli >= FAILING_MILLI && l.cost() < resident.cost() => {
+            Place::Load(l)
         }
+        _ => Place::Use(resident),
     }
 }
 
-// the first in rendezvous order that is not fuller than its data centre's average allows: the
-// same few engines see the same adapters and load them from their own copies
-fn loader<'a>(candidates: &'a [Candidate], adapter: &str) -> Option<&'a Candidate> {
-    let able = || candidates.iter().filter(|c| c.loads && !c.resident && c.failing_milli < 500);
-    let near = able().any(|c| c.near);
-    let pool: Vec<&Candidate> = able().filter(|c| c.near == near).collect();
+// the first in rendezvous order that is not fuller than the average allows: the same few engines
+// see the same adapters and load them from their own copies
+fn loader<'a>(candidates: &'a [Candidate], adapter: &str, near: bool) -> Option<&'a Candidate> {
+    let able = || {
+        let sound = |c: &&Candidate| c.loads && !c.resident && c.failing_milli < FAILING_MILLI;
+        candidates.iter().filter(sound)
+    };
+    let near = near && able().any(|c| c.near);
+    let pool: Vec<&Candidate> = able().filter(|c| c.near || !near).collect();
     let total: u64 = pool.iter().map(|c| c.running).sum();
     let bound = total.checked_div(pool.len() as u64)? * 5 / 4 + BOUND_EXTRA;
     let within = pool.iter().filter(|c| c.running <= bound);
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -111,8 +111,9 @@
     pub grace_ms: u64,
 }
 
+// the balancer asks once a second and believes the second answer
 const fn default_notice_ms() -> u64 {
-    3000
+    2300
 }
 
 impl Settings {
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -22,8 +22,8 @@
 pub(crate) enum Placed {
     /// To this target.
     At(Arc<Target>),
-    /// The adapter could not be loaded at this engine in time.
-    NotLoaded(FastStr),
+    /// The adapter could not be loaded in time.
+    NotLoaded,
     /// No target takes it.
     Nowhere,
 }
@@ -40,8 +40,16 @@
     let candidates = candidates(edge, out, adapter, version, tried);
     let chosen = match adapter {
         None => steer_plain(&candidates, &out.head.id),
-        Some(adapter) => steer_adapter(&candidates, adapter, transit(edge) >= TRANSIT_BUSY),
+        Some(adapter) => {
+            let copy_near = edge.crossings.lock().copy_near(now(), adapter);
+            steer_adapter(&candidates, adapter, transit(edge) >= TRANSIT_BUSY, copy_near)
+        }
     };
+    if let (Place::Use(candidate), Some(adapter)) = (&chosen, adapter)
+        && !candidate.near
+    {
+        edge.crossings.lock().crossed(now(), adapter);
+    }
     let (id, load) = match chosen {
         Place::Nowhere => return Placed::Nowhere,
         Place::Use(candidate) => (candidate.id.clone(), false),
@@ -61,7 +69,7 @@
                 out.head.id,
                 now().ms_since(began)
             ));
-            return Placed::NotLoaded(id);
+            return Placed::NotLoaded;
         }
         // the target may have begun to leave during the load
         return edge.fleet.read().ready(&id).cloned().map_or(Placed::Nowhere, Placed::At);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -92,7 +92,7 @@
             let placed = place(&self.edge, &self.out, &self.tried, self.out.deadline).await;
             let target = match placed {
                 Placed::At(target) => target,
-                Placed::NotLoaded(_) => {
+                Placed::NotLoaded => {
                     return Err((self.state.give_up(now()), "its adapter could not be loaded"));
                 }
                 Placed::Nowhere => return Err((self.state.give_up(now()), "no target takes it")),
--- a/crates/edge/src/front/accept.rs
+++ b/crates/edge/src/front/accept.rs
@@ -46,9 +46,16 @@
 /// Begins to take connections.
 pub(crate) fn start(edge: &Arc<Edge>, listeners: Listeners) {
     let e = edge.clone();
-    tokio::spawn(accept_all(listeners.callers, move |stream, peer| {
-        tokio::spawn(serve_caller(e.clone(), stream, peer));
-    }));
+    tokio::spawn(async move {
+        let accept = accept_all(listeners.callers, |stream, peer| {
+            tokio::spawn(serve_caller(e.clone(), stream, peer));
+        });
+        // a caller whose connection is refused knows that its request was not read
+        tokio::select! {
+            () = accept => {}
+            () = e.closing() => {}
+        }
+    });
     let e = edge.clone();
     tokio::spawn(accept_all(listeners.ready, move |stream, _| {
         let e = e.clone();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{conf::Settings, orders::Drivers, peers::Peers, pool::Pool},
     egret_core::{
-        Fleet, Health, RetryBounds, RetryWindow, Routing, Suspects, Tenure, TenureRecord, Time,
+        Crossings, Fleet, Health, RetryBounds, RetryWindow, Routing, Suspects, Tenure, TenureRecord, Time,
     },
     egret_platform::Store,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -64,6 +64,7 @@
     pub(crate) at_targets: Mutex<IndexMap<FastStr, AtTarget>>,
     pub(crate) tenure: Mutex<Tenure>,
     pub(crate) drivers: Drivers,
+    pub(crate) crossings: Mutex<Crossings>,
     pub(crate) peers: Mutex<Peers>,
     pub(crate) links: LinkPool,
     /// Hosts to which a link is being opened.
@@ -99,6 +100,7 @@
             at_targets: Mutex::default(),
             tenure: Mutex::new(Tenure::new(me, cfg.orders.fencing, cfg.orders.lease_ms)),
             drivers: Drivers::default(),
+            crossings: Mutex::default(),
             peers: Mutex::default(),
             links: LinkPool::new(hello),
             connecting: Mutex::default(),
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -13,7 +13,8 @@
 /// Time between two looks at whether everything is finished, in milliseconds.
 const LOOK_MS: u64 = 50;
 
-/// Time for idle connections to close, in milliseconds.
+/// Time for idle connections to close, in milliseconds: a request that is on its way to one still
+/// gets its answer.
 const CLOSE_MS: u64 = 60;
 
 /// Runs until a stop was asked for and everything open is finished.
@@ -37,17 +38,15 @@
     let last = started.after_ms(stop.grace_ms.saturating_sub(RESERVE_MS));
     edge.stop();
     events::STOPPING.info(format_args!("open={}", edge.open_requests()));
-    while now() < noticed || (edge.open_requests() > 0 && now() < last) {
-        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
-    }
+    tokio::time::sleep(Duration::from_millis(now().ms_until(noticed))).await;
+    // what comes later could not be finished in time
     edge.close();
+    tokio::time::sleep(Duration::from_millis(CLOSE_MS)).await;
     let closed = async {
         while edge.open_requests() > 0 {
             tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
         }
     };
-    // a request that was on its way to a connection that closes still gets its answer
-    tokio::time::sleep(Duration::from_millis(CLOSE_MS)).await;
     if before(last, closed).await.is_none() {
         events::STOP_CUT.warn(format_args!("open={}", edge.open_requests()));
     }
