Claims respect hosts that may live; unloads that wait don't stop a driver; urgent loads first

Change: silence counts from when this process listens; a started host counts as heard; an adapter that closes keeps its slot and is looked at; engines without a right offer no loads; loads that can still be in time go first; a load is waited for three aims at most. Ruled out: longer settling after a start, which also delays hosts that are right.

--- a/crates/core/src/crossings.rs
+++ b/crates/core/src/crossings.rs
@@ -37,8 +37,7 @@
     #[must_use]
     pub fn copy_near(&self, now: Time, adapter: &str) -> bool {
         let counted = self.counted.get(adapter);
-        counted.is_some_and(|(count, since)| {
-            *count >= COPY_AFTER && now.ms_since(*since) <= FORGET_MS
-        })
+        counted
+            .is_some_and(|(count, since)| *count >= COPY_AFTER && now.ms_since(*since) <= FORGET_MS)
     }
 }
--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -18,6 +18,9 @@
 /// Time between further looks at a load that takes longer, in milliseconds.
 const LOOK_AGAIN_MS: u64 = 60;
 
+/// Time between looks at an adapter that is dropped once its runs have ended, in milliseconds.
+const CLOSING_LOOK_MS: u64 = 300;
+
 /// Loads that are not there after this time are looked up in the engine's report, in
 /// milliseconds.
 const LOAD_LOST_MS: u64 = 4000;
@@ -102,7 +105,24 @@
 #[derive(Clone, Copy, Debug)]
 struct Wanted {
     version: Option<u64>,
+    // first asked for
+    since: Time,
+    // the loads that can still be there by this time go first
+    aim: Time,
     until: Time,
+    asked: u32,
+}
+
+impl Wanted {
+    // when more is wanted than can be loaded, what can still be there in time goes first, oldest
+    // first; of the rest, what most requests wait for. In order of arrival all would be late.
+    fn turn(&self, now: Time) -> (bool, u64) {
+        if now.after_ms(COLD_LOAD_MS) <= self.aim {
+            (false, self.since.as_millis())
+        } else {
+            (true, u64::from(u32::MAX - self.asked))
+        }
+    }
 }
 
 /// What comes next for an engine.
@@ -128,6 +148,8 @@
     base_loading_until: Time,
     held: IndexMap<FastStr, Held>,
     coming: IndexMap<FastStr, Coming>,
+    // adapters that are dropped once their runs have ended, and when to look at them
+    closing: IndexMap<FastStr, Time>,
     wanted: IndexMap<FastStr, Wanted>,
     silent_in_row: u32,
 }
@@ -146,6 +168,7 @@
             base_loading_until: Time::ZERO,
             held: IndexMap::new(),
             coming: IndexMap::new(),
+            closing: IndexMap::new(),
             wanted: IndexMap::new(),
             silent_in_row: 0,
         }
@@ -182,10 +205,15 @@
         held.is_some_and(|held| version.is_none_or(|v| held.version >= v))
     }
 
-    /// Wants an adapter, in `version` or newer if one is given.
-    pub fn want(&mut self, now: Time, adapter: &FastStr, version: Option<u64>) {
-        let wanted = Wanted { version, until: now.after_ms(WANT_MS) };
-        self.wanted.insert(adapter.clone(), wanted);
+    /// Wants an adapter, in `version` or newer if one is given. It is of most use by `aim`.
+    pub fn want(&mut self, now: Time, adapter: &FastStr, version: Option<u64>, aim: Time) {
+        let until = now.after_ms(WANT_MS);
+        let new = Wanted { version, since: now, aim, until, asked: 0 };
+        let wanted = self.wanted.entry(adapter.clone()).or_insert(new);
+        wanted.version = wanted.version.max(version);
+        wanted.until = until;
+        wanted.aim = wanted.aim.max(aim);
+        wanted.asked += 1;
     }
 
     /// Notes a use of an adapter.
@@ -214,10 +242,11 @@
             return order;
         }
         self.wanted.retain(|_, wanted| wanted.until > now);
-        if let Some(order) = self.adapter_order(&in_use, transit_room) {
+        if let Some(order) = self.adapter_order(now, &in_use, transit_room) {
             return NextOrder::Order(order);
         }
-        let looks = self.coming.values().map(|coming| coming.look_at).min();
+        let looks = self.coming.values().map(|coming| coming.look_at);
+        let looks = looks.chain(self.closing.values().copied()).min();
         let idle = if self.wanted.is_empty() { Time::NEVER } else { now.after_ms(LOOK_AGAIN_MS) };
         NextOrder::Wait(looks.unwrap_or(Time::NEVER).min(idle))
     }
@@ -235,6 +264,9 @@
 
     // a load that is already there answers so: that tells its end before the report does
     fn look(&mut self, now: Time) -> Option<NextOrder> {
+        if let Some((adapter, _)) = self.closing.iter().find(|(_, at)| **at <= now) {
+            return Some(NextOrder::Order(AdapterOrder::Unload { adapter: adapter.clone() }));
+        }
         let (adapter, coming) = self.coming.iter().find(|(_, c)| c.look_at <= now)?;
         if now.ms_since(coming.since) > LOAD_LOST_MS {
             self.disagree(now);
@@ -246,21 +278,24 @@
 
     fn adapter_order(
         &self,
+        now: Time,
         in_use: &impl Fn(&str) -> bool,
         transit_room: usize,
     ) -> Option<AdapterOrder> {
         if self.coming.len() >= TRANSIT_MAX || transit_room == 0 {
             return None;
         }
-        let (adapter, wanted) = self.wanted.iter().find(|(adapter, wanted)| {
+        let due = self.wanted.iter().filter(|(adapter, wanted)| {
             let replaces = self.held.contains_key(adapter.as_str());
             !self.coming.contains_key(*adapter)
+                && !self.closing.contains_key(*adapter)
                 && !self.has(adapter, wanted.version)
                 // a replacement waits for its runs, and requests for it are refused meanwhile
                 && !(replaces && in_use(adapter))
-        })?;
+        });
+        let (adapter, wanted) = due.min_by_key(|(_, wanted)| wanted.turn(now))?;
         let replaces = self.held.contains_key(adapter.as_str());
-        if !replaces && self.held.len() + self.coming.len() >= self.slots {
+        if !replaces && self.held.len() + self.coming.len() + self.closing.len() >= self.slots {
             let victim = self.victim(in_use)?;
             return Some(AdapterOrder::Unload { adapter: victim });
         }
@@ -295,12 +330,24 @@
         }
     }
 
+    // true for an order that only looks whether an earlier one is carried out
     fn looked_at(&self, order: &AdapterOrder) -> bool {
-        matches!(order, AdapterOrder::Load { adapter, .. } if self.coming.contains_key(adapter))
+        match order {
+            AdapterOrder::LoadBase { .. } => false,
+            AdapterOrder::Load { adapter, .. } => self.coming.contains_key(adapter),
+            AdapterOrder::Unload { adapter } => self.closing.contains_key(adapter),
+        }
     }
 
     fn look_later(&mut self, now: Time, order: &AdapterOrder) {
-        let AdapterOrder::Load { adapter, .. } = order else { return };
+        let adapter = match order {
+            AdapterOrder::LoadBase { .. } => return,
+            AdapterOrder::Load { adapter, .. } => adapter,
+            AdapterOrder::Unload { adapter } => {
+                self.closing.insert(adapter.clone(), now.after_ms(CLOSING_LOOK_MS));
+                return;
+            }
+        };
         if let Some(coming) = self.coming.get_mut(adapter) {
             let cold_at = coming.since.after_ms(COLD_LOAD_MS);
             coming.look_at = cold_at.max(now.after_ms(LOOK_AGAIN_MS / 2));
@@ -328,7 +375,7 @@
             AdapterOrder::Unload { adapter } => {
                 // it waits for runs that were not known here: its slot is free later
                 self.held.swap_remove(adapter);
-                self.disagree(now);
+                self.closing.insert(adapter.clone(), now.after_ms(CLOSING_LOOK_MS));
             }
         }
     }
@@ -347,7 +394,10 @@
                 self.held.insert(adapter.clone(), held);
             }
             AdapterOrder::Unload { adapter } => {
-                self.seq += 1;
+                // the order that closed it was counted already
+                if self.closing.swap_remove(adapter).is_none() {
+                    self.seq += 1;
+                }
                 self.held.swap_remove(adapter);
             }
         }
@@ -377,6 +427,7 @@
         let look_at = now.after_ms(LOOK_AGAIN_MS);
         let coming = |adapter: FastStr| (adapter, Coming { version: None, since: now, look_at });
         self.coming = report.pending.into_iter().map(coming).collect();
+        self.closing.clear();
         self.seq = report.seq;
         self.held_models = report.models;
         self.silent_in_row = 0;
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -41,7 +41,7 @@
     let running = Running::new(edge, &target.id, adapter);
     let repeatable = out.kind().repeatable();
     let mut conn = match edge.pool.take(&target, repeatable, deadline).await {
-        Ok(taken) => taken.conn,
+        Ok(conn) => conn,
         Err(e) => {
             health(edge, &target, Health::Down);
             return Err(failed(edge, out, &target, SendEnd::NotSent, &e.to_string()));
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -2,16 +2,20 @@
 
 use {
     super::request::Outgoing,
-    crate::{orders, peers, state::Edge},
-    egret_core::{Candidate, Place, Target, Time, steer_adapter, steer_plain},
+    crate::{
+        orders::{self, Wish},
+        peers,
+        state::Edge,
+    },
+    egret_core::{Candidate, Place, Target, steer_adapter, steer_plain},
     egret_runtime::{events, now},
     faststr::FastStr,
     std::sync::Arc,
 };
 
-/// Longest wait for an adapter's load, in milliseconds: a load from the weight store takes a
-/// quarter of a second at full speed.
-const LOAD_WAIT_MS: u64 = 2500;
+/// Longest wait for an adapter's load, in multiples of the route's aim. Callers of streams wait
+/// for four aims; one that is told to come back before finds the adapter there.
+const LOAD_WAIT_AIMS: u64 = 3;
 
 /// Adapters under way over all engines from which on a copy elsewhere is better than one more
 /// load.
@@ -29,12 +33,7 @@
 }
 
 /// Finds a target that is not in `tried`, and has the adapter loaded there if need be.
-pub(crate) async fn place(
-    edge: &Arc<Edge>,
-    out: &Outgoing,
-    tried: &[FastStr],
-    deadline: Time,
-) -> Placed {
+pub(crate) async fn place(edge: &Arc<Edge>, out: &Outgoing, tried: &[FastStr]) -> Placed {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let version = adapter.and_then(|adapter| edge.version(adapter));
     let candidates = candidates(edge, out, adapter, version, tried);
@@ -60,7 +59,11 @@
     };
     if let (true, Some(adapter)) = (load, adapter) {
         let began = now();
-        let loaded = load_at(edge, &id, adapter, version, deadline).await;
+        let aim = out.arrived.after_ms(out.selected.route.aim_ms);
+        let patience = began.after_ms(out.selected.route.aim_ms * LOAD_WAIT_AIMS);
+        let wish =
+            Wish { adapter: adapter.clone(), version, aim, deadline: patience.min(out.deadline) };
+        let loaded = load_at(edge, &id, &wish).await;
         #[allow(clippy::cast_precision_loss)]
         edge.counts.stalls_ms.observe(now().ms_since(began) as f64);
         if !loaded {
@@ -77,20 +80,13 @@
     Placed::At(target)
 }
 
-async fn load_at(
-    edge: &Arc<Edge>,
-    engine: &FastStr,
-    adapter: &FastStr,
-    version: Option<u64>,
-    deadline: Time,
-) -> bool {
-    let by = deadline.min(now().after_ms(LOAD_WAIT_MS));
+async fn load_at(edge: &Arc<Edge>, engine: &FastStr, wish: &Wish) -> bool {
     if edge.drivers.get(engine).is_some() {
-        return orders::load_here(edge, engine, adapter, version, by).await;
+        return orders::load_here(edge, engine, wish).await;
     }
     let holder = edge.tenure.lock().holder(engine).cloned();
     match holder {
-        Some(host) => peers::ask_load(edge, &host, engine, adapter, version, by).await,
+        Some(host) => peers::ask_load(edge, &host, engine, wish).await,
         None => false,
     }
 }
@@ -166,10 +162,11 @@
     let registered_base = target.models.iter().any(|model| model.name == *base);
     let current = |found: Option<u64>| found.is_some_and(|v| version.is_none_or(|want| v >= want));
     if let Some(driver) = edge.drivers.get(&target.id) {
+        let right = edge.tenure.lock().fence(now(), &target.id).is_some();
         let book = driver.book.lock();
         let able = book.able();
         let there = adapter.is_some_and(|adapter| book.has(adapter, version));
-        return Held { base: registered_base || able, adapter: there, loads: able };
+        return Held { base: registered_base || able, adapter: there, loads: able && right };
     }
     let holder = edge.tenure.lock().holder(&target.id).cloned();
     if let Some(host) = holder {
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -89,7 +89,7 @@
             if now() >= self.out.deadline {
                 return Err((self.state.give_up(now()), "its time is over"));
             }
-            let placed = place(&self.edge, &self.out, &self.tried, self.out.deadline).await;
+            let placed = place(&self.edge, &self.out, &self.tried).await;
             let target = match placed {
                 Placed::At(target) => target,
                 Placed::NotLoaded => {
--- a/crates/edge/src/orders/claims.rs
+++ b/crates/edge/src/orders/claims.rs
@@ -21,16 +21,25 @@
 /// hosts which start together know of each other.
 const SETTLE_MS: u64 = 1500;
 
+/// A look that comes later than this, in milliseconds, means that the process stood still.
+const STOOD_STILL_MS: u64 = 500;
+
 /// Pause after a claim that failed, in milliseconds: another host has claimed at the same time,
 /// and its records are read first.
 const PAUSE_MS: u64 = 60;
 
 /// Claims engines whose holder is gone, and orders those that this host holds.
 pub(crate) async fn keep(edge: Arc<Edge>) {
+    edge.peers.lock().awake();
     let settled = now().after_ms(SETTLE_MS);
     loop {
+        let began = now();
         let look = Duration::from_millis(LOOK_MS);
         let _ = tokio::time::timeout(look, edge.changed.notified()).await;
+        if now().ms_since(began) > LOOK_MS + STOOD_STILL_MS {
+            // the silence of the others was this host's own
+            edge.peers.lock().awake();
+        }
         let engines = engines(&edge);
         let wanted: Vec<FastStr> = engines
             .iter()
@@ -53,12 +62,12 @@
 }
 
 fn wants_claim(edge: &Edge, engine: &Target, settled: bool) -> bool {
-    let (alive, rivals) = {
+    let (live, rivals) = {
         let peers = edge.peers.lock();
         let live: Vec<(FastStr, FastStr)> = peers
             .all()
             .iter()
-            .filter(|(host, _)| peers.alive(host))
+            .filter(|(host, _)| peers.may_live(host))
             .map(|(host, peer)| (host.clone(), peer.record.data_centre.clone()))
             .collect();
         let me = (edge.cfg.host.clone(), edge.cfg.data_centre.clone());
@@ -75,7 +84,7 @@
     let tenure = edge.tenure.lock();
     let mine_before = tenure.holder(&engine.id) == Some(&edge.cfg.host);
     (settled || mine_before)
-        && tenure.should_claim(&engine.id, |host| alive.iter().any(|h| h == host), &rivals)
+        && tenure.should_claim(&engine.id, |host| live.iter().any(|h| h == host), &rivals)
 }
 
 async fn claim(edge: &Edge, engines: &[FastStr]) -> bool {
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -57,9 +57,7 @@
 
 #[derive(Debug)]
 struct Waiting {
-    adapter: FastStr,
-    version: Option<u64>,
-    deadline: Time,
+    wish: Wish,
     tx: oneshot::Sender<bool>,
 }
 
@@ -130,29 +128,36 @@
     usize::try_from(all / edge.hosts()).unwrap_or(1).max(1)
 }
 
-/// Has `adapter` loaded at an engine that this host orders; true once it is there.
-pub(crate) async fn load_here(
-    edge: &Arc<Edge>,
-    engine: &str,
-    adapter: &FastStr,
-    version: Option<u64>,
-    deadline: Time,
-) -> bool {
+/// An adapter that a request needs at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Wish {
+    /// Its name with its base model.
+    pub(crate) adapter: FastStr,
+    /// Oldest version that will do.
+    pub(crate) version: Option<u64>,
+    /// When it is late.
+    pub(crate) aim: Time,
+    /// When it is of no use any more.
+    pub(crate) deadline: Time,
+}
+
+/// Has an adapter loaded at an engine that this host orders; true once it is there.
+pub(crate) async fn load_here(edge: &Arc<Edge>, engine: &str, wish: &Wish) -> bool {
     let Some(driver) = edge.drivers.get(engine) else {
         return false;
     };
     let (tx, rx) = oneshot::channel();
     {
         let mut book = driver.book.lock();
-        if book.has(adapter, version) {
-            book.used(now(), adapter);
+        if book.has(&wish.adapter, wish.version) {
+            book.used(now(), &wish.adapter);
             return true;
         }
-        book.want(now(), adapter, version);
+        book.want(now(), &wish.adapter, wish.version, wish.aim);
     }
-    driver.waiting.lock().push(Waiting { adapter: adapter.clone(), version, deadline, tx });
+    driver.waiting.lock().push(Waiting { wish: wish.clone(), tx });
     driver.wake.notify_one();
-    before(deadline, rx).await.is_some_and(|answer| answer.unwrap_or(false))
+    before(wish.deadline, rx).await.is_some_and(|answer| answer.unwrap_or(false))
 }
 
 async fn drive(edge: Arc<Edge>, driver: Arc<Driver>, base_max: usize) {
@@ -281,9 +286,9 @@
         let waiting = std::mem::take(&mut *self.waiting.lock());
         let mut still = Vec::new();
         for one in waiting {
-            if self.book.lock().has(&one.adapter, one.version) {
+            if self.book.lock().has(&one.wish.adapter, one.wish.version) {
                 let _ = one.tx.send(true);
-            } else if now >= one.deadline || one.tx.is_closed() {
+            } else if now >= one.wish.deadline || one.tx.is_closed() {
                 let _ = one.tx.send(false);
             } else {
                 still.push(one);
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -1,8 +1,10 @@
 //! Questions between hosts: loads of adapters at engines that the other one orders.
 
 use {
-    crate::{orders, state::Edge},
-    egret_core::Time,
+    crate::{
+        orders::{self, Wish},
+        state::Edge,
+    },
     egret_runtime::{AdapterAskMsg, Body, Hello, StatusMsg, events, now, serve_links},
     faststr::FastStr,
     futures::future::BoxFuture,
@@ -30,10 +32,13 @@
             }
             Body::AdapterAsk(ask) => {
                 let adapter = FastStr::from_string(ask.adapter);
-                let version = (ask.version > 0).then_some(ask.version);
-                let deadline = now().after_ms(ask.remaining_ms);
-                let loaded =
-                    orders::load_here(&edge, &ask.engine, &adapter, version, deadline).await;
+                let wish = Wish {
+                    adapter: adapter.clone(),
+                    version: (ask.version > 0).then_some(ask.version),
+                    aim: now().after_ms(ask.aim_ms),
+                    deadline: now().after_ms(ask.remaining_ms),
+                };
+                let loaded = orders::load_here(&edge, &ask.engine, &wish).await;
                 events::ADAPTER_ASKED.debug(format_args!(
                     "peer={} engine={} adapter={adapter} loaded={loaded}",
                     hello.host, ask.engine
@@ -51,20 +56,14 @@
 }
 
 /// Asks `host` to load an adapter at an engine that it orders; true once it is there.
-pub(crate) async fn ask_load(
-    edge: &Edge,
-    host: &str,
-    engine: &str,
-    adapter: &FastStr,
-    version: Option<u64>,
-    deadline: Time,
-) -> bool {
+pub(crate) async fn ask_load(edge: &Edge, host: &str, engine: &str, wish: &Wish) -> bool {
     let ask = AdapterAskMsg {
         engine: engine.to_owned(),
-        adapter: adapter.to_string(),
-        version: version.unwrap_or(0),
-        remaining_ms: now().ms_until(deadline),
+        adapter: wish.adapter.to_string(),
+        version: wish.version.unwrap_or(0),
+        aim_ms: now().ms_until(wish.aim),
+        remaining_ms: now().ms_until(wish.deadline),
     };
-    let answer = edge.links.call(host, Body::AdapterAsk(ask), deadline).await;
+    let answer = edge.links.call(host, Body::AdapterAsk(ask), wish.deadline).await;
     matches!(answer, Ok(Body::Ok(_)))
 }
--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between hosts.
 
 use {
-    crate::state::Edge,
+    crate::{orders::Driver, state::Edge},
     egret_runtime::{Body, EngineHeldMsg, HeldMsg, HostBeatMsg, TargetLoadMsg, now},
     faststr::FastStr,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -13,7 +13,10 @@
 
 /// Heartbeats to hosts of other data centres are fewer by this factor, since bytes between data
 /// centres are dear.
-const FAR_EVERY: u64 = 6;
+const FAR_EVERY: u64 = 2;
+
+/// Of these, one in so many lists what engines hold.
+const FAR_LIST_EVERY: u64 = 3;
 
 /// Pause before a host that does not take links is tried again, in milliseconds.
 const RETRY_MS: u64 = 400;
@@ -25,19 +28,25 @@
         tokio::time::sleep(Duration::from_millis(NEAR_MS)).await;
         round += 1;
         let far_too = round % FAR_EVERY == 0;
-        let peers: Vec<(FastStr, SocketAddr)> = edge
+        let far_lists = round % (FAR_EVERY * FAR_LIST_EVERY) == 0;
+        let peers: Vec<(FastStr, SocketAddr, bool)> = edge
             .peers
             .lock()
             .all()
             .iter()
-            .filter(|(_, peer)| far_too || peer.record.data_centre == edge.cfg.data_centre)
-            .map(|(host, peer)| (host.clone(), peer.record.address))
+            .map(|(host, peer)| {
+                let near = peer.record.data_centre == edge.cfg.data_centre;
+                (host.clone(), peer.record.address, near)
+            })
+            .filter(|(_, _, near)| far_too || *near)
             .collect();
         if peers.is_empty() {
             continue;
         }
-        let beat = beat(&edge);
-        for (host, address) in peers {
+        let brief = beat(&edge, false);
+        let whole = beat(&edge, true);
+        for (host, address, near) in peers {
+            let beat = if near || far_lists { &whole } else { &brief };
             match edge.links.get(&host) {
                 Some(link) => link.tell(Body::HostBeat(beat.clone())),
                 None => connect(&edge, host, address),
@@ -53,15 +62,18 @@
     }
     let edge = edge.clone();
     tokio::spawn(async move {
-        if edge.links.open(&host, address).await.is_none() {
-            edge.peers.lock().lost(&host);
-            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        match edge.links.open(&host, address).await {
+            Some(link) => link.tell(Body::HostBeat(beat(&edge, true))),
+            None => {
+                edge.peers.lock().lost(&host);
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
         }
         edge.connecting.lock().swap_remove(&host);
     });
 }
 
-fn beat(edge: &Edge) -> HostBeatMsg {
+fn beat(edge: &Edge, lists_engines: bool) -> HostBeatMsg {
     let loads = edge
         .at_targets
         .lock()
@@ -73,23 +85,29 @@
             adapters: at.adapters.keys().map(ToString::to_string).collect(),
         })
         .collect();
-    let engines = edge.drivers.all().into_iter().map(|driver| {
-        let book = driver.book.lock();
-        let held = book.held().iter();
-        EngineHeldMsg {
-            engine: driver.engine.to_string(),
-            able: book.able(),
-            transit: u32::try_from(book.in_transit()).unwrap_or(u32::MAX),
-            held: held
-                .map(|(name, held)| HeldMsg { name: name.to_string(), version: held.version })
-                .collect(),
-        }
-    });
+    let drivers = edge.drivers.all();
+    let transit: usize = drivers.iter().map(|driver| driver.book.lock().in_transit()).sum();
+    let listed = drivers.iter().filter(|_| lists_engines);
     HostBeatMsg {
         host: edge.cfg.host.to_string(),
         revision: edge.routing().revision,
         store_age_ms: now().ms_since(*edge.fleet_read.lock()),
-        engines: engines.collect(),
+        engines: listed.map(|driver| engine(edge, driver)).collect(),
+        lists_engines,
+        transit: u32::try_from(transit).unwrap_or(u32::MAX),
         loads,
     }
 }
+
+fn engine(edge: &Edge, driver: &Driver) -> EngineHeldMsg {
+    let right = edge.tenure.lock().fence(now(), &driver.engine).is_some();
+    let book = driver.book.lock();
+    let held = book.held().iter();
+    EngineHeldMsg {
+        engine: driver.engine.to_string(),
+        able: right && book.able(),
+        held: held
+            .map(|(name, held)| HeldMsg { name: name.to_string(), version: held.version })
+            .collect(),
+    }
+}
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -33,8 +33,6 @@
 pub(crate) struct EngineView {
     /// True when that host can load adapters there.
     pub(crate) able: bool,
-    /// Adapters on their way to it.
-    pub(crate) transit: usize,
     /// Adapters that it holds, with their versions.
     pub(crate) held: IndexMap<FastStr, u64>,
 }
@@ -53,15 +51,24 @@
     pub(crate) heard: Time,
     pub(crate) loads: IndexMap<FastStr, TheirLoad>,
     pub(crate) engines: IndexMap<FastStr, EngineView>,
+    /// Adapters on their way to its engines.
+    pub(crate) transit: usize,
 }
 
 /// The other hosts, by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
     all: IndexMap<FastStr, Peer>,
+    // since when this process has been able to hear
+    awake: Time,
 }
 
 impl Peers {
+    /// Notes that this process begins to listen, at its start or after it stood still.
+    pub(crate) fn awake(&mut self) {
+        self.awake = now();
+    }
+
     /// Takes the record of `host`; this host's own is left out.
     pub(crate) fn saw(&mut self, me: &FastStr, host: &str, record: Option<HostRecord>) {
         if me == host {
@@ -72,11 +79,22 @@
             return;
         };
         if let Some(peer) = self.all.get_mut(host) {
+            if peer.record.incarnation != record.incarnation {
+                // it has just started
+                peer.heard = now();
+                peer.loads.clear();
+                peer.engines.clear();
+            }
             peer.record = record;
             return;
         }
-        let peer =
-            Peer { record, heard: Time::ZERO, loads: IndexMap::new(), engines: IndexMap::new() };
+        let peer = Peer {
+            record,
+            heard: Time::ZERO,
+            loads: IndexMap::new(),
+            engines: IndexMap::new(),
+            transit: 0,
+        };
         self.all.insert(FastStr::new(host), peer);
     }
 
@@ -94,14 +112,17 @@
                 (FastStr::from_string(load.target), TheirLoad { running: load.running, adapters })
             })
             .collect();
+        peer.transit = usize::try_from(beat.transit).unwrap_or(0);
+        if !beat.lists_engines {
+            return;
+        }
         peer.engines = beat
             .engines
             .into_iter()
             .map(|engine| {
-                let transit = usize::try_from(engine.transit).unwrap_or(0);
                 let held =
                     engine.held.into_iter().map(|h| (FastStr::from_string(h.name), h.version));
-                let view = EngineView { able: engine.able, transit, held: held.collect() };
+                let view = EngineView { able: engine.able, held: held.collect() };
                 (FastStr::from_string(engine.engine), view)
             })
             .collect();
@@ -124,6 +145,13 @@
         self.all.get(host).is_some_and(|peer| now() < peer.heard.after_ms(ALIVE_MS))
     }
 
+    /// True unless `host` has been silent for so long, while this process listened, that it
+    /// counts as gone.
+    pub(crate) fn may_live(&self, host: &str) -> bool {
+        let silent_from = self.all.get(host).map_or(Time::ZERO, |peer| peer.heard);
+        now() < silent_from.max(self.awake).after_ms(ALIVE_MS)
+    }
+
     /// Hosts that may draw on a shared budget. While none was heard, all that have a record
     /// count.
     pub(crate) fn known(&self) -> u64 {
@@ -152,6 +180,6 @@
     pub(crate) fn transit(&self) -> usize {
         let now = now();
         let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
-        live.flat_map(|peer| peer.engines.values()).map(|engine| engine.transit).sum()
+        live.map(|peer| peer.transit).sum()
     }
 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -37,13 +37,6 @@
     kept: Mutex<IndexMap<FastStr, Vec<Kept>>>,
 }
 
-/// A connection to a target, and whether it was used before.
-#[derive(Debug)]
-pub(crate) struct Taken {
-    pub(crate) conn: Conn,
-    pub(crate) kept: bool,
-}
-
 impl Pool {
     /// A connection to `target`: a kept one that is still sound, otherwise a new one.
     ///
@@ -55,12 +48,11 @@
         target: &Target,
         repeatable: bool,
         deadline: Time,
-    ) -> Result<Taken, HttpError> {
+    ) -> Result<Conn, HttpError> {
         if let Some(conn) = self.take_kept(&target.id, repeatable) {
-            return Ok(Taken { conn, kept: true });
+            return Ok(conn);
         }
-        let conn = Conn::open(target.address, deadline).await?;
-        Ok(Taken { conn, kept: false })
+        Conn::open(target.address, deadline).await
     }
 
     fn take_kept(&self, target: &str, repeatable: bool) -> Option<Conn> {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,7 +3,8 @@
 use {
     crate::{conf::Settings, orders::Drivers, peers::Peers, pool::Pool},
     egret_core::{
-        Crossings, Fleet, Health, RetryBounds, RetryWindow, Routing, Suspects, Tenure, TenureRecord, Time,
+        Crossings, Fleet, Health, RetryBounds, RetryWindow, Routing, Suspects, Tenure,
+        TenureRecord, Time,
     },
     egret_platform::Store,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
--- a/crates/edge/src/watch/own.rs
+++ b/crates/edge/src/watch/own.rs
@@ -64,7 +64,7 @@
     }
     edge.own_end.store(page.next, Ordering::Release);
     if !page.records.is_empty() {
-        edge.changed.notify_waiters();
+        edge.changed.notify_one();
     }
 }
 
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -6,6 +6,8 @@
     egret_core::{Target, TargetState},
     egret_platform::{Page, StoreError, Topic, read_target},
     egret_runtime::{events, now},
+    faststr::FastStr,
+    indexmap::IndexSet,
     std::{sync::Arc, time::Duration},
 };
 
@@ -33,16 +35,24 @@
                 next = Some(page.next);
                 take(&edge, &page, whole);
                 *edge.fleet_read.lock() = now();
-                edge.changed.notify_waiters();
+                edge.changed.notify_one();
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
             Err(StoreError::Gone) => next = None,
             Err(e) => reach.failed(&e).await,
         }
-        edge.fleet.write().expire(now());
+        tidy(&edge);
     }
 }
 
+// forgets what is only kept for targets that are gone
+fn tidy(edge: &Edge) {
+    edge.fleet.write().expire(now());
+    let known: IndexSet<FastStr> = edge.fleet.read().all().map(|t| t.id.clone()).collect();
+    edge.pool.expire(|target| known.contains(target));
+    edge.at_targets.lock().retain(|target, at| at.running > 0 || known.contains(target));
+}
+
 fn take(edge: &Edge, page: &Page, whole: bool) {
     let now = now();
     let mut listed = Vec::new();
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -388,6 +388,12 @@
     /// Engines that it orders.
     #[prost(message, repeated, tag = "5")]
     pub engines: Vec<EngineHeldMsg>,
+    /// True when `engines` is filled in.
+    #[prost(bool, tag = "6")]
+    pub lists_engines: bool,
+    /// Adapters on their way to engines that it orders.
+    #[prost(uint32, tag = "7")]
+    pub transit: u32,
 }
 
 /// Requests of a host at one target.
@@ -413,11 +419,8 @@
     /// True when adapters can be loaded there now.
     #[prost(bool, tag = "2")]
     pub able: bool,
-    /// Adapters on their way to it.
-    #[prost(uint32, tag = "3")]
-    pub transit: u32,
     /// Adapters that it holds.
-    #[prost(message, repeated, tag = "4")]
+    #[prost(message, repeated, tag = "3")]
     pub held: Vec<HeldMsg>,
 }
 
@@ -447,4 +450,7 @@
     /// Milliseconds after which the answer is of no use.
     #[prost(uint64, tag = "4")]
     pub remaining_ms: u64,
+    /// Milliseconds after which the answer is late.
+    #[prost(uint64, tag = "5")]
+    pub aim_ms: u64,
 }
