Silence alone ends no stream that nobody can go on with

Change: a silent send is left only if the retry budget and another target allow it; the pause before that is 4.5 aims.

--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -286,12 +286,10 @@
             return None;
         }
         let due = self.wanted.iter().filter(|(adapter, wanted)| {
-            let replaces = self.held.contains_key(adapter.as_str());
-            !self.coming.contains_key(*adapter)
-                && !self.closing.contains_key(*adapter)
-                && !self.has(adapter, wanted.version)
-                // a replacement waits for its runs, and requests for it are refused meanwhile
-                && !(replaces && in_use(adapter))
+            let moving = self.coming.contains_key(*adapter) || self.closing.contains_key(*adapter);
+            // a replacement waits for its runs, and requests for it are refused meanwhile
+            let blocked = self.held.contains_key(adapter.as_str()) && in_use(adapter);
+            !moving && !blocked && !self.has(adapter, wanted.version)
         });
         let (adapter, wanted) = due.min_by_key(|(_, wanted)| wanted.turn(now))?;
         let replaces = self.held.contains_key(adapter.as_str());
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -82,6 +82,13 @@
         self.kind.repeatable() && self.targets + 1 < self.targets_max
     }
 
+    /// Notes that a send to a target that may have run it is given up, for which a repetition was
+    /// taken out of the budget already.
+    pub fn moved(&mut self) {
+        self.targets += 1;
+        self.may_have_run = true;
+    }
+
     /// The answer when nothing more is tried.
     #[must_use]
     pub fn give_up(&self, now: Time) -> Final {
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -118,6 +118,7 @@
 
 impl Settings {
     /// What is wrong with the settings, as pairs of key and problem.
+    #[must_use]
     pub fn faults(&self) -> Vec<(&'static str, String)> {
         let mut faults = Vec::new();
         if self.host.is_empty() {
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -80,6 +80,14 @@
     Placed::At(target)
 }
 
+/// True when a target that is not in `tried` can serve the request now or after a load.
+pub(crate) fn elsewhere(edge: &Edge, out: &Outgoing, tried: &[FastStr]) -> bool {
+    let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
+    let version = adapter.and_then(|adapter| edge.version(adapter));
+    let candidates = candidates(edge, out, adapter, version, tried);
+    adapter.is_none() && !candidates.is_empty() || candidates.iter().any(|c| c.resident || c.loads)
+}
+
 async fn load_at(edge: &Arc<Edge>, engine: &FastStr, wish: &Wish) -> bool {
     if edge.drivers.get(engine).is_some() {
         return orders::load_here(edge, engine, wish).await;
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -51,7 +51,8 @@
         let (parts, body) = req.into_parts();
         let id = CallerHead::id(&parts.headers).cloned();
         let refuse = |status: StatusCode, reason: &str| {
-            let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then(|| retry_after_ms(&id));
+            let retry =
+                (status == StatusCode::SERVICE_UNAVAILABLE).then(|| retry_after_ms(id.as_ref()));
             events::REQUEST_REFUSED.info(format_args!(
                 "request={} status={} reason={reason}",
                 text(id.as_ref()),
@@ -107,13 +108,13 @@
 
     /// When its caller may come back.
     pub(crate) fn retry_after_ms(&self) -> u64 {
-        retry_after_ms(&Some(self.id.clone()))
+        retry_after_ms(Some(&self.id))
     }
 }
 
 // spread by the request's id, so that callers do not come back together
-fn retry_after_ms(id: &Option<HeaderValue>) -> u64 {
-    let bytes = id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
+fn retry_after_ms(id: Option<&HeaderValue>) -> u64 {
+    let bytes = id.map_or(&[][..], HeaderValue::as_bytes);
     RETRY_AFTER_MS + fingerprint("", bytes).0 % RETRY_SPREAD_MS
 }
 
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         attempt::{self, Answering, Health, health},
-        place::{Placed, place},
+        place::{self, Placed, place},
         request::{Outgoing, Shared},
         stream,
     },
@@ -129,6 +129,23 @@
         self.state.may_move()
     }
 
+    /// Gives up the send to `target`, which is silent, if it can go on elsewhere; false when it
+    /// has to wait on.
+    pub(crate) fn leave_silent(&mut self, target: &FastStr) -> bool {
+        let service = &self.out.selected.service.name;
+        self.tried.push(target.clone());
+        let leaves = self.state.may_move()
+            && now() < self.out.deadline
+            && place::elsewhere(&self.edge, &self.out, &self.tried)
+            && self.edge.take_retry(service);
+        if leaves {
+            self.state.moved();
+        } else {
+            self.tried.pop();
+        }
+        leaves
+    }
+
     // an answer that says that the target failed; another one may do better
     fn worth_another(&self, answering: &Answering) -> bool {
         answering.status.is_server_error() && self.state.may_move()
@@ -157,13 +174,10 @@
 ) -> Result<Answer, Step> {
     let target = answering.target.clone();
     let read = before(out.deadline, read_whole(answering.body, ANSWER_BYTES_MAX)).await;
-    let body = match read {
-        Some(Ok(body)) => body,
-        Some(Err(_)) | None => {
-            health(edge, &target, Health::Bad);
-            attempt::failed(edge, out, &target, SendEnd::Lost, "answer broke off");
-            return Err(sender.ended(&target.id, SendEnd::Lost));
-        }
+    let Some(Ok(body)) = read else {
+        health(edge, &target, Health::Bad);
+        attempt::failed(edge, out, &target, SendEnd::Lost, "answer broke off");
+        return Err(sender.ended(&target.id, SendEnd::Lost));
     };
     if !answering.status.is_server_error() {
         health(edge, &target, Health::Good);
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -14,6 +14,7 @@
     egret_core::{EventCutter, SendEnd, Step, Time},
     egret_platform::answer_headers,
     egret_runtime::{before, events, now, read_whole},
+    faststr::FastStr,
     futures::stream::unfold,
     http::Response,
     http_body::Frame,
@@ -23,7 +24,7 @@
 
 /// A pause between events longer than its aim times this factor, in tenths, means that the
 /// stream goes on elsewhere if it may.
-const PAUSE_TENTHS: u64 = 30;
+const PAUSE_TENTHS: u64 = 45;
 
 /// Longest wait for the first event after the head, in multiples of the aim in tenths.
 const FIRST_TENTHS: u64 = 18;
@@ -48,6 +49,7 @@
         sender,
         answering: Some(answering),
         begun: false,
+        patient: false,
         _open: open,
     };
     let events = unfold(state, |mut state| async move {
@@ -80,6 +82,8 @@
     answering: Option<Answering>,
     cutter: EventCutter,
     begun: bool,
+    // set once a silence could not be left: what comes is waited for
+    patient: bool,
     _open: Open,
 }
 
@@ -87,10 +91,9 @@
     // the next whole events; none once the stream is complete
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
+            let by = self.event_by();
             let answering = self.answering.as_mut()?;
-            let frame =
-                before(event_by(&self.out, &self.sender, self.begun), answering.body.frame());
-            let problem = match frame.await {
+            let moved = match before(by, answering.body.frame()).await {
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
@@ -101,23 +104,35 @@
                             self.first_part();
                             return Some(Ok(whole));
                         }
-                        Err(e) => e.to_string(),
+                        Err(e) => self.broke_off(&e.to_string()).await,
                     }
                 }
                 Some(None) if self.cutter.at_boundary() => {
                     self.complete();
                     return None;
                 }
-                Some(None) => "ended within an event".to_owned(),
-                Some(Some(Err(e))) => e.to_string(),
-                None => "silent".to_owned(),
+                Some(None) => self.broke_off("ended within an event").await,
+                Some(Some(Err(e))) => self.broke_off(&e.to_string()).await,
+                None if now() >= self.out.deadline => self.broke_off("its time is over").await,
+                None => self.silent().await,
             };
-            if let Err(e) = self.move_on(&problem).await {
+            if let Err(e) = moved {
                 return Some(Err(e));
             }
         }
     }
 
+    // silence alone is no reason to end an answer that nobody else can go on with
+    async fn silent(&mut self) -> Result<(), BodyError> {
+        let target = self.answering.as_ref().map(|answering| answering.target.id.clone());
+        let Some(target) = target.filter(|target| self.sender.leave_silent(target)) else {
+            self.patient = true;
+            return Ok(());
+        };
+        self.leave("silent");
+        self.go_on(&target, "silent").await
+    }
+
     fn first_part(&mut self) {
         if !self.begun {
             self.begun = true;
@@ -136,35 +151,32 @@
     }
 
     // goes on at another engine after the last whole event
-    async fn move_on(&mut self, problem: &str) -> Result<(), BodyError> {
-        // closes the connection, so that the engine stops before another one goes on
-        let target = self.answering.take().map(|answering| answering.target.clone());
-        let Some(target) = target else {
-            return Err("stream is over".into());
-        };
-        health(&self.edge, &target, Health::Bad);
-        attempt::failed(&self.edge, &self.out, &target, SendEnd::Lost, problem);
-        let step = self.sender.ended(&target.id, SendEnd::Lost);
-        let moved = match step {
-            Step::Again => self.sender.next(self.cutter.last()).await.ok(),
-            Step::End(_) => None,
-        };
+    async fn broke_off(&mut self, problem: &str) -> Result<(), BodyError> {
+        let target = self.answering.as_ref().map(|answering| answering.target.id.clone());
+        let target = target.ok_or("stream is over")?;
+        self.leave(problem);
+        match self.sender.ended(&target, SendEnd::Lost) {
+            Step::Again => self.go_on(&target, problem).await,
+            Step::End(_) => Err(self.given_up(&target, problem)),
+        }
+    }
+
+    // closes the connection, so that the engine stops before another one goes on
+    fn leave(&mut self, problem: &str) {
+        if let Some(answering) = self.answering.take() {
+            health(&self.edge, &answering.target, Health::Bad);
+            attempt::failed(&self.edge, &self.out, &answering.target, SendEnd::Lost, problem);
+        }
+    }
+
+    async fn go_on(&mut self, left: &FastStr, problem: &str) -> Result<(), BodyError> {
+        let moved = self.sender.next(self.cutter.last()).await.ok();
         let Some(answering) = moved.filter(|answering| answering.status.is_success()) else {
-            events::REQUEST_UNKNOWN.info(format_args!(
-                "request={} target={} reason={problem} last_event={:?} ms={}",
-                self.out.head.id,
-                target.id,
-                self.cutter.last(),
-                now().ms_since(self.out.arrived)
-            ));
-            let outcome = vec![("outcome", "broken_off".to_owned())];
-            self.edge.counts.answers.get_or_create(&outcome).inc();
-            return Err(problem.to_owned().into());
+            return Err(self.given_up(left, problem));
         };
         events::STREAM_MOVED.info(format_args!(
-            "request={} from={} to={} last_event={:?}",
+            "request={} from={left} to={} reason={problem} last_event={:?}",
             self.out.head.id,
-            target.id,
             answering.target.id,
             self.cutter.last()
         ));
@@ -172,14 +184,29 @@
         self.answering = Some(answering);
         Ok(())
     }
-}
 
-fn event_by(out: &Outgoing, sender: &Sender, begun: bool) -> Time {
-    if !sender.may_move() {
-        return out.deadline;
+    fn given_up(&self, target: &FastStr, problem: &str) -> BodyError {
+        events::REQUEST_UNKNOWN.info(format_args!(
+            "request={} target={target} reason={problem} last_event={:?} ms={}",
+            self.out.head.id,
+            self.cutter.last(),
+            now().ms_since(self.out.arrived)
+        ));
+        let outcome = vec![("outcome", "broken_off".to_owned())];
+        self.edge.counts.answers.get_or_create(&outcome).inc();
+        problem.to_owned().into()
+    }
+
+    fn event_by(&self) -> Time {
+        if self.patient || !self.sender.may_move() {
+            return self.out.deadline;
+        }
+        let route = &self.out.selected.route;
+        let wait = if self.begun {
+            route.pause_ms * PAUSE_TENTHS / 10
+        } else {
+            route.aim_ms * FIRST_TENTHS / 10
+        };
+        now().after_ms(wait).min(self.out.deadline)
     }
-    let route = &out.selected.route;
-    let wait =
-        if begun { route.pause_ms * PAUSE_TENTHS / 10 } else { route.aim_ms * FIRST_TENTHS / 10 };
-    now().after_ms(wait).min(out.deadline)
 }
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -228,23 +228,20 @@
             _ => None,
         };
         let mut book = self.book.lock();
-        match report {
-            Some(report) => {
-                events::ENGINE_REPORTED.info(format_args!(
-                    "engine={} seq={} adapters={} pending={} models={}",
-                    self.engine,
-                    report.seq,
-                    report.adapters.len(),
-                    report.pending.len(),
-                    report.models.len()
-                ));
-                book.reported(now(), report);
-            }
-            None => {
-                events::ENGINE_LOST.warn(format_args!("engine={} no report", self.engine));
-                book.not_reported(now());
-            }
-        }
+        let Some(report) = report else {
+            events::ENGINE_LOST.warn(format_args!("engine={} no report", self.engine));
+            book.not_reported(now());
+            return;
+        };
+        events::ENGINE_REPORTED.info(format_args!(
+            "engine={} seq={} adapters={} pending={} models={}",
+            self.engine,
+            report.seq,
+            report.adapters.len(),
+            report.pending.len(),
+            report.models.len()
+        ));
+        book.reported(now(), report);
     }
 
     async fn order(&self, edge: &Edge, order: &AdapterOrder, fence: u64) {
--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -27,8 +27,8 @@
     loop {
         tokio::time::sleep(Duration::from_millis(NEAR_MS)).await;
         round += 1;
-        let far_too = round % FAR_EVERY == 0;
-        let far_lists = round % (FAR_EVERY * FAR_LIST_EVERY) == 0;
+        let far_too = round.is_multiple_of(FAR_EVERY);
+        let far_lists = round.is_multiple_of(FAR_EVERY * FAR_LIST_EVERY);
         let peers: Vec<(FastStr, SocketAddr, bool)> = edge
             .peers
             .lock()
@@ -62,12 +62,11 @@
     }
     let edge = edge.clone();
     tokio::spawn(async move {
-        match edge.links.open(&host, address).await {
-            Some(link) => link.tell(Body::HostBeat(beat(&edge, true))),
-            None => {
-                edge.peers.lock().lost(&host);
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
-            }
+        if let Some(link) = edge.links.open(&host, address).await {
+            link.tell(Body::HostBeat(beat(&edge, true)));
+        } else {
+            edge.peers.lock().lost(&host);
+            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
         }
         edge.connecting.lock().swap_remove(&host);
     });
--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -5,7 +5,7 @@
     super::client::{Reply, before},
     bytes::{Bytes, BytesMut},
     egret_core::Time,
-    http::{HeaderMap, Method, Request, Response, header},
+    http::{HeaderMap, HeaderValue, Method, Request, Response, header},
     http_body_util::{BodyExt, Full},
     hyper::{
         body::Incoming,
@@ -176,8 +176,9 @@
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().map_err(|_| HttpError::NotSent("bad path".to_owned()))?;
         *request.headers_mut() = headers;
-        let host = self.address.to_string().parse();
-        request.headers_mut().insert(header::HOST, host.expect("an address is a header value"));
+        let host = HeaderValue::from_str(&self.address.to_string());
+        let host = host.map_err(|e| HttpError::NotSent(e.to_string()))?;
+        request.headers_mut().insert(header::HOST, host);
         let reply = conn.call(request, deadline).await?;
         let mut idle = self.idle.lock();
         if idle.len() < IDLE_MAX {
