Adapters go back to engines that have copies; the bound of a home is a share of its slots

Cause: at the start popular adapters passed the bound of 4 requests above the average and got a second home; evicted ones came back elsewhere; a look answered 409 was repeated every 30 ms. Change: homes remembered by engine, bound of a quarter of the slots, loads from an engine's own copies take nothing from the store's limit, a conflict always asks for the report.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod fleet;
 mod hash;
+mod homes;
 mod journal;
 mod membership;
 mod name;
@@ -41,6 +42,7 @@
 pub use events::{EventCutter, OutOfOrder};
 pub use fleet::{Fleet, Health, HeldAdapter, HeldModel, Target, TargetState};
 pub use hash::{Fingerprint, digest, fingerprint, mix, rendezvous};
+pub use homes::Homes;
 pub use journal::{
     AfterIntent, Attempt, BeginError, Entry as JournalEntry, Journal, JournalRecord, KeyDigest,
     Lookup, RecordedAnswer, Written,
--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -4,11 +4,19 @@
 //! answer may be carried out seconds later. Each order therefore names the number of orders that
 //! the engine has accepted so far: it is carried out on the state this book has, or not at all.
 
-use {crate::Time, faststr::FastStr, indexmap::IndexMap};
+use {
+    crate::Time,
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+};
 
 /// Adapters that may be on their way to one engine at the same time.
 const TRANSIT_MAX: usize = 4;
 
+/// Copies of adapters that an engine keeps beside those that it holds; fewer than the smallest
+/// deployment's engines keep, so that what counts as a copy is one.
+const COPIES_MAX: usize = 140;
+
 /// Load of an adapter of which the engine still has a copy, in milliseconds.
 const WARM_LOAD_MS: u64 = 26;
 
@@ -150,6 +158,8 @@
     coming: IndexMap<FastStr, Coming>,
     // adapters that are dropped once their runs have ended, and when to look at them
     closing: IndexMap<FastStr, Time>,
+    // adapters of which the engine has kept copies, least recently held first
+    copies: IndexSet<FastStr>,
     wanted: IndexMap<FastStr, Wanted>,
     silent_in_row: u32,
 }
@@ -169,6 +179,7 @@
             held: IndexMap::new(),
             coming: IndexMap::new(),
             closing: IndexMap::new(),
+            copies: IndexSet::new(),
             wanted: IndexMap::new(),
             silent_in_row: 0,
         }
@@ -282,16 +293,20 @@
         in_use: &impl Fn(&str) -> bool,
         transit_room: usize,
     ) -> Option<AdapterOrder> {
-        if self.coming.len() >= TRANSIT_MAX || transit_room == 0 {
+        if self.coming.len() >= TRANSIT_MAX {
             return None;
         }
         let due = self.wanted.iter().filter(|(adapter, wanted)| {
             let moving = self.coming.contains_key(*adapter) || self.closing.contains_key(*adapter);
             // a replacement waits for its runs, and requests for it are refused meanwhile
             let blocked = self.held.contains_key(adapter.as_str()) && in_use(adapter);
-            !moving && !blocked && !self.has(adapter, wanted.version)
+            // copies of the engine's own take nothing from the weight store
+            let room = transit_room > 0 || self.has_copy(adapter, wanted.version);
+            room && !moving && !blocked && !self.has(adapter, wanted.version)
         });
-        let (adapter, wanted) = due.min_by_key(|(_, wanted)| wanted.turn(now))?;
+        let (adapter, wanted) = due.min_by_key(|(adapter, wanted)| {
+            (!self.has_copy(adapter, wanted.version), wanted.turn(now))
+        })?;
         let replaces = self.held.contains_key(adapter.as_str());
         if !replaces && self.held.len() + self.coming.len() + self.closing.len() >= self.slots {
             let victim = self.victim(in_use)?;
@@ -300,6 +315,18 @@
         Some(AdapterOrder::Load { adapter: adapter.clone(), version: wanted.version })
     }
 
+    fn has_copy(&self, adapter: &FastStr, version: Option<u64>) -> bool {
+        version.is_none() && self.copies.contains(adapter)
+    }
+
+    fn note_copy(&mut self, adapter: &FastStr) {
+        self.copies.shift_remove(adapter);
+        self.copies.insert(adapter.clone());
+        if self.copies.len() > COPIES_MAX {
+            self.copies.shift_remove_index(0);
+        }
+    }
+
     // the least recently used one that serves nothing and that nobody waits for
     fn victim(&self, in_use: &impl Fn(&str) -> bool) -> Option<FastStr> {
         let free = self
@@ -317,7 +344,6 @@
         match answer {
             OrderAnswer::Accepted => self.accepted(now, order),
             OrderAnswer::Holds => self.holds(now, order),
-            OrderAnswer::Conflict if self.looked_at(order) => self.look_later(now, order),
             OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Rejected => {
                 self.disagree(now);
             }
@@ -388,6 +414,7 @@
             AdapterOrder::Load { adapter, version } => {
                 self.coming.swap_remove(adapter);
                 self.wanted.swap_remove(adapter);
+                self.note_copy(adapter);
                 let held = Held { version: version.unwrap_or(0), used: now };
                 self.held.insert(adapter.clone(), held);
             }
@@ -421,6 +448,9 @@
                 (adapter, Held { version, used })
             })
             .collect();
+        for adapter in held.keys() {
+            self.note_copy(adapter);
+        }
         self.held = held;
         let look_at = now.after_ms(LOOK_AGAIN_MS);
         let coming = |adapter: FastStr| (adapter, Coming { version: None, since: now, look_at });
--- a/crates/core/src/steer.rs
+++ b/crates/core/src/steer.rs
@@ -18,12 +18,14 @@
 /// adapters and its adapters get copies elsewhere.
 const FAILING_MILLI: u64 = 400;
 
-/// An engine may run this many requests more than the average of its data centre and still be
-/// the one that loads an adapter (consistent hashing with bounded loads, Mirrokni et al. 2018).
-const BOUND_EXTRA: u64 = 4;
+/// An engine may be fuller than the average by this share of its slots, in thousandths, and still
+/// be the one that loads an adapter (consistent hashing with bounded loads, Mirrokni et al.
+/// 2018). Popular adapters fill their home before others have any work.
+const BOUND_MILLI: u64 = 250;
 
 /// What a choice needs to know of a target.
 #[derive(Clone, Debug)]
+#[allow(clippy::struct_excessive_bools)] // four independent facts
 pub struct Candidate {
     /// Its id.
     pub id: FastStr,
@@ -37,6 +39,8 @@
     pub failing_milli: u64,
     /// True when it holds the adapter that the request names.
     pub resident: bool,
+    /// True when it has held that adapter lately and loads it from a copy of its own.
+    pub copy: bool,
     /// True when adapters can be loaded there now.
     pub loads: bool,
 }
@@ -121,8 +125,13 @@
     };
     let near = near && able().any(|c| c.near);
     let pool: Vec<&Candidate> = able().filter(|c| c.near || !near).collect();
-    let total: u64 = pool.iter().map(|c| c.running).sum();
-    let bound = total.checked_div(pool.len() as u64)? * 5 / 4 + BOUND_EXTRA;
-    let within = pool.iter().filter(|c| c.running <= bound);
+    // a copy there is worth an engine that is somewhat fuller than the others
+    let copies = pool.iter().filter(|c| c.copy && c.fill_milli() < CROWDED_MILLI);
+    if let Some(best) = copies.max_by_key(|c| rendezvous(adapter, &c.id)) {
+        return Some(best);
+    }
+    let total: u64 = pool.iter().map(|c| c.fill_milli()).sum();
+    let bound = total.checked_div(pool.len() as u64)? + BOUND_MILLI;
+    let within = pool.iter().filter(|c| c.fill_milli() <= bound);
     within.max_by_key(|c| rendezvous(adapter, &c.id)).copied()
 }
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -146,6 +146,7 @@
             slots: u64::from(target.slots),
             failing_milli,
             resident: holds.adapter,
+            copy: adapter.is_some_and(|a| edge.homes.lock().held(&target.id, a)),
             loads: holds.loads,
         });
     }
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -276,6 +276,9 @@
             _ => {}
         }
         self.book.lock().answered(now(), order, answer);
+        if let (AdapterOrder::Load { adapter, .. }, OrderAnswer::Holds) = (order, answer) {
+            edge.homes.lock().holds(&self.engine, std::iter::once(adapter));
+        }
     }
 
     // answers those who wait for an adapter that is there, and those whose time is over
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -27,7 +27,11 @@
     Box::pin(async move {
         match body {
             Body::HostBeat(beat) => {
-                edge.peers.lock().beat(beat);
+                let held = edge.peers.lock().beat(beat);
+                let mut homes = edge.homes.lock();
+                for (engine, adapters) in &held {
+                    homes.holds(engine, adapters.iter());
+                }
                 None
             }
             Body::AdapterAsk(ask) => {
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -98,10 +98,10 @@
         self.all.insert(FastStr::new(host), peer);
     }
 
-    /// Takes a heartbeat.
-    pub(crate) fn beat(&mut self, beat: HostBeatMsg) {
+    /// Takes a heartbeat. Returns the adapters by engine that it lists.
+    pub(crate) fn beat(&mut self, beat: HostBeatMsg) -> Vec<(FastStr, Vec<FastStr>)> {
         let Some(peer) = self.all.get_mut(beat.host.as_str()) else {
-            return;
+            return Vec::new();
         };
         peer.heard = now();
         peer.loads = beat
@@ -114,7 +114,7 @@
             .collect();
         peer.transit = usize::try_from(beat.transit).unwrap_or(0);
         if !beat.lists_engines {
-            return;
+            return Vec::new();
         }
         peer.engines = beat
             .engines
@@ -126,6 +126,10 @@
                 (FastStr::from_string(engine.engine), view)
             })
             .collect();
+        let engines = peer.engines.iter();
+        engines
+            .map(|(engine, view)| (engine.clone(), view.held.keys().cloned().collect()))
+            .collect()
     }
 
     /// Notes that `host` does not take links any more.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{conf::Settings, orders::Drivers, peers::Peers, pool::Pool},
     egret_core::{
-        Crossings, Fleet, Health, RetryBounds, RetryWindow, Routing, Suspects, Tenure,
+        Crossings, Fleet, Health, Homes, RetryBounds, RetryWindow, Routing, Suspects, Tenure,
         TenureRecord, Time,
     },
     egret_platform::Store,
@@ -66,6 +66,7 @@
     pub(crate) tenure: Mutex<Tenure>,
     pub(crate) drivers: Drivers,
     pub(crate) crossings: Mutex<Crossings>,
+    pub(crate) homes: Mutex<Homes>,
     pub(crate) peers: Mutex<Peers>,
     pub(crate) links: LinkPool,
     /// Hosts to which a link is being opened.
@@ -102,6 +103,7 @@
             tenure: Mutex::new(Tenure::new(me, cfg.orders.fencing, cfg.orders.lease_ms)),
             drivers: Drivers::default(),
             crossings: Mutex::default(),
+            homes: Mutex::default(),
             peers: Mutex::default(),
             links: LinkPool::new(hello),
             connecting: Mutex::default(),
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -50,6 +50,7 @@
     edge.fleet.write().expire(now());
     let known: IndexSet<FastStr> = edge.fleet.read().all().map(|t| t.id.clone()).collect();
     edge.pool.expire(|target| known.contains(target));
+    edge.homes.lock().retain(|target| known.contains(target));
     edge.at_targets.lock().retain(|target, at| at.running > 0 || known.contains(target));
 }
 
