Stand-in of the platform in small, and 27 tests of real edge processes before it

Metastore (conditional appends, keyed topics, newest, retention, long polls, refused, silent, lost and reset calls) and targets (adapters, orders with expected and fencing, proofs, versions, streams, cut, crossed, doubled, unsealed, unframed, mute and lost answers, late orders).

--- /dev/null
+++ b/crates/edge/tests/edge/hosts.rs
@@ -0,0 +1,219 @@
+//! Hosts, targets and engines that come and go, and what engines are ordered to hold.
+
+use {
+    crate::support::{Deployment, request, stream, until, whole_stream},
+    egret_runtime::now,
+    egret_standin::platform::TargetFault,
+    http::Method,
+    nix::sys::signal::Signal,
+    std::time::Duration,
+};
+
+#[tokio::test]
+async fn load_within_slots() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.engine("e-1", 3).await, d.engine("e-2", 3).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a0")).await;
+    for round in 0..2 {
+        for adapter in 0..12 {
+            let name = format!("a{adapter}");
+            edge.call_until(200, || stream("stream", &name)).await;
+            assert!(!a.overfilled() && !b.overfilled(), "round {round}, {name}");
+        }
+    }
+    assert!(a.adapters().len() <= 3 && b.adapters().len() <= 3);
+}
+
+#[tokio::test]
+async fn load_with_late_orders() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a0")).await;
+    // no answers, and each order is carried out after newer ones were given
+    engine.set_fault(TargetFault::OrdersLate(700));
+    for adapter in 1..8 {
+        let name = format!("a{adapter}");
+        let _ = edge.call(stream("stream", &name)).await;
+    }
+    engine.set_fault(TargetFault::None);
+    for adapter in 1..8 {
+        let name = format!("a{adapter}");
+        edge.call_until(200, || stream("stream", &name)).await;
+        assert!(!engine.overfilled(), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn load_new_version() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    engine.set_version("a1", 4);
+    let value = r#"{"model":"base","adapter":"a1","version":4}"#;
+    d.store.write("keyed.op", "version/base.a1", Some(value));
+    until("version announced", || d.log(1).contains("adapter=base/a1 version=4")).await;
+    let answer = edge.call_until(200, || stream("stream", "a1")).await;
+    assert_eq!(answer.body, whole_stream());
+    assert_eq!(engine.runs().last().unwrap().headers["expect-version"], "4");
+}
+
+#[tokio::test]
+async fn drain_leaving_target() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    a.register(&d.store, "draining");
+    until("leaving", || d.log(1).contains("target leaves target=p-1")).await;
+    let ran = a.runs().len();
+    for _ in 0..10 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (ran, 10));
+    // a late heartbeat from before does not bring it back
+    a.register(&d.store, "ready");
+    b.register(&d.store, "draining");
+    until("all leave", || d.log(1).contains("target leaves target=p-2")).await;
+    let refused = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(refused.status, 503);
+}
+
+#[tokio::test]
+async fn drain_forged_entries() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let a = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    for (id, entry) in [
+        ("f-1", "{\"service\":\"plain\"}"),
+        ("f-2", "not json"),
+        ("f-3", "{\"service\":\"plain\",\"address\":7,\"zone\":\"dc-1\",\"slots\":\"many\"}"),
+        (
+            "f-4",
+            "{\"service\":\"plain\",\"address\":\"127.0.0.1:9\",\"zone\":\"dc-1\",\"slots\":4,\
+             \"state\":\"resting\",\"seq\":1}",
+        ),
+    ] {
+        d.store.write("keyed.servers", id, Some(entry));
+    }
+    until("forged entries read", || d.log(1).contains("key=f-4")).await;
+    for _ in 0..5 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert_eq!(a.runs().len(), 5);
+}
+
+#[tokio::test]
+async fn drain_address_of_another() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let a = d.plain("p-1").await;
+    // a target of another service has the address that the registry still names
+    let entry = serde_json::json!({
+        "service": "plain", "address": engine.address().to_string(), "zone": "dc-1",
+        "slots": 8, "state": "ready", "seq": 1, "born": 1,
+    });
+    d.store.write("keyed.servers", "p-0", Some(&entry.to_string()));
+    let edge = d.edge(1).await;
+    for _ in 0..6 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert!(engine.runs().is_empty());
+    assert_eq!(a.runs().len(), 6);
+}
+
+#[tokio::test]
+async fn compact_then_read_on() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let a = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    let b = d.plain("p-2").await;
+    a.register(&d.store, "draining");
+    d.store.compact("keyed.servers");
+    d.store.compact("keyed.op");
+    d.configure(9);
+    until("leaving", || {
+        let log = d.log(1);
+        log.contains("revision=9") && log.matches("registry of targets read as a whole").count() > 1
+    })
+    .await;
+    for _ in 0..5 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (0, 5));
+}
+
+#[tokio::test]
+async fn stop_finishes_open_streams() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _engine = d.engine("e-1", 3).await;
+    let mut edge = d.edge(1).await;
+    edge.call_until(200, || stream("frail", "a1")).await;
+    let mut conn = edge.connect().await;
+    let head = conn.send(stream("frail", "a1"), now().after_ms(5000)).await.unwrap();
+    edge.signal(Signal::SIGTERM);
+    until("stopping", || d.log(1).contains("graceful stop began")).await;
+    assert_eq!(edge.readiness().await, Some(503));
+    // what still arrives is served, and told to come elsewhere next time
+    let late = edge.call(stream("stream", "a1")).await.unwrap();
+    assert_eq!(late.status, 200);
+    assert_eq!(late.header("connection"), Some("close"));
+    let body = egret_runtime::read_whole(head.into_body(), 4096).await.unwrap();
+    assert_eq!(body, whole_stream());
+    let status = edge.process.wait(Duration::from_secs(8)).expect("it ends");
+    assert!(status.success());
+}
+
+#[tokio::test]
+async fn reload_at_hangup() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    edge.signal(Signal::SIGHUP);
+    until("read again", || d.log(1).contains("settings read again")).await;
+    assert_eq!(edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn tenure_after_restart() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let mut edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    let fence = engine.fence();
+    edge.process.kill();
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a2")).await;
+    // its own claim again, under a higher number
+    assert!(engine.fence() > fence);
+    assert!(!engine.overfilled());
+}
+
+#[tokio::test]
+async fn tenure_of_lost_host() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let mut first = d.edge(1).await;
+    first.call_until(200, || stream("stream", "a1")).await;
+    let fence = engine.fence();
+    let second = d.edge(2).await;
+    // the second host has its adapters loaded by the first
+    second.call_until(200, || stream("stream", "a2")).await;
+    assert_eq!(engine.fence(), fence);
+    first.process.kill();
+    second.call_until(200, || stream("stream", "a3")).await;
+    assert!(engine.fence() > fence);
+    assert!(!engine.overfilled());
+}
--- /dev/null
+++ b/crates/edge/tests/edge/main.rs
@@ -0,0 +1,5 @@
+//! Real edge processes before the platform in small.
+
+mod hosts;
+mod requests;
+mod support;
--- /dev/null
+++ b/crates/edge/tests/edge/requests.rs
@@ -0,0 +1,343 @@
+//! Requests and their answers: whole, to their own caller, at most once where that is due.
+
+use {
+    crate::support::{Deployment, HOST, request, stream, until, whole_stream},
+    egret_runtime::{HttpError, now},
+    egret_standin::platform::{StoreFault, TargetFault},
+    http::Method,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+#[tokio::test]
+async fn serve_each_kind() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.plain("p-1").await;
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    let safe = edge.call(request(Method::GET, "/safe/a?b=c", &[])).await.unwrap();
+    assert_eq!(safe.status, 200);
+    assert!(safe.header("server-seal").is_some());
+    assert_eq!(plain.runs()[0].path, "/safe/a?b=c");
+    let once = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(once.status, 200);
+    assert_eq!(plain.runs()[1].body, b"body");
+    let streamed = edge.call_until(200, || stream("stream", "a1")).await;
+    assert_eq!(streamed.body, whole_stream());
+    assert_eq!(engine.adapters(), ["a1"]);
+    assert!(!engine.overfilled());
+}
+
+#[tokio::test]
+async fn serve_without_configuration() {
+    let d = Deployment::new().await;
+    let edge = d.start(1);
+    until("listening", || std::net::TcpStream::connect(edge.callers).is_ok()).await;
+    let refused = edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(edge.readiness().await, Some(503));
+}
+
+#[tokio::test]
+async fn serve_unknown_route() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    let unknown = edge.call(request(Method::GET, "/nowhere/a", &[])).await.unwrap();
+    assert_eq!(unknown.status, 404);
+    let no_id = request(Method::GET, "/safe/a", &[]).map(|body| body);
+    let mut no_id = no_id;
+    no_id.headers_mut().remove("request-id");
+    assert_eq!(edge.call(no_id).await.unwrap().status, 400);
+}
+
+#[tokio::test]
+async fn serve_no_target() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let edge = d.edge(1).await;
+    let before = now();
+    let refused = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    // at once, not near its deadline
+    assert!(now().ms_since(before) < 2000);
+}
+
+#[tokio::test]
+async fn pass_on_headers_of_ours() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _plain = d.plain("p-1").await;
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    let forged = || {
+        let mut req = stream("stream", "a1");
+        for (name, value) in [
+            ("hold", "h1"),
+            ("pin-ms", "900"),
+            ("kv-backup", "1.2.3.4:5"),
+            ("kv-from", "1.2.3.4:5/x"),
+            ("kv-fetch", "1.2.3.4:5"),
+            ("request-priority", "0"),
+            ("expect-version", "99"),
+            ("expect-instance", "other"),
+            ("length-hint", "12"),
+            ("connection", "model, x-hop"),
+            ("x-hop", "1"),
+        ] {
+            req.headers_mut().insert(name, value.parse().unwrap());
+        }
+        req
+    };
+    edge.call_until(200, forged).await;
+    let run = engine.runs().pop().unwrap();
+    for name in ["hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch", "expect-version", "x-hop"] {
+        assert!(run.headers.get(name).is_none(), "{name} was passed on");
+    }
+    assert_eq!(run.headers["expect-instance"], "e-1");
+    assert_eq!(run.headers["request-priority"], "1");
+    assert_eq!(run.headers["model"], "base/a1");
+    assert_eq!(run.headers["token-count"], "10,6");
+    assert_eq!(run.headers["length-hint"], "12");
+    let left: u64 = run.headers["deadline-ms"].to_str().unwrap().parse().unwrap();
+    assert!(left <= 6000);
+}
+
+#[tokio::test]
+async fn once_answer_lost() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    for fault in [TargetFault::LoseAnswer, TargetFault::CutAfter(0), TargetFault::UnframedReset] {
+        a.set_fault(fault);
+        b.set_fault(fault);
+        let ran = a.runs().len() + b.runs().len();
+        let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+        // neither a promise that it has not run, nor a second run
+        assert_eq!(answer.status, 502, "{fault:?}");
+        assert_eq!(a.runs().len() + b.runs().len(), ran + 1, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn once_refused_by_targets() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    a.set_fault(TargetFault::Full);
+    // the other one takes it, since the first has proved that it did not
+    for _ in 0..4 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (0, 4));
+    b.set_fault(TargetFault::Full);
+    let refused = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!((a.runs().len(), b.runs().len()), (0, 4));
+}
+
+#[tokio::test]
+async fn once_mute_target() {
+    let d = Deployment::new().await;
+    let slow = crate::support::config(7, 700);
+    d.store.write("keyed.op", "config", Some(&slow.to_string()));
+    let plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    plain.set_fault(TargetFault::Mute);
+    let before = now();
+    let late = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(late.status, 504);
+    let took = now().ms_since(before);
+    assert!((700..1200).contains(&took), "answered after {took} ms");
+    // the target is told to stop
+    until("abandoned", || plain.runs()[0].abandoned).await;
+}
+
+#[tokio::test]
+async fn safe_goes_elsewhere() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    for fault in [
+        TargetFault::LoseAnswer,
+        TargetFault::CutAfter(0),
+        TargetFault::UnframedReset,
+        TargetFault::Crossed,
+        TargetFault::Unsealed,
+        TargetFault::Error,
+    ] {
+        a.set_fault(fault);
+        for _ in 0..3 {
+            let req = request(Method::GET, "/safe/a", &[]);
+            let id = req.headers()["request-id"].to_str().unwrap().to_owned();
+            let answer = edge.call(req).await.unwrap();
+            assert_eq!(answer.status, 200, "{fault:?}");
+            assert_eq!(answer.body, format!("answer to {id}"), "{fault:?}");
+        }
+    }
+    assert!(b.runs().len() >= 18);
+}
+
+#[tokio::test]
+async fn answers_crossed_or_doubled() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    plain.set_fault(TargetFault::Doubled);
+    for _ in 0..5 {
+        let req = request(Method::GET, "/safe/a", &[]);
+        let id = req.headers()["request-id"].to_str().unwrap().to_owned();
+        let answer = edge.call(req).await.unwrap();
+        // whatever became of it, never the bytes of another answer
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("answer to {id}"));
+        }
+    }
+    plain.set_fault(TargetFault::Crossed);
+    let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(answer.status, 502);
+}
+
+#[tokio::test]
+async fn stream_cut_goes_on_elsewhere() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.engine("e-1", 3).await, d.engine("e-2", 3).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    let home = if a.runs().is_empty() { &b } else { &a };
+    for events in [0, 2, 6] {
+        home.set_fault(TargetFault::CutAfter(events));
+        let answer = edge.call(stream("stream", "a1")).await.unwrap();
+        assert_eq!(answer.body, whole_stream(), "cut after {events}");
+    }
+    assert!(d.log(1).contains("stream goes on at another target"));
+}
+
+#[tokio::test]
+async fn stream_frail_cut() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.engine("e-1", 3).await, d.engine("e-2", 3).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("frail", "a1")).await;
+    a.set_fault(TargetFault::CutAfter(3));
+    b.set_fault(TargetFault::CutAfter(3));
+    let ran = a.runs().len() + b.runs().len();
+    let cut = edge.call(stream("frail", "a1")).await;
+    // neither a second run nor an end that looks complete
+    assert!(matches!(cut, Err(HttpError::Broken(_))), "{cut:?}");
+    assert_eq!(a.runs().len() + b.runs().len(), ran + 1);
+}
+
+#[tokio::test]
+async fn stream_caller_leaves() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("frail", "a1")).await;
+    let mut conn = edge.connect().await;
+    let head = conn.send(stream("frail", "a1"), now().after_ms(5000)).await.unwrap();
+    assert_eq!(head.status(), 200);
+    drop((head, conn));
+    until("stream abandoned", || engine.runs().last().unwrap().abandoned).await;
+    // also while the target has sent nothing yet
+    plain.set_fault(TargetFault::Mute);
+    let mut conn = edge.connect().await;
+    let sent = conn.send(request(Method::POST, "/once/a", &[]), now().after_ms(300)).await;
+    assert!(matches!(sent, Err(HttpError::Late)));
+    drop(conn);
+    until("call abandoned", || plain.runs().last().is_some_and(|run| run.abandoned)).await;
+}
+
+#[tokio::test]
+async fn read_bad_framing() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    let hidden = "GET /safe/hidden HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: hidden\r\n\r\n";
+    let head = |framing: &str| {
+        format!("POST /safe/a HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: outer\r\n{framing}\r\n")
+    };
+    let length = hidden.len() + 5;
+    let cases = [
+        format!(
+            "{}0\r\n\r\n{hidden}",
+            head(&format!("Content-Length: {length}\r\nTransfer-Encoding: chunked\r\n"))
+        ),
+        format!(
+            "{}0\r\n\r\n{hidden}",
+            head(&format!("Transfer-Encoding: chunked\r\nContent-Length: {length}\r\n"))
+        ),
+        format!("{}{hidden}", head("Content-Length: 0\r\nContent-Length: 5\r\n")),
+        format!("{}0\r\n\r\n{hidden}", head("Transfer-Encoding: chunked, identity\r\n")),
+        format!("{}{hidden}", head("X-A: b\r\n folded\r\nContent-Length: 0\r\n")),
+        format!("{}{hidden}", head("X-A: b\rX-B: c\r\nContent-Length: 0\r\n")),
+        format!("{}{hidden}", head("Content-Length: +0\r\n")),
+    ];
+    for case in cases {
+        let mut raw = TcpStream::connect(edge.callers).await.unwrap();
+        raw.write_all(case.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // a connection whose framing is in doubt carries no further request
+        let read = tokio::time::timeout(Duration::from_secs(5), raw.read_to_end(&mut answer));
+        read.await.expect("the connection is closed").ok();
+        let hidden_ran = plain.runs().iter().any(|run| run.request == "hidden");
+        assert!(!hidden_ran, "ran what was hidden in {case:?}");
+    }
+    assert_eq!(edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn read_too_much() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    let mut large = request(Method::POST, "/once/a", &[]);
+    *large.body_mut() = http_body_util::Full::new(vec![b'x'; 65_537].into());
+    assert_eq!(edge.call(large).await.unwrap().status, 413);
+    let long = "x".repeat(20_000);
+    let head = edge.call(request(Method::GET, "/safe/a", &[("x-long", &long)])).await.unwrap();
+    assert_eq!(head.status, 431);
+    assert!(plain.runs().is_empty());
+}
+
+#[tokio::test]
+async fn serve_while_store_is_away() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _plain = d.plain("p-1").await;
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    for fault in [StoreFault::Silent, StoreFault::Refuse(503), StoreFault::Reset] {
+        d.store.set_fault(fault);
+        let calls = d.store.calls();
+        until("store is asked", || d.store.calls() > calls).await;
+        let plain = edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap();
+        assert_eq!(plain.status, 200, "{fault:?}");
+        // an adapter that no engine holds yet does not wait for the store either
+        let adapter = format!("cold-{}", engine.orders());
+        let cold = edge.call(stream("stream", &adapter)).await.unwrap();
+        assert_eq!(cold.status, 200, "{fault:?}");
+    }
+    d.store.set_fault(StoreFault::None);
+    d.store.write("keyed.op", "config", Some(&crate::support::config(8, 8000).to_string()));
+    until("new routes", || d.log(1).contains("revision=8")).await;
+}
--- /dev/null
+++ b/crates/edge/tests/edge/support.rs
@@ -0,0 +1,256 @@
+//! A deployment on loopback: the platform in small, targets, and real edge processes.
+
+use {
+    bytes::Bytes,
+    egret_runtime::{Conn, HttpError, Reply, now},
+    egret_scenarios::Process,
+    egret_standin::platform::{EngineConf, Metastore, Target, TargetConf},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request},
+    http_body_util::Full,
+    nix::sys::signal::Signal,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        path::Path,
+        sync::atomic::{AtomicU64, Ordering},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+};
+
+/// Base model of all engines.
+pub(crate) const MODEL: &str = "base";
+
+/// Host name of all routes.
+pub(crate) const HOST: &str = "calls.example";
+
+/// Longest wait for a condition.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Distinguishes the host's addresses of one deployment from those of others in this process.
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// A deployment.
+pub(crate) struct Deployment {
+    pub(crate) store: Metastore,
+    number: u64,
+    folder: TempDir,
+}
+
+/// An edge process.
+pub(crate) struct Edge {
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) process: Process,
+}
+
+impl Deployment {
+    /// A store and nothing else.
+    pub(crate) async fn new() -> Self {
+        let store = Metastore::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        Self { store, number, folder: tempfile::tempdir().unwrap() }
+    }
+
+    /// Writes revision `revision` with all routes.
+    pub(crate) fn configure(&self, revision: u64) {
+        self.store.write("keyed.op", "config", Some(&config(revision, 8000).to_string()));
+    }
+
+    /// Starts a plain service's target.
+    pub(crate) async fn plain(&self, id: &str) -> Target {
+        self.target(id, "plain", None).await
+    }
+
+    /// Starts an engine with room for `slots` adapters.
+    pub(crate) async fn engine(&self, id: &str, slots: usize) -> Target {
+        let engine = EngineConf {
+            model: MODEL.to_owned(),
+            adapter_slots: slots,
+            load: Duration::from_millis(60),
+            events: 6,
+            pause: Duration::from_millis(15),
+        };
+        self.target(id, "engines", Some(engine)).await
+    }
+
+    async fn target(&self, id: &str, service: &str, engine: Option<EngineConf>) -> Target {
+        let conf = TargetConf {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: "dc-1".to_owned(),
+            engine,
+        };
+        Target::start("127.0.0.1:0".parse().unwrap(), conf, &self.store).await.unwrap()
+    }
+
+    /// Starts edge host `host` (from 1), without waiting for it.
+    pub(crate) fn start(&self, host: u64) -> Edge {
+        // process ids keep deployments of test processes that run side by side apart
+        let net = std::process::id() % 200;
+        let address = |port: u16| -> SocketAddr {
+            let number = self.number * 8 + host;
+            format!("127.{}.{}.{}:{port}", 20 + net, number / 250, number % 250 + 1)
+                .parse()
+                .unwrap()
+        };
+        let settings = format!(
+            "host = \"host-{host}\"\ndata_centre = \"dc-1\"\n\
+             [listen]\ncallers = \"{}\"\nready = \"{}\"\nlinks = \"{}\"\nmetrics = \"{}\"\n\
+             [store]\naddress = \"{}\"\nlapse_ms = 500\n\
+             [orders]\nfencing = \"checked\"\nlease_ms = 300\nceiling_window_s = 5\n\
+             ceiling_over = 1.1\n\
+             [retries]\nwindow_s = 10\nratio = 0.2\nfree = 60\n\
+             [stop]\nnotice_ms = 400\ngrace_ms = 6000\n\
+             [logs]\nformat = \"json\"\nlevel = \"debug\"\n",
+            address(7000),
+            address(7001),
+            address(7002),
+            address(7003),
+            self.store.address(),
+        );
+        let file = self.folder.path().join(format!("host-{host}.toml"));
+        std::fs::write(&file, settings).unwrap();
+        let args = ["--config".to_owned(), file.display().to_string()];
+        let program = Path::new(env!("CARGO_BIN_EXE_egret-edge"));
+        let name = format!("host-{host}");
+        let process = Process::start(&name, program, &args, self.folder.path()).unwrap();
+        Edge { callers: address(7000), ready: address(7001), process }
+    }
+
+    /// Starts edge host `host` and waits until it is ready.
+    pub(crate) async fn edge(&self, host: u64) -> Edge {
+        let edge = self.start(host);
+        edge.ready().await;
+        edge
+    }
+
+    /// The log of a host so far.
+    pub(crate) fn log(&self, host: u64) -> String {
+        std::fs::read_to_string(self.folder.path().join(format!("host-{host}.log"))).unwrap()
+    }
+}
+
+/// A revision with one route of each kind; `timeout_ms` is that of the plain ones.
+pub(crate) fn config(revision: u64, timeout_ms: u64) -> serde_json::Value {
+    let route = |prefix: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": prefix, "host": HOST, "path_prefix": format!("/{prefix}/"),
+            "route_type": kind, "timeout_ms": timeout_ms, "target_latency_ms": 400,
+            "priority": 1, "service": service, "max_attempts": attempts, "sticky": true,
+            "resumable": resumable, "gap_target_ms": 200,
+        })
+    };
+    json!({
+        "version": revision,
+        "routes": [
+            route("safe", "safe", "plain", false, 2),
+            route("once", "unsafe", "plain", false, 1),
+            route("stream", "streaming", "engines", true, 2),
+            route("frail", "streaming", "engines", false, 1),
+        ],
+        "services": [
+            { "name": "plain", "health_path": "/health", "max_conns": 50 },
+            { "name": "engines", "health_path": "/health", "max_conns": 50, "engine": {
+                "slots": 8, "adapter_slots": 3, "loads_per_s": 4.0,
+                "models": [{ "name": MODEL, "weights_mb": 10.0, "load_s": 0.1 }],
+            }},
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
+                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+    })
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let by = Instant::now() + WAIT;
+    while !condition() {
+        assert!(Instant::now() < by, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+impl Edge {
+    /// Waits until it says that it is ready.
+    pub(crate) async fn ready(&self) {
+        let by = Instant::now() + WAIT;
+        while self.readiness().await != Some(200) {
+            assert!(Instant::now() < by, "host is not ready");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// What it says when it is asked whether it is ready.
+    pub(crate) async fn readiness(&self) -> Option<u16> {
+        let mut conn = Conn::open(self.ready, now().after_ms(2000)).await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = "/v1/ready".parse().unwrap();
+        let reply = conn.call(request, now().after_ms(2000)).await.ok()?;
+        Some(reply.status.as_u16())
+    }
+
+    /// A connection for callers.
+    pub(crate) async fn connect(&self) -> Conn {
+        Conn::open(self.callers, now().after_ms(3000)).await.unwrap()
+    }
+
+    /// Sends a request on a new connection and reads the whole answer.
+    pub(crate) async fn call(&self, request: Request<Full<Bytes>>) -> Result<Reply, HttpError> {
+        self.connect().await.call(request, now().after_ms(15_000)).await
+    }
+
+    /// Asks until the answer has this status: what leads to it takes effect with a delay.
+    pub(crate) async fn call_until(
+        &self,
+        status: u16,
+        request: impl Fn() -> Request<Full<Bytes>>,
+    ) -> Reply {
+        let by = Instant::now() + WAIT;
+        loop {
+            let reply = self.call(request()).await;
+            match reply {
+                Ok(reply) if reply.status == status => return reply,
+                other => assert!(Instant::now() < by, "no {status}, last {other:?}"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+}
+
+/// A request that no other test sends.
+pub(crate) fn request(
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Request<Full<Bytes>> {
+    static IDS: AtomicU64 = AtomicU64::new(1);
+    let body = if method == Method::POST { Bytes::from_static(b"body") } else { Bytes::new() };
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap();
+    let id = format!("r-{:08x}", IDS.fetch_add(1, Ordering::Relaxed));
+    let fixed = [("host", HOST), ("request-id", id.as_str()), ("deadline-ms", "6000")];
+    let map: &mut HeaderMap = request.headers_mut();
+    for (name, value) in fixed.iter().chain(headers) {
+        let name = HeaderName::from_bytes(name.as_bytes()).unwrap();
+        map.insert(name, HeaderValue::from_str(value).unwrap());
+    }
+    request
+}
+
+/// A request for a stream by `adapter`.
+pub(crate) fn stream(route: &str, adapter: &str) -> Request<Full<Bytes>> {
+    let model = format!("{MODEL}/{adapter}");
+    let headers = [("model", model.as_str()), ("token-count", "10,6"), ("prompt-prefix", "1:10")];
+    request(Method::POST, &format!("/{route}/x"), &headers)
+}
+
+/// The whole stream of an engine.
+pub(crate) fn whole_stream() -> String {
+    let events: Vec<String> = (1..=6).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect();
+    events.concat()
+}
--- /dev/null
+++ b/crates/standin/src/platform/metastore.rs
@@ -0,0 +1,298 @@
+//! The platform's metadata store: a log with keyed topics.
+
+use {
+    super::raw::{RawConn, RawRequest},
+    base64::{Engine, prelude::BASE64_STANDARD},
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    serde_json::json,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle},
+};
+
+/// What goes wrong with calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are refused with this status; nothing is done.
+    Refuse(u16),
+    /// Calls get no answer; nothing is done.
+    Silent,
+    /// Appends are done and not answered.
+    LoseAnswers,
+    /// Connections are reset.
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct Part {
+    first: u64,
+    records: Vec<Vec<u8>>,
+    // content of the newest record by key, and its offset
+    newest: IndexMap<String, (Vec<u8>, u64)>,
+}
+
+impl Part {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, content: Vec<u8>) -> u64 {
+        let offset = self.end();
+        if let Some((key, value)) = split(&content) {
+            if value.is_empty() {
+                self.newest.swap_remove(&key);
+            } else {
+                self.newest.insert(key, (value, offset));
+            }
+        }
+        self.records.push(content);
+        offset
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    topics: IndexMap<String, Part>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Metastore {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    server: JoinHandle<()>,
+}
+
+impl Drop for Metastore {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+impl Metastore {
+    /// Starts a store at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let changed = watch::channel(0).0;
+        let (s, c) = (state.clone(), changed.clone());
+        let server = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(RawConn::new(stream), s.clone(), c.clone()));
+            }
+        });
+        Ok(Self { address, state, changed, server })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+
+    /// Writes a record as the operator or a target does; without a value its key is dropped.
+    pub fn write(&self, topic: &str, key: &str, value: Option<&str>) {
+        let mut content = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
+        content.extend_from_slice(key.as_bytes());
+        content.extend_from_slice(value.unwrap_or_default().as_bytes());
+        self.state.lock().topics.entry(topic.to_owned()).or_default().append(content);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Deletes the records of `topic`; the newest of each key stay.
+    pub fn compact(&self, topic: &str) {
+        if let Some(part) = self.state.lock().topics.get_mut(topic) {
+            part.first = part.end();
+            part.records.clear();
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// The newest value of `key` in `topic`.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
+        let state = self.state.lock();
+        let (value, _) = state.topics.get(topic)?.newest.get(key)?;
+        String::from_utf8(value.clone()).ok()
+    }
+
+    /// Keys that have a value in `topic`.
+    #[must_use]
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let state = self.state.lock();
+        state.topics.get(topic).map(|p| p.newest.keys().cloned().collect()).unwrap_or_default()
+    }
+}
+
+fn split(content: &[u8]) -> Option<(String, Vec<u8>)> {
+    let length = usize::from(*content.first()?);
+    let key = content.get(1..=length)?;
+    Some((String::from_utf8(key.to_vec()).ok()?, content[1 + length..].to_vec()))
+}
+
+async fn serve(mut conn: RawConn, state: Arc<Mutex<State>>, changed: watch::Sender<u64>) {
+    while let Ok(Some(request)) = conn.read().await {
+        let fault = {
+            let mut state = state.lock();
+            state.calls += 1;
+            state.fault
+        };
+        let done = match fault {
+            StoreFault::Refuse(status) => conn.answer(status, &[], b"").await,
+            StoreFault::Silent => {
+                conn.closed().await;
+                return;
+            }
+            StoreFault::Reset => {
+                conn.reset();
+                return;
+            }
+            StoreFault::LoseAnswers if request.path.starts_with("/v1/log-append") => {
+                append(&request, &state, &changed);
+                conn.closed().await;
+                return;
+            }
+            StoreFault::None | StoreFault::LoseAnswers => {
+                answer(&mut conn, &request, &state, &changed).await
+            }
+        };
+        if done.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(
+    conn: &mut RawConn,
+    request: &RawRequest,
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+) -> io::Result<()> {
+    let path = request.path.split('?').next().unwrap_or_default();
+    let (status, body) = match path {
+        "/v1/log-append" => append(request, state, changed),
+        "/v1/log-read" => read(request, state, changed).await,
+        "/v1/log-newest" => newest(request, state),
+        _ => (404, Vec::new()),
+    };
+    conn.answer(status, &[("Content-Type", "application/json")], &body).await
+}
+
+fn append(
+    request: &RawRequest,
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+) -> (u16, Vec<u8>) {
+    let topic = request.query("topic").unwrap_or_default();
+    if matches!(topic, "keyed.op" | "keyed.servers") {
+        return (403, Vec::new());
+    }
+    let mut state = state.lock();
+    let part = state.topics.entry(topic.to_owned()).or_default();
+    let at = request.query("at").and_then(|at| at.parse::<u64>().ok());
+    if at.is_some_and(|at| at != part.end()) {
+        return (412, json!({ "end_offset": part.end() }).to_string().into_bytes());
+    }
+    let offset = part.end();
+    let mut rest = &request.body[..];
+    while let Some((length, tail)) = rest.split_first_chunk::<4>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let Some(content) = tail.get(..length) else {
+            return (400, Vec::new());
+        };
+        part.append(content.to_vec());
+        rest = &tail[length..];
+    }
+    let end = part.end();
+    drop(state);
+    changed.send_modify(|count| *count += 1);
+    (200, json!({ "offset": offset, "end_offset": end }).to_string().into_bytes())
+}
+
+async fn read(
+    request: &RawRequest,
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+) -> (u16, Vec<u8>) {
+    let topic = request.query("topic").unwrap_or_default();
+    let from: u64 = request.query("from").and_then(|from| from.parse().ok()).unwrap_or(0);
+    let wait: u64 = request.query("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+    let by = Instant::now() + Duration::from_millis(wait);
+    let mut news = changed.subscribe();
+    loop {
+        news.mark_unchanged();
+        if let Some(answer) = read_now(topic, from, state) {
+            return answer;
+        }
+        let left = by.saturating_duration_since(Instant::now());
+        if tokio::time::timeout(left, news.changed()).await.is_err() {
+            let end = state.lock().topics.get(topic).map_or(0, Part::end);
+            return (200, [end.to_be_bytes(), 0_u64.to_be_bytes()].concat());
+        }
+    }
+}
+
+// none while there is nothing to read
+fn read_now(topic: &str, from: u64, state: &Mutex<State>) -> Option<(u16, Vec<u8>)> {
+    let state = state.lock();
+    let part = state.topics.get(topic)?;
+    if from < part.first {
+        return Some((410, json!({ "first_offset": part.first }).to_string().into_bytes()));
+    }
+    if from >= part.end() {
+        return None;
+    }
+    let mut body = [part.end().to_be_bytes(), part.first.to_be_bytes()].concat();
+    let skip = usize::try_from(from - part.first).unwrap_or(usize::MAX);
+    for content in part.records.iter().skip(skip) {
+        let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+        body.extend_from_slice(&length.to_be_bytes());
+        body.extend_from_slice(content);
+    }
+    Some((200, body))
+}
+
+fn newest(request: &RawRequest, state: &Mutex<State>) -> (u16, Vec<u8>) {
+    let topic = request.query("topic").unwrap_or_default();
+    let state = state.lock();
+    let Some(part) = state.topics.get(topic) else {
+        let empty = json!({ "items": [], "more": false, "end_offset": 0 });
+        return (200, empty.to_string().into_bytes());
+    };
+    let items: Vec<_> = part
+        .newest
+        .iter()
+        .map(|(key, (value, offset))| {
+            json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
+        })
+        .collect();
+    let body = json!({ "items": items, "more": false, "end_offset": part.end() });
+    (200, body.to_string().into_bytes())
+}
--- /dev/null
+++ b/crates/standin/src/platform/raw.rs
@@ -0,0 +1,131 @@
+//! HTTP/1.1 by hand, so that answers can be wrong in every way.
+
+use {
+    http::{HeaderMap, HeaderName, HeaderValue},
+    std::io,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+const HEADERS_MAX: usize = 64;
+
+/// A request as it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct RawRequest {
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Vec<u8>,
+}
+
+impl RawRequest {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// The value of `name` in the query.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        let query = self.path.split_once('?')?.1;
+        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+}
+
+/// Reads requests from one connection.
+#[derive(Debug)]
+pub(crate) struct RawConn {
+    pub(crate) stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl RawConn {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self { stream, buf: Vec::new() }
+    }
+
+    /// The next request; none at the end of the connection.
+    pub(crate) async fn read(&mut self) -> io::Result<Option<RawRequest>> {
+        loop {
+            if let Some((request, used)) = parse(&self.buf)? {
+                self.buf.drain(..used);
+                return Ok(Some(request));
+            }
+            let mut chunk = [0; 8192];
+            let read = self.stream.read(&mut chunk).await?;
+            if read == 0 {
+                return Ok(None);
+            }
+            self.buf.extend_from_slice(&chunk[..read]);
+        }
+    }
+
+    /// Waits until the other side closes; what it sends is dropped.
+    pub(crate) async fn closed(&mut self) {
+        let mut chunk = [0; 1024];
+        while self.stream.read(&mut chunk).await.is_ok_and(|read| read > 0) {}
+    }
+
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Writes an answer with a length.
+    pub(crate) async fn answer(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        self.write(&head(status, headers, Some(body.len()))).await?;
+        self.write(body).await
+    }
+
+    /// Resets the connection.
+    pub(crate) fn reset(self) {
+        // a socket that lingers for no time is reset when it is closed
+        let _ = self.stream.set_zero_linger();
+    }
+}
+
+/// The head of an answer; with no length it is chunked or ends with the connection.
+pub(crate) fn head(status: u16, headers: &[(&str, &str)], length: Option<usize>) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} Status\r\n");
+    for (name, value) in headers {
+        text.push_str(name);
+        text.push_str(": ");
+        text.push_str(value);
+        text.push_str("\r\n");
+    }
+    if let Some(length) = length {
+        text.push_str("Content-Length: ");
+        text.push_str(&length.to_string());
+        text.push_str("\r\n");
+    }
+    text.push_str("\r\n");
+    text.into_bytes()
+}
+
+fn parse(buf: &[u8]) -> io::Result<Option<(RawRequest, usize)>> {
+    let mut parsed = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut request = httparse::Request::new(&mut parsed);
+    let httparse::Status::Complete(head) = request.parse(buf).map_err(io::Error::other)? else {
+        return Ok(None);
+    };
+    let mut headers = HeaderMap::new();
+    for header in request.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(io::Error::other)?;
+        let value = HeaderValue::from_bytes(header.value).map_err(io::Error::other)?;
+        headers.append(name, value);
+    }
+    let length = headers.get("content-length").and_then(|v| v.to_str().ok()?.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    if buf.len() < head + length {
+        return Ok(None);
+    }
+    let request = RawRequest {
+        path: request.path.unwrap_or_default().to_owned(),
+        headers,
+        body: buf[head..head + length].to_vec(),
+    };
+    Ok(Some((request, head + length)))
+}
