--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -36,6 +36,10 @@
 /// Age that a report may have, in milliseconds: what happened later may be missing from it.
 const REPORT_LAG_MS: u64 = 300;
 
+/// Time after which an order without an answer is not carried out any more, in milliseconds; the
+/// platform states 12 s.
+const LATE_ORDER_MS: u64 = 13_000;
+
 /// Time after which an adapter that nobody waits for any more is no longer wanted, in
 /// milliseconds.
 const WANT_MS: u64 = 3000;
@@ -162,6 +166,18 @@
     copies: IndexSet<FastStr>,
     wanted: IndexMap<FastStr, Wanted>,
     silent_in_row: u32,
+    // loads that got no answer and may still be carried out
+    ghosts: Vec<Ghost>,
+}
+
+/// A load without an answer.
+#[derive(Clone, Copy, Debug)]
+struct Ghost {
+    expected: u64,
+    until: Time,
+    // given before the last report: the engine may come to this number of orders with other
+    // adapters than the book had then
+    stale: bool,
 }
 
 impl Book {
@@ -182,6 +198,7 @@
             copies: IndexSet::new(),
             wanted: IndexMap::new(),
             silent_in_row: 0,
+            ghosts: Vec::new(),
         }
     }
 
@@ -227,6 +244,13 @@
         wanted.asked += 1;
     }
 
+    /// Notes that the engine has refused a request since it lacks an adapter that it should have.
+    pub fn missing(&mut self, now: Time, adapter: &str) {
+        if self.held.swap_remove(adapter).is_some() && self.report_at.is_none() {
+            self.report_at = Some(now);
+        }
+    }
+
     /// Notes a use of an adapter.
     pub fn used(&mut self, now: Time, adapter: &str) {
         if let Some(held) = self.held.get_mut(adapter) {
@@ -253,6 +277,11 @@
             return order;
         }
         self.wanted.retain(|_, wanted| wanted.until > now);
+        // also those that were passed by: a restarted engine counts anew
+        self.ghosts.retain(|ghost| ghost.until > now);
+        if self.taken() + self.reserve() > self.slots {
+            return self.overbooked(now, &in_use);
+        }
         if let Some(order) = self.adapter_order(now, &in_use, transit_room) {
             return NextOrder::Order(order);
         }
@@ -308,13 +337,37 @@
             (!self.has_copy(adapter, wanted.version), wanted.turn(now))
         })?;
         let replaces = self.held.contains_key(adapter.as_str());
-        if !replaces && self.held.len() + self.coming.len() + self.closing.len() >= self.slots {
+        if !replaces && self.taken() + self.reserve() >= self.slots {
             let victim = self.victim(in_use)?;
             return Some(AdapterOrder::Unload { adapter: victim });
         }
         Some(AdapterOrder::Load { adapter: adapter.clone(), version: wanted.version })
     }
 
+    // slots that are taken
+    fn taken(&self) -> usize {
+        self.held.len() + self.coming.len() + self.closing.len()
+    }
+
+    // slots kept free for loads of before the last report that may still be carried out: each
+    // takes one number of orders, so those for the same number count once
+    fn reserve(&self) -> usize {
+        let due = self.ghosts.iter().filter(|ghost| ghost.stale && ghost.expected >= self.seq);
+        let numbers: IndexSet<u64> = due.map(|ghost| ghost.expected).collect();
+        numbers.len().min(self.slots.saturating_sub(1))
+    }
+
+    // any order would bring the engine nearer to numbers for which such loads wait; only a load
+    // that waits for this very number is worth passing by
+    fn overbooked(&self, now: Time, in_use: &impl Fn(&str) -> bool) -> NextOrder {
+        let due_now = self.ghosts.iter().any(|g| g.stale && g.expected == self.seq);
+        let victim = self.victim(in_use).filter(|_| due_now && self.taken() >= self.slots);
+        match victim {
+            Some(adapter) => NextOrder::Order(AdapterOrder::Unload { adapter }),
+            None => NextOrder::Wait(now.after_ms(LOOK_AGAIN_MS)),
+        }
+    }
+
     fn has_copy(&self, adapter: &FastStr, version: Option<u64>) -> bool {
         version.is_none() && self.copies.contains(adapter)
     }
@@ -347,10 +400,20 @@
             OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Rejected => {
                 self.disagree(now);
             }
-            // given again at once, it is carried out or refused, and the copy that is late finds
-            // another number of orders; after that the report has to tell
-            OrderAnswer::Silent if self.silent_in_row < 2 => self.silent_in_row += 1,
-            OrderAnswer::Silent => self.disagree(now),
+            OrderAnswer::Silent => self.silent(now, order),
+        }
+    }
+
+    // given again at once, an order is carried out or refused, and its copy that is late finds
+    // another number of orders; after that the report has to tell
+    fn silent(&mut self, now: Time, order: &AdapterOrder) {
+        if matches!(order, AdapterOrder::Load { .. }) {
+            let until = now.after_ms(LATE_ORDER_MS);
+            self.ghosts.push(Ghost { expected: self.seq, until, stale: false });
+        }
+        self.silent_in_row += 1;
+        if self.silent_in_row > 2 {
+            self.disagree(now);
         }
     }
 
@@ -419,11 +482,16 @@
                 self.held.insert(adapter.clone(), held);
             }
             AdapterOrder::Unload { adapter } => {
+                self.held.swap_remove(adapter);
                 // the order that closed it was counted already
                 if self.closing.swap_remove(adapter).is_none() {
                     self.seq += 1;
+                    // an engine that lacked it has not counted this one, and a late order could
+                    // make up the difference
+                    if !self.ghosts.is_empty() {
+                        self.disagree(now);
+                    }
                 }
-                self.held.swap_remove(adapter);
             }
         }
     }
@@ -456,6 +524,9 @@
         let coming = |adapter: FastStr| (adapter, Coming { version: None, since: now, look_at });
         self.coming = report.pending.into_iter().map(coming).collect();
         self.closing.clear();
+        for ghost in &mut self.ghosts {
+            ghost.stale = true;
+        }
         self.seq = report.seq;
         self.held_models = report.models;
         self.silent_in_row = 0;
--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -38,6 +38,15 @@
     pub host: FastStr,
     /// Distinguishes processes of that host.
     pub incarnation: u64,
+    /// True when the engine was another host's before. A process that finds its own host's claim
+    /// can't tell how long ago that was, and waits.
+    pub taken_over: bool,
+}
+
+impl TenureRecord {
+    fn same_process(&self, other: &Self) -> bool {
+        self.host == other.host && self.incarnation == other.incarnation
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -64,7 +73,13 @@
     /// hosts at one engine.
     #[must_use]
     pub fn new(me: TenureRecord, fencing: Fencing, lease_ms: u64) -> Self {
-        let wait_ms = lease_ms.max(RIGHT_MS) + MARGIN_MS;
+        // a holder that can read stops when it reads the claim; where engines check nothing, one
+        // that can't must have stopped by itself
+        let right_ms = match fencing {
+            Fencing::Checked => 0,
+            Fencing::Unchecked => RIGHT_MS,
+        };
+        let wait_ms = lease_ms + right_ms + MARGIN_MS;
         Self { me, fencing, wait_ms, read_at: Time::ZERO, holders: IndexMap::new() }
     }
 
@@ -84,8 +99,13 @@
             self.holders.swap_remove(engine);
             return;
         };
-        let same_host = before.is_none_or(|holder| holder.record.host == record.host);
-        let from = if same_host { now } else { now.after_ms(self.wait_ms) };
+        let waited = before.filter(|holder| holder.record.host == record.host);
+        let from = match waited {
+            // the earlier process of this host has not waited for this one
+            Some(holder) if record.taken_over => holder.from.max(now),
+            _ if record.taken_over => now.after_ms(self.wait_ms),
+            _ => now,
+        };
         let holder = Holder { record, fence, from, refused: false };
         self.holders.insert(FastStr::new(engine), holder);
     }
@@ -100,7 +120,8 @@
     /// The fencing number under which this process may order at `engine` now.
     #[must_use]
     pub fn fence(&self, now: Time, engine: &str) -> Option<u64> {
-        let holder = self.holders.get(engine).filter(|h| h.record == self.me && !h.refused)?;
+        let holder =
+            self.holders.get(engine).filter(|h| h.record.same_process(&self.me) && !h.refused)?;
         let read = match self.fencing {
             Fencing::Checked => true,
             Fencing::Unchecked => now < self.read_at.after_ms(RIGHT_MS),
@@ -111,7 +132,7 @@
     /// True when this process holds `engine`, whether or not it may order already.
     #[must_use]
     pub fn mine(&self, engine: &str) -> bool {
-        self.holders.get(engine).is_some_and(|h| h.record == self.me && !h.refused)
+        self.holders.get(engine).is_some_and(|h| h.record.same_process(&self.me) && !h.refused)
     }
 
     /// The host that holds `engine`.
@@ -135,7 +156,7 @@
         rivals: &[FastStr],
     ) -> bool {
         match self.holders.get(engine) {
-            Some(h) if h.record.host == self.me.host => h.record != self.me,
+            Some(h) if h.record.host == self.me.host => !h.record.same_process(&self.me),
             Some(h) if alive(&h.record.host) => false,
             _ => {
                 let first = rivals.iter().max_by_key(|host| rendezvous(engine, host));
@@ -144,9 +165,12 @@
         }
     }
 
-    /// The record of a claim by this process.
+    /// The record of a claim on `engine` by this process.
     #[must_use]
-    pub fn claim(&self) -> &TenureRecord {
-        &self.me
+    pub fn claim(&self, engine: &str) -> TenureRecord {
+        let before = self.holders.get(engine).map(|holder| &holder.record);
+        let taken_over =
+            before.is_some_and(|record| record.host != self.me.host || record.taken_over);
+        TenureRecord { taken_over, ..self.me.clone() }
     }
 }
--- /dev/null
+++ b/crates/core/tests/edge.rs
@@ -0,0 +1,411 @@
+//! Routes, targets, sends, budgets and placement of an edge host.
+
+use {
+    egret_core::{
+        CallerBounds, Candidate, Crossings, EventCutter, Final, Fleet, Health, Homes, Place,
+        RetryBounds, RetryWindow, Route, RouteKind, Routing, Send, SendEnd, Service, Share, Step,
+        Target, TargetState, Time, steer_adapter, steer_plain,
+    },
+    faststr::FastStr,
+    quickcheck::{Gen, QuickCheck},
+    std::collections::VecDeque,
+};
+
+const SEED: u64 = 20_261_204;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    let share =
+        |(service, weight): &(&str, u32)| Share { service: FastStr::new(service), weight: *weight };
+    Route {
+        name: FastStr::new(name),
+        host: FastStr::from_static_str("h"),
+        prefix: FastStr::new(prefix),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1000,
+        aim_ms: 100,
+        pause_ms: 0,
+        urgency: 0,
+        targets_max: 2,
+        shares: shares.iter().map(share).collect(),
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service { name: FastStr::new(name), connections_max: 10, engine: None }
+}
+
+#[test]
+fn select_longest_prefix() {
+    let routes = vec![
+        route("short", "/a/", &[("s", 1)]),
+        route("long", "/a/b/", &[("s", 1)]),
+        route("undeclared", "/x/", &[("missing", 1)]),
+    ];
+    let routing = Routing::new(3, routes, vec![service("s")], CallerBounds::default());
+    let name = |path| routing.select("h", path, "r").map(|s| s.route.name.to_string());
+    assert_eq!(name("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("/a/bc").as_deref(), Some("short"));
+    assert_eq!(name("/a/"), Some("short".to_owned()));
+    assert_eq!(name("/a"), None);
+    assert_eq!(name("/x/y"), None);
+    assert!(routing.select("other", "/a/b", "r").is_none());
+}
+
+#[test]
+fn select_split_by_weight() {
+    let routes = vec![route("r", "/a/", &[("s", 90), ("t", 10), ("none", 0)])];
+    let services = vec![service("s"), service("t"), service("none")];
+    let routing = Routing::new(3, routes, services, CallerBounds::default());
+    let mut to_t = 0;
+    for number in 0..2000 {
+        let id = format!("request-{number}");
+        let chosen = routing.select("h", "/a/x", &id).unwrap().service.name.clone();
+        assert_ne!(chosen, "none");
+        // the same request goes the same way at each host
+        assert_eq!(routing.select("h", "/a/x", &id).unwrap().service.name, chosen);
+        to_t += usize::from(chosen == "t");
+    }
+    assert!((140..260).contains(&to_t), "{to_t} of 2000 for a tenth");
+}
+
+fn target(id: &str, state: TargetState, born_ms: u64) -> Target {
+    Target {
+        id: FastStr::new(id),
+        service: FastStr::from_static_str("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: FastStr::from_static_str("dc"),
+        slots: 4,
+        state,
+        born_ms,
+        models: Vec::new(),
+    }
+}
+
+#[test]
+fn fleet_leaving_stays() {
+    let mut fleet = Fleet::default();
+    fleet.saw(target("a", TargetState::Ready, 5));
+    fleet.saw(target("a", TargetState::Leaving, 5));
+    fleet.saw(target("a", TargetState::Ready, 5));
+    assert!(fleet.ready("a").is_none());
+    // an entry of an earlier start changes nothing, a later start is another target
+    fleet.saw(target("a", TargetState::Ready, 4));
+    assert!(fleet.ready("a").is_none());
+    fleet.saw(target("a", TargetState::Ready, 6));
+    assert!(fleet.ready("a").is_some());
+}
+
+#[test]
+fn fleet_lapsed_entry() {
+    let mut fleet = Fleet::default();
+    fleet.saw(target("lives", TargetState::Ready, 1));
+    fleet.saw(target("dead", TargetState::Ready, 1));
+    fleet.saw(target("left", TargetState::Leaving, 1));
+    fleet.regained(at(2000));
+    for id in ["lives", "dead", "left"] {
+        fleet.vanished(at(100), id);
+    }
+    // what had said that it leaves is gone at once
+    assert!(fleet.get("left").is_none());
+    assert!(fleet.ready("lives").is_some() && fleet.ready("dead").is_some());
+    fleet.saw(target("lives", TargetState::Ready, 1));
+    fleet.expire(at(2000));
+    assert!(fleet.ready("lives").is_some());
+    assert!(fleet.get("dead").is_none());
+    fleet.vanished(at(2500), "lives");
+    assert!(fleet.get("lives").is_none());
+}
+
+#[test]
+fn fleet_listing_drops_missing() {
+    let mut fleet = Fleet::default();
+    fleet.saw(target("a", TargetState::Ready, 1));
+    fleet.listed(at(1), vec![target("b", TargetState::Ready, 1)]);
+    let ids: Vec<&str> = fleet.all().map(|t| t.id.as_str()).collect();
+    assert_eq!(ids, ["b"]);
+}
+
+#[test]
+fn health_down_then_tried_again() {
+    let mut health = Health::default();
+    health.down(at(1000));
+    assert!(health.is_down(at(1100)));
+    assert!(!health.is_down(at(1300)));
+    health.down(at(1300));
+    health.down(at(2000));
+    assert!(health.is_down(at(2900)));
+    health.good(at(3100));
+    assert!(!health.is_down(at(3100)));
+}
+
+#[test]
+fn health_fades() {
+    let mut health = Health::default();
+    for ms in 0..10 {
+        health.bad(at(ms));
+    }
+    let fresh = health.rate_milli(at(10));
+    assert!(fresh > 900, "{fresh}");
+    assert!(health.rate_milli(at(9000)) < 100);
+}
+
+fn send(kind: RouteKind, targets_max: u32) -> Send {
+    Send::new(kind, targets_max, at(1000))
+}
+
+#[test]
+fn send_refusal_is_proof() {
+    for kind in [RouteKind::Once, RouteKind::Stream, RouteKind::Idempotent] {
+        let mut state = send(kind, 1);
+        assert_eq!(state.ended(at(1), SendEnd::Refused, || true), Step::Again);
+        assert_eq!(state.ended(at(2), SendEnd::NotSent, || false), Step::Again);
+        assert_eq!(state.ended(at(3), SendEnd::Refused, || false), Step::End(Final::NotRun));
+    }
+}
+
+#[test]
+fn send_lost_is_unknown() {
+    for kind in [RouteKind::Once, RouteKind::Stream] {
+        for end in [SendEnd::Lost, SendEnd::Failed] {
+            let mut state = send(kind, 3);
+            assert_eq!(state.ended(at(1), end, || true), Step::End(Final::Unknown));
+            let mut state = send(kind, 3);
+            assert_eq!(state.ended(at(1000), end, || true), Step::End(Final::Late));
+        }
+    }
+    // a proof of a later target does not make up for an earlier one
+    let mut state = send(RouteKind::Idempotent, 3);
+    assert_eq!(state.ended(at(1), SendEnd::Lost, || true), Step::Again);
+    assert_eq!(state.ended(at(2), SendEnd::Refused, || false), Step::End(Final::Unknown));
+}
+
+#[test]
+fn send_within_targets_and_budget() {
+    let mut state = send(RouteKind::ResumableStream, 2);
+    assert!(state.may_move());
+    assert_eq!(state.ended(at(1), SendEnd::Lost, || true), Step::Again);
+    assert!(!state.may_move());
+    assert_eq!(state.ended(at(2), SendEnd::Lost, || true), Step::End(Final::Unknown));
+    let mut state = send(RouteKind::Idempotent, 2);
+    assert_eq!(state.ended(at(1), SendEnd::Lost, || false), Step::End(Final::Unknown));
+    let mut state = send(RouteKind::Once, 1);
+    for ms in 0..3 {
+        assert_eq!(state.ended(at(ms), SendEnd::Refused, || true), Step::Again);
+    }
+    assert_eq!(state.ended(at(4), SendEnd::Refused, || true), Step::End(Final::NotRun));
+}
+
+#[test]
+fn window_bound_over_hosts() {
+    // random sends of four hosts; every window of the bound's length is checked
+    fn holds(sends: Vec<(u8, u8, bool)>) -> bool {
+        let bounds = RetryBounds { window_ms: 10_000, ratio_milli: 180, free: 48 };
+        let mut hosts = vec![RetryWindow::default(); 4];
+        let (mut now, mut firsts, mut repeats) = (0, VecDeque::new(), VecDeque::new());
+        for (host, pause, repeat) in sends {
+            now += u64::from(pause) * 4;
+            let window = &mut hosts[usize::from(host) % 4];
+            if !repeat {
+                window.first(at(now), &bounds);
+                firsts.push_back(now);
+            } else if window.take(at(now), &bounds, 4) {
+                repeats.push_back(now);
+            }
+            // the users count the requests of a window, of the one before and of half before
+            let since = |times: &VecDeque<u64>, ms: u64| {
+                times.iter().filter(|t| **t + ms > now).count() as u64
+            };
+            let allowed = since(&firsts, 20_000) * 200 / 1000 + 54;
+            if since(&repeats, 10_000) > allowed {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(800, SEED))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
+}
+
+#[test]
+fn window_share_of_each_host() {
+    let bounds = RetryBounds { window_ms: 10_000, ratio_milli: 200, free: 40 };
+    let mut window = RetryWindow::default();
+    let taken = (0..100).filter(|_| window.take(at(5), &bounds, 4)).count();
+    assert_eq!(taken, 10);
+    for _ in 0..50 {
+        window.first(at(6), &bounds);
+    }
+    let taken = (0..100).filter(|_| window.take(at(6), &bounds, 4)).count();
+    assert_eq!(taken, 10);
+    // all of it is there again once the window has passed
+    let taken = (0..100).filter(|_| window.take(at(12_000), &bounds, 4)).count();
+    assert_eq!(taken, 10);
+}
+
+fn candidate(id: &str, near: bool, running: u64) -> Candidate {
+    Candidate {
+        id: FastStr::new(id),
+        near,
+        running,
+        slots: 64,
+        failing_milli: 0,
+        resident: false,
+        copy: false,
+        loads: true,
+    }
+}
+
+fn loads(place: Place<'_>) -> Option<&str> {
+    match place {
+        Place::Load(candidate) => Some(candidate.id.as_str()),
+        Place::Use(_) | Place::Nowhere => None,
+    }
+}
+
+fn uses(place: Place<'_>) -> Option<&str> {
+    match place {
+        Place::Use(candidate) => Some(candidate.id.as_str()),
+        Place::Load(_) | Place::Nowhere => None,
+    }
+}
+
+#[test]
+fn steer_near_until_full() {
+    let mut targets = vec![candidate("near", true, 0), candidate("far", false, 0)];
+    assert_eq!(uses(steer_plain(&targets, "k")), Some("near"));
+    targets[0].running = 60;
+    assert_eq!(uses(steer_plain(&targets, "k")), Some("far"));
+    targets[0].running = 0;
+    targets[0].failing_milli = 600;
+    assert_eq!(uses(steer_plain(&targets, "k")), Some("far"));
+    assert_eq!(steer_plain(&[], "k"), Place::Nowhere);
+}
+
+// a flash crowd on one adapter: its home stays the only one until it is crowded
+#[test]
+fn steer_popular_adapter_one_home() {
+    let mut targets: Vec<Candidate> =
+        (0..9).map(|n| candidate(&format!("e-{n}"), n < 3, 0)).collect();
+    let home = loads(steer_adapter(&targets, "base/a1", false, false)).unwrap().to_owned();
+    let number = targets.iter().position(|c| c.id == home).unwrap();
+    targets[number].running = 12;
+    assert_eq!(loads(steer_adapter(&targets, "base/a1", false, false)), Some(home.as_str()));
+    targets[number].resident = true;
+    assert_eq!(uses(steer_adapter(&targets, "base/a1", false, false)), Some(home.as_str()));
+    targets[number].running = 40;
+    let second = loads(steer_adapter(&targets, "base/a1", false, false)).unwrap();
+    assert_ne!(second, home);
+    // while the weight store is busy, the crowded home serves on
+    assert_eq!(uses(steer_adapter(&targets, "base/a1", true, false)), Some(home.as_str()));
+}
+
+#[test]
+fn steer_copies_before_others() {
+    let mut targets: Vec<Candidate> =
+        (0..6).map(|n| candidate(&format!("e-{n}"), true, 0)).collect();
+    let home = loads(steer_adapter(&targets, "base/a1", false, false)).unwrap().to_owned();
+    let other = targets.iter().position(|c| c.id != home).unwrap();
+    targets[other].copy = true;
+    let id = targets[other].id.clone();
+    assert_eq!(loads(steer_adapter(&targets, "base/a1", false, false)), Some(id.as_str()));
+    targets[other].loads = false;
+    assert_eq!(loads(steer_adapter(&targets, "base/a1", false, false)), Some(home.as_str()));
+}
+
+#[test]
+fn steer_copy_near_after_crossings() {
+    let mut targets = vec![candidate("near", true, 0), candidate("far", false, 0)];
+    targets[1].resident = true;
+    assert_eq!(uses(steer_adapter(&targets, "base/a1", false, false)), Some("far"));
+    assert_eq!(loads(steer_adapter(&targets, "base/a1", false, true)), Some("near"));
+    let mut crossings = Crossings::default();
+    let adapter = FastStr::from_static_str("base/a1");
+    for ms in 0..13 {
+        crossings.crossed(at(ms), &adapter);
+    }
+    assert!(!crossings.copy_near(at(13), &adapter));
+    crossings.crossed(at(13), &adapter);
+    assert!(crossings.copy_near(at(14), &adapter));
+    assert!(!crossings.copy_near(at(80_000), &adapter));
+}
+
+#[test]
+fn steer_failing_engine_gets_no_loads() {
+    let mut targets = vec![candidate("a", true, 0), candidate("b", true, 0)];
+    targets[0].failing_milli = 500;
+    targets[0].resident = true;
+    assert_eq!(loads(steer_adapter(&targets, "base/a1", false, false)), Some("b"));
+    targets[1].loads = false;
+    assert_eq!(uses(steer_adapter(&targets, "base/a1", false, false)), Some("a"));
+}
+
+#[test]
+fn homes_bounded_by_engine() {
+    let mut homes = Homes::default();
+    let engine = FastStr::from_static_str("e");
+    let names: Vec<FastStr> =
+        (0..300).map(|n| FastStr::from_string(format!("base/a{n}"))).collect();
+    homes.holds(&engine, names.iter());
+    assert!(homes.held("e", "base/a299"));
+    assert!(!homes.held("e", "base/a0"));
+    homes.retain(|engine| engine != "e");
+    assert!(!homes.held("e", "base/a299"));
+}
+
+#[test]
+fn cutter_any_chunks() {
+    // however a stream is cut into chunks, whole events come out, in order
+    #[expect(clippy::needless_pass_by_value, reason = "as quickcheck calls it")]
+    fn holds(cuts: Vec<u8>, crlf: bool) -> bool {
+        let newline = if crlf { "\r\n" } else { "\n" };
+        let event =
+            |id: u64| format!("version: 3{newline}id: {id}{newline}data: t-{id}{newline}{newline}");
+        let text: String = (4..12).map(event).collect::<Vec<_>>().concat();
+        let mut cutter = EventCutter::after(Some(3));
+        let (mut out, mut rest) = (Vec::new(), text.as_bytes());
+        for cut in cuts.iter().chain(std::iter::repeat(&200)) {
+            if rest.is_empty() {
+                break;
+            }
+            let (chunk, tail) = rest.split_at(usize::from(*cut).min(rest.len()));
+            rest = tail;
+            let whole = cutter.push(chunk).unwrap();
+            if !whole.is_empty() && !whole.ends_with(format!("{newline}{newline}").as_bytes()) {
+                return false;
+            }
+            out.extend_from_slice(&whole);
+        }
+        out == text.as_bytes() && cutter.at_boundary() && cutter.last() == Some(11)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>, bool) -> bool);
+}
+
+#[test]
+fn cutter_gap_or_repeat() {
+    for (first, second) in [(1, 3), (2, 2), (5, 4)] {
+        let mut cutter = EventCutter::default();
+        cutter.push(format!("id: {first}\n\n").as_bytes()).unwrap();
+        let found = cutter.push(format!("id: {second}\n\n").as_bytes());
+        assert!(found.is_err(), "{second} after {first}");
+    }
+    let mut cutter = EventCutter::after(Some(2));
+    assert!(cutter.push(b"id: 2\ndata: x\n\n").is_err());
+}
+
+#[test]
+fn cutter_part_dropped() {
+    let mut cutter = EventCutter::default();
+    assert_eq!(cutter.push(b"id: 1\n\nid: 2\nda").unwrap(), "id: 1\n\n");
+    assert!(!cutter.at_boundary());
+    cutter.drop_part();
+    assert_eq!(cutter.push(b"id: 2\ndata: y\n\n").unwrap(), "id: 2\ndata: y\n\n");
+}
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -5,10 +5,12 @@
 
 #![expect(clippy::cast_possible_truncation, reason = "test worlds are small")]
 
+mod book_world;
 mod config_world;
 mod journal_world;
 mod slots_world;
 mod support;
+mod tenure_world;
 
 use support::{Command, check};
 
@@ -27,6 +29,16 @@
     check("config", 1500, config_world::run);
 }
 
+#[test]
+fn book_random_commands() {
+    check("book", 1500, book_world::run);
+}
+
+#[test]
+fn tenure_random_commands() {
+    check("tenure", 3000, tenure_world::run);
+}
+
 /// Sequences that once broke a promise, shrunk. Each line names what it found.
 #[test]
 fn slots_found_sequences() {
--- /dev/null
+++ b/crates/core/tests/fuzz/tenure_world.rs
@@ -0,0 +1,115 @@
+//! Claims of several hosts on one engine that does not check fencing numbers. Promises: at no
+//! moment may two hosts order, between the orders of two hosts lies the lease, and no fencing
+//! number is used by two processes.
+
+use {
+    super::support::Command,
+    egret_core::{Fencing, Tenure, TenureRecord, Time},
+    faststr::FastStr,
+    indexmap::IndexMap,
+};
+
+const HOSTS: usize = 3;
+const LEASE_MS: u64 = 1000;
+
+struct Host {
+    name: FastStr,
+    incarnation: u64,
+    tenure: Tenure,
+    read_to: usize,
+}
+
+struct World {
+    now: Time,
+    log: Vec<TenureRecord>,
+    hosts: Vec<Host>,
+    // last order: when and by whom
+    last: Option<(Time, FastStr)>,
+    fences: IndexMap<u64, (FastStr, u64)>,
+}
+
+fn host(number: usize, incarnation: u64) -> Host {
+    let name = FastStr::from_string(format!("host-{number}"));
+    let me = TenureRecord { host: name.clone(), incarnation, taken_over: false };
+    Host { tenure: Tenure::new(me, Fencing::Unchecked, LEASE_MS), name, incarnation, read_to: 0 }
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: Time::from_millis(1),
+            log: Vec::new(),
+            hosts: (0..HOSTS).map(|number| host(number, 1)).collect(),
+            last: None,
+            fences: IndexMap::new(),
+        }
+    }
+
+    fn read(&mut self, number: usize) {
+        let started = self.now;
+        let host = &mut self.hosts[number];
+        for (offset, record) in self.log.iter().enumerate().skip(host.read_to) {
+            host.tenure.saw(self.now, "e", offset as u64, Some(record.clone()));
+        }
+        host.read_to = self.log.len();
+        host.tenure.read_to_end(started);
+    }
+
+    fn claim(&mut self, number: usize, lost_answer: bool) {
+        let host = &self.hosts[number];
+        // the append is made under the condition that the log ends where it was last read
+        if host.read_to != self.log.len() {
+            return;
+        }
+        let alive = |_: &str| false;
+        if !host.tenure.should_claim("e", alive, std::slice::from_ref(&host.name)) {
+            return;
+        }
+        self.log.push(host.tenure.claim("e"));
+        if !lost_answer {
+            self.read(number);
+        }
+    }
+
+    fn order(&mut self, number: usize) -> Result<(), String> {
+        let host = &self.hosts[number];
+        let Some(fence) = host.tenure.fence(self.now, "e") else {
+            return Ok(());
+        };
+        let process = (host.name.clone(), host.incarnation);
+        let first = self.fences.entry(fence).or_insert_with(|| process.clone());
+        if *first != process {
+            return Err(format!("{fence} used by {first:?} and {process:?}"));
+        }
+        if let Some((at, by)) = &self.last
+            && *by != host.name
+            && self.now.ms_since(*at) < LEASE_MS
+        {
+            return Err(format!("{by} at {at}, {} at {}", host.name, self.now));
+        }
+        self.last = Some((self.now, host.name.clone()));
+        Ok(())
+    }
+}
+
+/// Runs commands and says which promise they broke.
+pub(crate) fn run(commands: &[Command]) -> Result<(), String> {
+    let mut world = World::new();
+    for command in commands {
+        let number = usize::from(command.who) % HOSTS;
+        match command.verb % 8 {
+            0..=2 => world.read(number),
+            3 => world.claim(number, command.what < 60),
+            4..=6 => world.order(number)?,
+            _ if command.how < 40 => {
+                let incarnation = world.hosts[number].incarnation + 1;
+                world.hosts[number] = host(number, incarnation);
+            }
+            _ => {}
+        }
+        // now and then a host is frozen for longer than any right lasts
+        let ms = if command.how > 250 { 6000 } else { u64::from(command.how) * 3 };
+        world.now = world.now.after_ms(ms);
+    }
+    Ok(())
+}
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -1,7 +1,7 @@
 //! One send of a request to one target.
 
 use {
-    super::request::Outgoing,
+    super::{place, request::Outgoing},
     crate::state::{Edge, Running},
     egret_core::{SendEnd, Target, Time},
     egret_platform::{AnswerHead, PassOn, judge, pass_on},
@@ -68,6 +68,9 @@
             return Err(failed(edge, out, &target, SendEnd::Refused, &reason));
         }
         AnswerHead::Elsewhere => {
+            if let Some(adapter) = adapter {
+                place::lacks(edge, &target.id, adapter);
+            }
             return Err(failed(edge, out, &target, SendEnd::Refused, "not there"));
         }
         AnswerHead::Foreign => {
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -99,6 +99,16 @@
     }
 }
 
+/// Tells whoever orders `engine` that it lacks an adapter which it should have.
+pub(crate) fn lacks(edge: &Edge, engine: &FastStr, adapter: &FastStr) {
+    let holder = edge.tenure.lock().holder(engine).cloned();
+    match holder {
+        Some(host) if host == edge.cfg.host => orders::missing_here(edge, engine, adapter),
+        Some(host) => peers::tell_missing(edge, &host, engine, adapter),
+        None => {}
+    }
+}
+
 fn transit(edge: &Edge) -> usize {
     let own: usize = edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum();
     own + edge.peers.lock().transit()
--- a/crates/edge/src/orders/claims.rs
+++ b/crates/edge/src/orders/claims.rs
@@ -88,10 +88,11 @@
 }
 
 async fn claim(edge: &Edge, engines: &[FastStr]) -> bool {
-    let record = edge.tenure.lock().claim().clone();
-    let value = serde_json::to_vec(&record).expect("a claim has only text and numbers");
-    let value = Bytes::from(value);
-    let records: Vec<(FastStr, Bytes)> =
-        engines.iter().map(|engine| (engine_key(engine), value.clone())).collect();
+    let record = |engine: &FastStr| {
+        let claim = edge.tenure.lock().claim(engine);
+        let value = serde_json::to_vec(&claim).expect("a claim has only text and numbers");
+        (engine_key(engine), Bytes::from(value))
+    };
+    let records: Vec<(FastStr, Bytes)> = engines.iter().map(record).collect();
     append_own(edge, &records).await
 }
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -48,6 +48,7 @@
 #[derive(Debug)]
 pub(crate) struct Driver {
     pub(crate) engine: FastStr,
+    born_ms: u64,
     pub(crate) book: Mutex<Book>,
     wake: Notify,
     waiting: Mutex<Vec<Waiting>>,
@@ -89,7 +90,9 @@
     };
     let mut drivers = edge.drivers.by_engine.lock();
     drivers.retain(|engine, driver| {
-        let keep = mine.iter().any(|target| target.id == *engine);
+        // an engine that has started again under its id holds nothing of before
+        let same = |t: &&Arc<Target>| t.id == *engine && t.born_ms == driver.born_ms;
+        let keep = mine.iter().any(same);
         if !keep {
             driver.ended.store(true, Ordering::Release);
             driver.wake.notify_one();
@@ -107,6 +110,7 @@
         let slots = usize::try_from(traits.adapter_slots).unwrap_or(0);
         let driver = Arc::new(Driver {
             engine: target.id.clone(),
+            born_ms: target.born_ms,
             book: Mutex::new(Book::new(slots, traits.models.clone())),
             wake: Notify::new(),
             waiting: Mutex::default(),
@@ -160,6 +164,14 @@
     before(wish.deadline, rx).await.is_some_and(|answer| answer.unwrap_or(false))
 }
 
+/// Notes that an engine which this host orders has refused a request since it lacks an adapter.
+pub(crate) fn missing_here(edge: &Edge, engine: &str, adapter: &str) {
+    if let Some(driver) = edge.drivers.get(engine) {
+        driver.book.lock().missing(now(), adapter);
+        driver.wake.notify_one();
+    }
+}
+
 async fn drive(edge: Arc<Edge>, driver: Arc<Driver>, base_max: usize) {
     while !driver.ended.load(Ordering::Acquire) {
         let Some(fence) = edge.tenure.lock().fence(now(), &driver.engine) else {
--- a/crates/edge/src/orders/mod.rs
+++ b/crates/edge/src/orders/mod.rs
@@ -3,7 +3,7 @@
 mod claims;
 mod driver;
 
-pub(crate) use driver::{Driver, Drivers, Wish, load_here};
+pub(crate) use driver::{Driver, Drivers, Wish, load_here, missing_here};
 
 use {crate::state::Edge, std::sync::Arc};
 
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -36,6 +36,10 @@
             }
             Body::AdapterAsk(ask) => {
                 let adapter = FastStr::from_string(ask.adapter);
+                if ask.missing {
+                    orders::missing_here(&edge, &ask.engine, &adapter);
+                    return None;
+                }
                 let wish = Wish {
                     adapter: adapter.clone(),
                     version: (ask.version > 0).then_some(ask.version),
@@ -67,7 +71,19 @@
         version: wish.version.unwrap_or(0),
         aim_ms: now().ms_until(wish.aim),
         remaining_ms: now().ms_until(wish.deadline),
+        missing: false,
     };
     let answer = edge.links.call(host, Body::AdapterAsk(ask), wish.deadline).await;
     matches!(answer, Ok(Body::Ok(_)))
 }
+
+/// Tells `host` that an engine which it orders lacks an adapter that it should have.
+pub(crate) fn tell_missing(edge: &Edge, host: &str, engine: &str, adapter: &FastStr) {
+    let ask = AdapterAskMsg {
+        engine: engine.to_owned(),
+        adapter: adapter.to_string(),
+        missing: true,
+        ..AdapterAskMsg::default()
+    };
+    edge.links.tell(host, Body::AdapterAsk(ask));
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -6,7 +6,7 @@
 mod known;
 
 pub(crate) use {
-    ask::ask_load,
+    ask::{ask_load, tell_missing},
     known::{HostRecord, Peers},
 };
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -92,7 +92,7 @@
         let metrics = Metrics::default();
         let incarnation = unix_ms();
         let hello = Hello { host: cfg.host.to_string(), incarnation, secret: String::new() };
-        let me = TenureRecord { host: cfg.host.clone(), incarnation };
+        let me = TenureRecord { host: cfg.host.clone(), incarnation, taken_over: false };
         Self {
             incarnation,
             routing: RwLock::default(),
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -453,4 +453,7 @@
     /// Milliseconds after which the answer is late.
     #[prost(uint64, tag = "5")]
     pub aim_ms: u64,
+    /// True when the engine has just refused a request since it lacks the adapter.
+    #[prost(bool, tag = "6")]
+    pub missing: bool,
 }
