--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -486,9 +486,9 @@
                 // the order that closed it was counted already
                 if self.closing.swap_remove(adapter).is_none() {
                     self.seq += 1;
-                    // an engine that lacked it has not counted this one, and a late order could
+                    // an engine that lacked it has not counted this one, and a late load could
                     // make up the difference
-                    if !self.ghosts.is_empty() {
+                    if self.ghosts.iter().any(|ghost| ghost.expected + 1 >= self.seq) {
                         self.disagree(now);
                     }
                 }
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -24,7 +24,7 @@
 
 /// Time in which an engine answers an order, in milliseconds; it answers at once, and an order
 /// whose answer is lost is given again.
-const ORDER_MS: u64 = 150;
+const ORDER_MS: u64 = 80;
 
 /// Time in which an engine answers a question for its report, in milliseconds.
 const REPORT_MS: u64 = 800;
