--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -144,7 +144,7 @@
         let running = running + edge.peers.lock().running(&target.id);
         let holds = match (&service.engine, &out.head.base) {
             (Some(_), Some(base)) => held(edge, &target, base, adapter, version),
-            _ => Held { base: true, adapter: true, loads: false },
+            _ => Held { base: true, adapter: true, older: false, loads: false },
         };
         if !holds.base {
             continue;
@@ -157,17 +157,32 @@
             failing_milli,
             resident: holds.adapter,
             copy: adapter.is_some_and(|a| edge.homes.lock().held(&target.id, a)),
-            loads: holds.loads,
+            // an older version that serves is replaced once its runs have ended, and blocks until
+            // then: another engine has the new one sooner
+            loads: holds.loads && !(holds.older && serves(edge, &target.id, adapter)),
         });
     }
     candidates
 }
 
+// true when a request of any host for `adapter` runs at `engine`, as far as is known
+fn serves(edge: &Edge, engine: &str, adapter: Option<&FastStr>) -> bool {
+    let Some(adapter) = adapter else {
+        return false;
+    };
+    let here =
+        edge.at_targets.lock().get(engine).is_some_and(|at| at.adapters.contains_key(adapter));
+    here || edge.peers.lock().uses(engine, adapter)
+}
+
 // what an engine holds: by this host's own book, by the host that orders it, or else by the
 // engine's registration, which is older
+#[allow(clippy::struct_excessive_bools)] // four independent facts
 struct Held {
     base: bool,
     adapter: bool,
+    // held in a version that will not do
+    older: bool,
     loads: bool,
 }
 
@@ -185,7 +200,8 @@
         let book = driver.book.lock();
         let able = book.able();
         let there = adapter.is_some_and(|adapter| book.has(adapter, version));
-        return Held { base: registered_base || able, adapter: there, loads: able && right };
+        let older = !there && adapter.is_some_and(|adapter| book.has(adapter, None));
+        return Held { base: registered_base || able, adapter: there, older, loads: able && right };
     }
     let holder = edge.tenure.lock().holder(&target.id).cloned();
     if let Some(host) = holder {
@@ -193,10 +209,12 @@
         if peers.alive(&host) {
             let view = peers.all().get(&host).and_then(|peer| peer.engines.get(&target.id));
             if let Some(view) = view {
-                let there = current(adapter.and_then(|a| view.held.get(a.as_str()).copied()));
+                let found = adapter.and_then(|a| view.held.get(a.as_str()).copied());
+                let there = current(found);
                 return Held {
                     base: registered_base || view.able,
                     adapter: there,
+                    older: !there && found.is_some(),
                     loads: view.able,
                 };
             }
@@ -207,5 +225,5 @@
         let model = target.models.iter().find(|model| model.name == *base)?;
         model.adapters.iter().find(|a| a.name == name).map(|a| a.version)
     });
-    Held { base: registered_base, adapter: current(registered), loads: false }
+    Held { base: registered_base, adapter: current(registered), older: false, loads: false }
 }
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -217,3 +217,31 @@
     assert!(engine.fence() > fence);
     assert!(!engine.overfilled());
 }
+
+#[tokio::test]
+async fn load_new_version_while_old_serves() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.engine("e-1", 3).await, d.engine("e-2", 3).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    let (old, other) = if a.runs().is_empty() { (&b, &a) } else { (&a, &b) };
+    // a stream of the old version that does not end while the new one is asked for
+    old.set_fault(TargetFault::Mute);
+    let mut conn = edge.connect().await;
+    let held = tokio::spawn(async move {
+        let _ = conn.send(stream("frail", "a1"), now().after_ms(9000)).await;
+    });
+    until("the old version serves", || old.runs().len() > 1).await;
+    a.set_version("a1", 2);
+    b.set_version("a1", 2);
+    let value = r#"{"model":"base","adapter":"a1","version":2}"#;
+    d.store.write("keyed.op", "version/base.a1", Some(value));
+    until("version announced", || d.log(1).contains("adapter=base/a1 version=2")).await;
+    let began = now();
+    let answer = edge.call(stream("stream", "a1")).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(other.runs().len(), 1);
+    assert!(now().ms_since(began) < 1200, "it waited for the old version's runs");
+    held.abort();
+}
