No adapter is dropped that may just be in use; requests go on elsewhere when a load fails

Change: a victim has been quiet for 0.7 s, also after a report; those who wait at an engine that is lost are let go at once and try another one.

--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -26,6 +26,11 @@
 /// Time between further looks at a load that takes longer, in milliseconds.
 const LOOK_AGAIN_MS: u64 = 60;
 
+/// Time without use after which an adapter may be dropped, in milliseconds. An adapter that turns
+/// out to serve blocks all orders until its runs have ended; what other hosts use is known here
+/// within two heartbeats.
+const QUIET_MS: u64 = 700;
+
 /// Time between looks at an adapter that is dropped once its runs have ended, in milliseconds.
 const CLOSING_LOOK_MS: u64 = 300;
 
@@ -328,7 +333,8 @@
         let due = self.wanted.iter().filter(|(adapter, wanted)| {
             let moving = self.coming.contains_key(*adapter) || self.closing.contains_key(*adapter);
             // a replacement waits for its runs, and requests for it are refused meanwhile
-            let blocked = self.held.contains_key(adapter.as_str()) && in_use(adapter);
+            let quiet = |held: &Held| now.ms_since(held.used) >= QUIET_MS && !in_use(adapter);
+            let blocked = self.held.get(adapter.as_str()).is_some_and(|held| !quiet(held));
             // copies of the engine's own take nothing from the weight store
             let room = transit_room > 0 || self.has_copy(adapter, wanted.version);
             room && !moving && !blocked && !self.has(adapter, wanted.version)
@@ -338,7 +344,7 @@
         })?;
         let replaces = self.held.contains_key(adapter.as_str());
         if !replaces && self.taken() + self.reserve() >= self.slots {
-            let victim = self.victim(in_use)?;
+            let victim = self.victim(now, in_use)?;
             return Some(AdapterOrder::Unload { adapter: victim });
         }
         Some(AdapterOrder::Load { adapter: adapter.clone(), version: wanted.version })
@@ -361,7 +367,7 @@
     // that waits for this very number is worth passing by
     fn overbooked(&self, now: Time, in_use: &impl Fn(&str) -> bool) -> NextOrder {
         let due_now = self.ghosts.iter().any(|g| g.stale && g.expected == self.seq);
-        let victim = self.victim(in_use).filter(|_| due_now && self.taken() >= self.slots);
+        let victim = self.victim(now, in_use).filter(|_| due_now && self.taken() >= self.slots);
         match victim {
             Some(adapter) => NextOrder::Order(AdapterOrder::Unload { adapter }),
             None => NextOrder::Wait(now.after_ms(LOOK_AGAIN_MS)),
@@ -381,11 +387,11 @@
     }
 
     // the least recently used one that serves nothing and that nobody waits for
-    fn victim(&self, in_use: &impl Fn(&str) -> bool) -> Option<FastStr> {
-        let free = self
-            .held
-            .iter()
-            .filter(|(adapter, _)| !in_use(adapter) && !self.wanted.contains_key(*adapter));
+    fn victim(&self, now: Time, in_use: &impl Fn(&str) -> bool) -> Option<FastStr> {
+        let free = self.held.iter().filter(|(adapter, held)| {
+            let quiet = now.ms_since(held.used) >= QUIET_MS && !in_use(adapter);
+            quiet && !self.wanted.contains_key(*adapter)
+        });
         free.min_by_key(|(_, held)| held.used).map(|(adapter, _)| adapter.clone())
     }
 
@@ -507,7 +513,7 @@
 
     /// Takes the engine's report in place of what the book says.
     pub fn reported(&mut self, now: Time, report: Report) {
-        let used = |adapter: &FastStr| self.held.get(adapter).map_or(Time::ZERO, |h| h.used);
+        let used = |adapter: &FastStr| self.held.get(adapter).map_or(now, |h| h.used);
         let held: IndexMap<FastStr, Held> = report
             .adapters
             .into_iter()
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -7,7 +7,7 @@
         peers,
         state::Edge,
     },
-    egret_core::{Candidate, Place, Target, steer_adapter, steer_plain},
+    egret_core::{Candidate, Place, Target, Time, steer_adapter, steer_plain},
     egret_runtime::{events, now},
     faststr::FastStr,
     std::sync::Arc,
@@ -26,8 +26,8 @@
 pub(crate) enum Placed {
     /// To this target.
     At(Arc<Target>),
-    /// The adapter could not be loaded in time.
-    NotLoaded,
+    /// The adapter could not be loaded at this engine in time.
+    NotLoaded(FastStr),
     /// No target takes it.
     Nowhere,
 }
@@ -60,7 +60,7 @@
     if let (true, Some(adapter)) = (load, adapter) {
         let began = now();
         let aim = out.arrived.after_ms(out.selected.route.aim_ms);
-        let patience = began.after_ms(out.selected.route.aim_ms * LOAD_WAIT_AIMS);
+        let patience = load_by(out);
         let wish =
             Wish { adapter: adapter.clone(), version, aim, deadline: patience.min(out.deadline) };
         let loaded = load_at(edge, &id, &wish).await;
@@ -72,7 +72,7 @@
                 out.head.id,
                 now().ms_since(began)
             ));
-            return Placed::NotLoaded;
+            return Placed::NotLoaded(id);
         }
         // the target may have begun to leave during the load
         return edge.fleet.read().ready(&id).cloned().map_or(Placed::Nowhere, Placed::At);
@@ -80,6 +80,12 @@
     Placed::At(target)
 }
 
+/// Until when a request waits for loads of its adapter.
+pub(crate) fn load_by(out: &Outgoing) -> Time {
+    let wait_ms = out.selected.route.aim_ms * LOAD_WAIT_AIMS;
+    out.arrived.after_ms(wait_ms).min(out.deadline)
+}
+
 /// True when a target that is not in `tried` can serve the request now or after a load.
 pub(crate) fn elsewhere(edge: &Edge, out: &Outgoing, tried: &[FastStr]) -> bool {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -92,7 +92,12 @@
             let placed = place(&self.edge, &self.out, &self.tried).await;
             let target = match placed {
                 Placed::At(target) => target,
-                Placed::NotLoaded => {
+                // the engine or the host that orders it is gone, or busy
+                Placed::NotLoaded(engine) if now() < place::load_by(&self.out) => {
+                    self.tried.push(engine);
+                    continue;
+                }
+                Placed::NotLoaded(_) => {
                     return Err((self.state.give_up(now()), "its adapter could not be loaded"));
                 }
                 Placed::Nowhere => return Err((self.state.give_up(now()), "no target takes it")),
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -243,6 +243,9 @@
         let Some(report) = report else {
             events::ENGINE_LOST.warn(format_args!("engine={} no report", self.engine));
             book.not_reported(now());
+            drop(book);
+            // those who wait have it loaded elsewhere
+            self.waiting.lock().clear();
             return;
         };
         events::ENGINE_REPORTED.info(format_args!(
