--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -32,8 +32,14 @@
     Nowhere,
 }
 
-/// Finds a target that is not in `tried`, and has the adapter loaded there if need be.
-pub(crate) async fn place(edge: &Arc<Edge>, out: &Outgoing, tried: &[FastStr]) -> Placed {
+/// Finds a target that is not in `tried`, and has the adapter loaded there if need be. The caller
+/// has waited since `since`.
+pub(crate) async fn place(
+    edge: &Arc<Edge>,
+    out: &Outgoing,
+    tried: &[FastStr],
+    since: Time,
+) -> Placed {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let version = adapter.and_then(|adapter| edge.version(adapter));
     let candidates = candidates(edge, out, adapter, version, tried);
@@ -59,8 +65,8 @@
     };
     if let (true, Some(adapter)) = (load, adapter) {
         let began = now();
-        let aim = out.arrived.after_ms(out.selected.route.aim_ms);
-        let patience = load_by(out);
+        let aim = since.after_ms(out.selected.route.aim_ms);
+        let patience = load_by(out, since);
         let wish =
             Wish { adapter: adapter.clone(), version, aim, deadline: patience.min(out.deadline) };
         let loaded = load_at(edge, &id, &wish).await;
@@ -80,10 +86,10 @@
     Placed::At(target)
 }
 
-/// Until when a request waits for loads of its adapter.
-pub(crate) fn load_by(out: &Outgoing) -> Time {
+/// Until when a request that has waited since `since` waits for loads of its adapter.
+pub(crate) fn load_by(out: &Outgoing, since: Time) -> Time {
     let wait_ms = out.selected.route.aim_ms * LOAD_WAIT_AIMS;
-    out.arrived.after_ms(wait_ms).min(out.deadline)
+    since.after_ms(wait_ms).min(out.deadline)
 }
 
 /// True when a target that is not in `tried` can serve the request now or after a load.
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -67,13 +67,16 @@
     out: Shared,
     state: Send,
     tried: Vec<FastStr>,
+    // since when its caller has waited for the next part of the answer
+    since: Time,
 }
 
 impl Sender {
     pub(crate) fn new(edge: &Arc<Edge>, out: &Shared) -> Self {
         let route = &out.selected.route;
         let state = Send::new(route.kind, route.targets_max, out.deadline);
-        Self { edge: edge.clone(), out: out.clone(), state, tried: Vec::new() }
+        let since = out.arrived;
+        Self { edge: edge.clone(), out: out.clone(), state, tried: Vec::new(), since }
     }
 
     /// The head of the first answer that its caller can be given.
@@ -89,11 +92,11 @@
             if now() >= self.out.deadline {
                 return Err((self.state.give_up(now()), "its time is over"));
             }
-            let placed = place(&self.edge, &self.out, &self.tried).await;
+            let placed = place(&self.edge, &self.out, &self.tried, self.since).await;
             let target = match placed {
                 Placed::At(target) => target,
                 // the engine or the host that orders it is gone, or busy
-                Placed::NotLoaded(engine) if now() < place::load_by(&self.out) => {
+                Placed::NotLoaded(engine) if now() < place::load_by(&self.out, self.since) => {
                     self.tried.push(engine);
                     continue;
                 }
@@ -130,6 +133,11 @@
         self.state.ended(now(), end, || self.edge.take_retry(service))
     }
 
+    /// Notes that a stream which had begun has broken off.
+    pub(crate) fn broke_off(&mut self) {
+        self.since = now();
+    }
+
     pub(crate) fn may_move(&self) -> bool {
         self.state.may_move()
     }
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -170,6 +170,9 @@
     }
 
     async fn go_on(&mut self, left: &FastStr, problem: &str) -> Result<(), BodyError> {
+        if self.begun {
+            self.sender.broke_off();
+        }
         let moved = self.sender.next(self.cutter.last()).await.ok();
         let Some(answering) = moved.filter(|answering| answering.status.is_success()) else {
             return Err(self.given_up(left, problem));
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -341,3 +341,18 @@
     d.store.write("keyed.op", "config", Some(&crate::support::config(8, 8000).to_string()));
     until("new routes", || d.log(1).contains("revision=8")).await;
 }
+
+#[tokio::test]
+async fn stream_cut_late_goes_on_after_load() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let slow = Duration::from_millis(400);
+    let (a, b) = (d.slow_engine("e-1", slow).await, d.slow_engine("e-2", slow).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("frail", "a1")).await;
+    // it breaks off when more than three aims have passed, and the other engine lacks the adapter
+    let home = if a.runs().is_empty() { &b } else { &a };
+    home.set_fault(TargetFault::CutAfter(4));
+    let answer = edge.call(stream("stream", "a1")).await.unwrap();
+    assert_eq!(answer.body, whole_stream());
+}
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -62,14 +62,23 @@
         self.target(id, "plain", None).await
     }
 
+    /// Starts an engine with this time between events.
+    pub(crate) async fn slow_engine(&self, id: &str, pause: Duration) -> Target {
+        self.engine_of(id, 3, pause).await
+    }
+
     /// Starts an engine with room for `slots` adapters.
     pub(crate) async fn engine(&self, id: &str, slots: usize) -> Target {
+        self.engine_of(id, slots, Duration::from_millis(15)).await
+    }
+
+    async fn engine_of(&self, id: &str, slots: usize, pause: Duration) -> Target {
         let engine = EngineConf {
             model: MODEL.to_owned(),
             adapter_slots: slots,
             load: Duration::from_millis(60),
             events: 6,
-            pause: Duration::from_millis(15),
+            pause,
         };
         self.target(id, "engines", Some(engine)).await
     }
