Contents that crash engines are refused at every host

Cause: the edge host asked for the standing of a content but never noted a crash. Change: connections that break off are remembered by target until it takes no connection (a crash) or answers again; contents of two crashes are refused for 30 s, and told to all hosts. Ruled out: counting each broken connection, since answers are also lost by sound targets. Tests: crashes_confirmed_by_refusal, stream_that_crashes_engines.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod config;
 mod course;
+mod crashes;
 mod crossings;
 mod events;
 mod fleet;
@@ -38,6 +39,7 @@
     diff, validate,
 };
 pub use course::{AttemptEnd, Course, Next};
+pub use crashes::Crashes;
 pub use crossings::Crossings;
 pub use events::{EventCutter, OutOfOrder};
 pub use fleet::{Fleet, Health, HeldAdapter, HeldModel, Target, TargetState};
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -2,9 +2,9 @@
 
 use {
     egret_core::{
-        CallerBounds, Candidate, Crossings, EventCutter, Final, Fleet, Health, Homes, Place,
-        RetryBounds, RetryWindow, Route, RouteKind, Routing, Send, SendEnd, Service, Share, Step,
-        Target, TargetState, Time, steer_adapter, steer_plain,
+        CallerBounds, Candidate, Crashes, Crossings, EventCutter, Final, Fingerprint, Fleet,
+        Health, Homes, Place, RetryBounds, RetryWindow, Route, RouteKind, Routing, Send, SendEnd,
+        Service, Share, Step, Target, TargetState, Time, steer_adapter, steer_plain,
     },
     faststr::FastStr,
     quickcheck::{Gen, QuickCheck},
@@ -409,3 +409,19 @@
     cutter.drop_part();
     assert_eq!(cutter.push(b"id: 2\ndata: y\n\n").unwrap(), "id: 2\ndata: y\n\n");
 }
+
+#[test]
+fn crashes_confirmed_by_refusal() {
+    let (mut crashes, target) = (Crashes::default(), FastStr::from_static_str("t"));
+    crashes.broke(at(1000), &target, Fingerprint(1));
+    crashes.broke(at(1010), &target, Fingerprint(2));
+    assert_eq!(crashes.down(at(1500), "t"), [Fingerprint(1), Fingerprint(2)]);
+    // one crash counts once
+    assert!(crashes.down(at(1600), "t").is_empty());
+    // a target that answers again has only lost an answer
+    crashes.broke(at(2000), &target, Fingerprint(3));
+    crashes.lives("t");
+    assert!(crashes.down(at(2100), "t").is_empty());
+    crashes.broke(at(3000), &target, Fingerprint(4));
+    assert!(crashes.down(at(5000), "t").is_empty());
+}
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -1,7 +1,7 @@
 //! One send of a request to one target.
 
 use {
-    super::{place, request::Outgoing},
+    super::{crash, place, request::Outgoing},
     crate::state::{Edge, Running},
     egret_core::{SendEnd, Target, Time},
     egret_platform::{AnswerHead, PassOn, judge, pass_on},
@@ -44,6 +44,7 @@
         Ok(conn) => conn,
         Err(e) => {
             health(edge, &target, Health::Down);
+            crash::down(edge, &target);
             return Err(failed(edge, out, &target, SendEnd::NotSent, &e.to_string()));
         }
     };
@@ -56,6 +57,9 @@
         Err(e) => {
             // other connections to it may be as dead as this one
             edge.pool.drop_target(&target.id);
+            if matches!(e, HttpError::Broken(_)) {
+                crash::broke(edge, out, &target);
+            }
             health(edge, &target, Health::Bad);
             return Err(failed(edge, out, &target, SendEnd::Lost, &e.to_string()));
         }
--- /dev/null
+++ b/crates/edge/src/dispatch/crash.rs
@@ -0,0 +1,39 @@
+//! Contents that may have crashed targets, told to all hosts.
+
+use {
+    super::request::Outgoing,
+    crate::state::Edge,
+    egret_core::Target,
+    egret_runtime::{Body, SuspectMsg, SuspectsMsg, events, now},
+};
+
+/// Time for which a suspect is remembered, in milliseconds: a crashed engine is back after some
+/// seconds, and callers send the same content again within their deadline.
+const SUSPECT_MS: u64 = 30_000;
+
+/// Notes that the connection of a request broke off.
+pub(crate) fn broke(edge: &Edge, out: &Outgoing, target: &Target) {
+    edge.crashes.lock().broke(now(), &target.id, out.content);
+}
+
+/// Notes that a target takes no connection: what was on it before becomes suspect.
+pub(crate) fn down(edge: &Edge, target: &Target) {
+    let contents = edge.crashes.lock().down(now(), &target.id);
+    if contents.is_empty() {
+        return;
+    }
+    events::SUSPECTS_FOUND.warn(format_args!("target={} contents={}", target.id, contents.len()));
+    let records = {
+        let mut suspects = edge.suspects.lock();
+        suspects.crashed(now(), &contents, SUSPECT_MS);
+        suspects.records(now())
+    };
+    let suspects: Vec<SuspectMsg> = records
+        .into_iter()
+        .filter(|record| contents.contains(&record.fingerprint))
+        .map(SuspectMsg::from)
+        .collect();
+    for link in edge.links.all() {
+        link.tell(Body::Suspects(SuspectsMsg { suspects: suspects.clone() }));
+    }
+}
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! A request's way from its caller to a target and back.
 
 mod attempt;
+mod crash;
 mod place;
 mod request;
 mod serve;
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         attempt::{self, Answering, Health, health},
+        crash,
         place::{self, Placed, place},
         request::{Outgoing, Shared},
         stream,
@@ -189,12 +190,15 @@
     let read = before(out.deadline, read_whole(answering.body, ANSWER_BYTES_MAX)).await;
     let Some(Ok(body)) = read else {
         health(edge, &target, Health::Bad);
+        crash::broke(edge, out, &target);
         attempt::failed(edge, out, &target, SendEnd::Lost, "answer broke off");
         return Err(sender.ended(&target.id, SendEnd::Lost));
     };
     if !answering.status.is_server_error() {
         health(edge, &target, Health::Good);
     }
+    edge.crashes.lock().lives(&target.id);
+    edge.suspects.lock().cleared(out.content);
     edge.pool.keep(&target.id, answering.conn, &answering.headers);
     let mut answer = plain(answering.status, body);
     *answer.headers_mut() = answer_headers(&answering.headers);
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         attempt::{self, Answering, Health, health},
+        crash,
         request::{Outgoing, Shared},
         serve::{Sender, done, finish},
     },
@@ -112,7 +113,12 @@
                     return None;
                 }
                 Some(None) => self.broke_off("ended within an event").await,
-                Some(Some(Err(e))) => self.broke_off(&e.to_string()).await,
+                Some(Some(Err(e))) => {
+                    if let Some(answering) = &self.answering {
+                        crash::broke(&self.edge, &self.out, &answering.target);
+                    }
+                    self.broke_off(&e.to_string()).await
+                }
                 None if now() >= self.out.deadline => self.broke_off("its time is over").await,
                 None => self.silent().await,
             };
@@ -146,6 +152,7 @@
             return;
         };
         health(&self.edge, &answering.target, Health::Good);
+        self.edge.suspects.lock().cleared(self.out.content);
         done(&self.edge, &self.out, answering.status, &answering.target.id);
         self.edge.pool.keep(&answering.target.id, answering.conn, &answering.headers);
     }
--- a/crates/edge/src/peers/ask.rs
+++ b/crates/edge/src/peers/ask.rs
@@ -35,6 +35,13 @@
                 }
                 None
             }
+            Body::Suspects(message) => {
+                let mut suspects = edge.suspects.lock();
+                for suspect in &message.suspects {
+                    suspects.merge(now(), (*suspect).into());
+                }
+                None
+            }
             Body::News(message) => {
                 news::take(&edge, &hello.host, &message);
                 None
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,8 +3,8 @@
 use {
     crate::{conf::Settings, orders::Drivers, peers::Peers, pool::Pool},
     egret_core::{
-        Crossings, Fleet, Health, Homes, RetryBounds, RetryWindow, Routing, Suspects, Tenure,
-        TenureRecord, Time,
+        Crashes, Crossings, Fleet, Health, Homes, RetryBounds, RetryWindow, Routing, Suspects,
+        Tenure, TenureRecord, Time,
     },
     egret_platform::Store,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -74,6 +74,7 @@
     pub(crate) pool: Pool,
     pub(crate) retries: Mutex<IndexMap<FastStr, RetryWindow>>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) crashes: Mutex<Crashes>,
     pub(crate) store: Store,
     /// Where our own stream ends as far as it was read; appends are made under this condition.
     pub(crate) own_end: AtomicU64,
@@ -110,6 +111,7 @@
             pool: Pool::default(),
             retries: Mutex::default(),
             suspects: Mutex::default(),
+            crashes: Mutex::default(),
             store: Store::new(cfg.store.address),
             own_end: AtomicU64::new(0),
             counts: Counts::new(&metrics),
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -356,3 +356,39 @@
     let answer = edge.call(stream("stream", "a1")).await.unwrap();
     assert_eq!(answer.body, whole_stream());
 }
+
+#[tokio::test]
+async fn stream_that_crashes_engines() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = vec![d.engine("e-1", 3).await, d.engine("e-2", 3).await];
+    engines.push(d.engine("e-3", 3).await);
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    for engine in &engines {
+        engine.set_fault(TargetFault::Mute);
+    }
+    let poison = |id: &str| {
+        let mut req = stream("stream", "a1");
+        req.headers_mut().insert("prompt-prefix", "77:10".parse().unwrap());
+        req.headers_mut().insert("request-id", id.parse().unwrap());
+        req
+    };
+    let runs = |engine: &egret_standin::platform::Target, id: &str| {
+        engine.runs().iter().any(|run| run.request == id)
+    };
+    // it crashes the first engine that runs it, goes on at another one, and crashes that as well
+    let mut conn = edge.connect().await;
+    let first = tokio::spawn(async move { conn.call(poison("p-1"), now().after_ms(9000)).await });
+    for _ in 0..2 {
+        until("poison runs", || engines.iter().any(|engine| runs(engine, "p-1"))).await;
+        engines.retain(|engine| !runs(engine, "p-1"));
+    }
+    let _ = first.await;
+    // others find the second one down
+    let _ = edge.call(stream("stream", "a1")).await;
+    until("suspect", || d.log(1).matches("contents became crash suspects").count() > 1).await;
+    let refused = edge.call(poison("p-2")).await.unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(!runs(&engines[0], "p-2"));
+}
