Records between own reads no longer bring targets back

A host that had relied on its peers read the registry from where it had stopped, so that an old record brought a target back that had left, its end counted as lapsed, and the peers took it over. Change: only the last record of a target in a page counts; reads more than 2.5 s apart begin with a listing; entries count as lapsed only if nobody kept this host up to date.

--- a/crates/core/src/residency.rs
+++ b/crates/core/src/residency.rs
@@ -423,8 +423,9 @@
         }
     }
 
-    // true for an order that only looks whether an earlier one is carried out
-    fn looked_at(&self, order: &AdapterOrder) -> bool {
+    /// True for an order that only looks whether an earlier one is carried out.
+    #[must_use]
+    pub fn looks(&self, order: &AdapterOrder) -> bool {
         match order {
             AdapterOrder::LoadBase { .. } => false,
             AdapterOrder::Load { adapter, .. } => self.coming.contains_key(adapter),
@@ -448,7 +449,7 @@
     }
 
     fn accepted(&mut self, now: Time, order: &AdapterOrder) {
-        if self.looked_at(order) {
+        if self.looks(order) {
             // the load went on; the engine did not count this order
             self.look_later(now, order);
             return;
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -208,9 +208,11 @@
 
 /// Logs and counts an answer that a target made.
 pub(crate) fn done(edge: &Edge, out: &Outgoing, status: StatusCode, target: &str) {
-    events::REQUEST_DONE.debug(format_args!(
-        "request={} status={} target={target} ms={}",
+    events::REQUEST_DONE.info(format_args!(
+        "request={} route={} adapter={} status={} target={target} ms={}",
         out.head.id,
+        out.selected.route.name,
+        out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
         now().ms_since(out.arrived)
     ));
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -260,7 +260,10 @@
     }
 
     async fn order(&self, edge: &Edge, order: &AdapterOrder, fence: u64) {
-        let seq = self.book.lock().seq();
+        let (seq, look) = {
+            let book = self.book.lock();
+            (book.seq(), book.looks(order))
+        };
         if matches!(order, AdapterOrder::LoadBase { .. }) {
             edge.drivers.base_loads.lock().push(now());
         }
@@ -274,10 +277,16 @@
             Err(_) => OrderAnswer::Silent,
         };
         let code = reply.map_or(0, |reply| reply.status.as_u16());
-        events::ORDER_DONE.debug(format_args!(
+        let fields = format_args!(
             "engine={} order={order:?} seq={seq} fence={fence} status={code}",
             self.engine
-        ));
+        );
+        // looks at loads that are under way change nothing
+        if look {
+            events::ORDER_DONE.debug(fields);
+        } else {
+            events::ORDER_DONE.info(fields);
+        }
         edge.counts.orders.get_or_create(&vec![("status", code.to_string())]).inc();
         match answer {
             OrderAnswer::Fenced => {
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -3,11 +3,11 @@
 use {
     super::reach::{Reach, answer_by},
     crate::{peers, state::Edge},
-    egret_core::{Target, TargetState},
-    egret_platform::{Page, StoreError, Topic, read_target},
+    egret_core::{Target, TargetState, Time},
+    egret_platform::{Page, Record, StoreError, Topic, read_target},
     egret_runtime::{events, now},
     faststr::FastStr,
-    indexmap::IndexSet,
+    indexmap::{IndexMap, IndexSet},
     std::{sync::Arc, time::Duration},
 };
 
@@ -20,30 +20,42 @@
 /// milliseconds.
 const LOOK_MS: u64 = 200;
 
+/// Own reads that are further apart than this begin anew with a whole listing, in milliseconds:
+/// what was told by other hosts meanwhile is newer than the records in between.
+const RELIST_MS: u64 = 2500;
+
 /// Follows the registry.
 pub(crate) async fn follow(edge: Arc<Edge>) {
     let mut reach = Reach::new("targets", edge.incarnation);
     let mut next = None;
+    let mut read_at = now();
     loop {
         if next.is_some() && !peers::reads_for_all(&edge) && peers::current(&edge) {
             tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
             tidy(&edge);
             continue;
         }
+        if now().ms_since(read_at) > RELIST_MS {
+            next = None;
+        }
         let page = match next {
             Some(from) => edge.store.read(Topic::Targets, from, 0, answer_by(0)).await,
             None => edge.store.newest(Topic::Targets, answer_by(0)).await,
         };
         match page {
             Ok(page) => {
-                if reach.answered() {
-                    let until = now().after_ms(edge.cfg.store.lapse_ms);
-                    edge.fleet.write().regained(until);
+                reach.answered();
+                // entries may have lapsed while nobody could write them; a host that was kept up
+                // to date by others has missed nothing
+                let known = *edge.fleet_read.lock();
+                if known > Time::ZERO && now().ms_since(known) > RELIST_MS {
+                    edge.fleet.write().regained(now().after_ms(edge.cfg.store.lapse_ms));
                 }
                 let whole = next.is_none();
                 next = Some(page.next);
                 take(&edge, &page, whole);
-                *edge.fleet_read.lock() = now();
+                read_at = now();
+                *edge.fleet_read.lock() = read_at;
                 edge.changed.notify_one();
                 peers::pass_on(&edge);
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
@@ -68,7 +80,9 @@
     let now = now();
     let mut listed = Vec::new();
     let mut fleet = edge.fleet.write();
-    for record in &page.records {
+    // only the last record of each target counts: what it was in between is over
+    let last: IndexMap<&FastStr, &Record> = page.records.iter().map(|r| (&r.key, r)).collect();
+    for record in last.into_values() {
         let Some(value) = &record.value else {
             events::TARGET_GONE.info(format_args!("target={}", record.key));
             fleet.vanished(now, &record.key);
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -3,7 +3,7 @@
 use {
     crate::support::{Deployment, request, stream, until, whole_stream},
     egret_runtime::now,
-    egret_standin::platform::TargetFault,
+    egret_standin::platform::{StoreFault, TargetFault},
     http::Method,
     nix::sys::signal::Signal,
     std::time::Duration,
@@ -245,3 +245,22 @@
     assert!(now().ms_since(began) < 1200, "it waited for the old version's runs");
     held.abort();
 }
+
+#[tokio::test]
+async fn drain_target_of_an_outage() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let a = d.plain("p-1").await;
+    let edge = d.edge(1).await;
+    d.store.set_fault(StoreFault::Refuse(503));
+    until("store away", || d.log(1).contains("stream=targets problem")).await;
+    // it comes and goes while the store can't be read
+    let b = d.plain("p-2").await;
+    d.store.write("keyed.servers", "p-2", None);
+    d.store.set_fault(StoreFault::None);
+    until("store back", || d.log(1).contains("read again stream=targets")).await;
+    for _ in 0..20 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (20, 0));
+}
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -2,4 +2,5 @@
 
 mod hosts;
 mod requests;
+mod settings;
 mod support;
--- a/crates/runtime/src/conf.rs
+++ b/crates/runtime/src/conf.rs
@@ -46,10 +46,24 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum LogTarget {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output, by a thread of its own: a reader that is slow loses lines and holds up
+    /// nothing.
+    Stdout,
+}
+
 /// Settings of the program's own log.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
+    /// Where lines go.
+    pub to: LogTarget,
     /// How lines are written.
     pub format: LogFormat,
     /// The least severe level that is written: error, warn, info, debug.
@@ -58,7 +72,7 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { format: LogFormat::Text, level: log::LevelFilter::Info }
+        Self { to: LogTarget::Stderr, format: LogFormat::Text, level: log::LevelFilter::Info }
     }
 }
 
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -1,6 +1,32 @@
 //! Numbered events. `docs/EVENTS.md` is their catalogue.
 
-use std::fmt;
+use {
+    crate::clock::now,
+    std::{
+        fmt,
+        sync::atomic::{AtomicU64, Ordering},
+    },
+};
+
+/// Lines that a process logs in a second at most; failures are not counted. One line for each
+/// request and order at several times a host's usual load.
+const LINES_PER_S_MAX: u64 = 500;
+
+// the second that is counted, and lines in it
+static SECOND: AtomicU64 = AtomicU64::new(0);
+static LINES: AtomicU64 = AtomicU64::new(0);
+
+// false once this second's lines are used up; what was left out is told with the next second
+fn room() -> bool {
+    let second = now().as_millis() / 1000;
+    if SECOND.swap(second, Ordering::Relaxed) != second {
+        let left_out = LINES.swap(0, Ordering::Relaxed).saturating_sub(LINES_PER_S_MAX);
+        if left_out > 0 {
+            events::LINES_LEFT_OUT.error(format_args!("lines={left_out}"));
+        }
+    }
+    LINES.fetch_add(1, Ordering::Relaxed) < LINES_PER_S_MAX
+}
 
 /// Key and value pairs that go with an event, for people and for `egretctl`.
 pub type Fields<'a> = fmt::Arguments<'a>;
@@ -17,12 +43,16 @@
 impl EventId {
     /// Logs this event for information.
     pub fn info(self, fields: Fields<'_>) {
-        log::info!(event = self.code(); "{} {fields}", self.meaning);
+        if log::log_enabled!(log::Level::Info) && room() {
+            log::info!(event = self.code(); "{} {fields}", self.meaning);
+        }
     }
 
     /// Logs this event as something that an operator may want to know.
     pub fn warn(self, fields: Fields<'_>) {
-        log::warn!(event = self.code(); "{} {fields}", self.meaning);
+        if log::log_enabled!(log::Level::Warn) && room() {
+            log::warn!(event = self.code(); "{} {fields}", self.meaning);
+        }
     }
 
     /// Logs this event as a failure.
@@ -64,6 +94,7 @@
     STOPPED = 1003 "graceful stop ended";
     STOP_CUT = 1004 "graceful stop ran out of time with requests open";
     ACCEPT_FAILED = 1005 "connection could not be accepted";
+    LINES_LEFT_OUT = 1006 "log lines left out, too many in a second";
     LOG_UNREACHABLE = 1010 "platform log can't be read";
     LOG_REACHABLE = 1011 "platform log can be read again";
     LOG_RECORD_UNKNOWN = 1012 "record of a log stream not understood";
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -17,7 +17,9 @@
 pub use args::CommonArgs;
 pub use audit::{Audit, AuditRecord};
 pub use clock::{now, unix_ms};
-pub use conf::{AuditSettings, ConfError, LogFormat, LogSettings, PlatformSettings, load_settings};
+pub use conf::{
+    AuditSettings, ConfError, LogFormat, LogSettings, LogTarget, PlatformSettings, load_settings,
+};
 pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -1,19 +1,33 @@
 //! The program's own log.
 
 use {
-    crate::conf::{LogFormat, LogSettings},
+    crate::conf::{LogFormat, LogSettings, LogTarget},
     logforth::{
-        append::Stderr,
+        Append, Layout,
+        append::{Stderr, Stdout, asynchronous::AsyncBuilder},
         layout::{JsonLayout, TextLayout},
         record::LevelFilter,
     },
 };
 
-/// Sends log lines to standard error, as the settings say. Later calls change nothing.
+/// Lines that wait to be written to standard output; more are dropped.
+const WAITING_LINES_MAX: usize = 4096;
+
+/// Sends log lines where the settings say. Later calls change nothing.
 pub fn start_logs(cfg: &LogSettings) {
-    let appender = match cfg.format {
-        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    let layout: Box<dyn Layout> = match cfg.format {
+        LogFormat::Text => Box::new(TextLayout::default().no_color()),
+        LogFormat::Json => Box::new(JsonLayout::default()),
+    };
+    let appender: Box<dyn Append> = match cfg.to {
+        LogTarget::Stderr => Box::new(Stderr::default().with_layout(layout)),
+        LogTarget::Stdout => {
+            let writer = AsyncBuilder::new("log")
+                .buffered_lines_limit(Some(WAITING_LINES_MAX))
+                .overflow_drop_incoming()
+                .append(Stdout::default().with_layout(layout));
+            Box::new(writer.build())
+        }
     };
     let started = logforth::starter_log::builder()
         .dispatch(|d| d.filter(LevelFilter::All).append(appender))
