--- /dev/null
+++ b/crates/core/src/residency/mod.rs
@@ -0,0 +1,15 @@
+//! What an engine holds, as the host that orders it keeps book, and which order comes next.
+//!
+//! An engine that is ordered to hold more than it has room for crashes, and an order without an
+//! answer may be carried out seconds later. Each order therefore names the number of orders that
+//! the engine has accepted so far: it is carried out on the state this book has, or not at all.
+
+mod answers;
+mod book;
+mod next;
+mod types;
+
+pub use {
+    book::Book,
+    types::{AdapterOrder, Held, NextOrder, OrderAnswer, Report},
+};
--- /dev/null
+++ b/crates/core/src/residency/types.rs
@@ -0,0 +1,77 @@
+//! Orders, answers and reports.
+
+use {crate::Time, faststr::FastStr};
+
+/// An order to an engine. Adapters are named with their base model: `base/adapter`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AdapterOrder {
+    /// Load a base model.
+    LoadBase {
+        /// Its name.
+        model: FastStr,
+    },
+    /// Load an adapter, or replace it by another version.
+    Load {
+        /// Its name.
+        adapter: FastStr,
+        /// Its version; the newest if none.
+        version: Option<u64>,
+    },
+    /// Drop an adapter.
+    Unload {
+        /// Its name.
+        adapter: FastStr,
+    },
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It carries the order out.
+    Accepted,
+    /// What was ordered holds.
+    Holds,
+    /// It has accepted other orders than the book says, or another one is under way.
+    Conflict,
+    /// It knows a later holder.
+    Fenced,
+    /// It is another engine, or can't do this.
+    Rejected,
+    /// No answer: it may be carried out now or later.
+    Silent,
+}
+
+/// An engine's report of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Orders it has accepted since its start.
+    pub seq: u64,
+    /// Base models it holds.
+    pub models: Vec<FastStr>,
+    /// Adapters it holds, with their versions.
+    pub adapters: Vec<(FastStr, u64)>,
+    /// Adapters on their way to it.
+    pub pending: Vec<FastStr>,
+    /// True while it carries out an order for a base model.
+    pub busy: bool,
+}
+
+/// An adapter that an engine holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// Its version, 0 when it is not known.
+    pub version: u64,
+    /// Last use that this host knows of.
+    pub used: Time,
+}
+
+/// What comes next for an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NextOrder {
+    /// Ask it for its report.
+    Report,
+    /// Give it this order.
+    Order(AdapterOrder),
+    /// Nothing before this time.
+    Wait(Time),
+}
