News in hops and without adapters; far heartbeats only say what concerns the receiver

Change: between data centres the first host of each is told and passes it on (hopwise, after HRM); lists go without adapters, once in 0.4 s to a host; far heartbeats carry requests only at engines that the receiver orders.

--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -44,18 +44,30 @@
         if peers.is_empty() {
             continue;
         }
-        let brief = beat(&edge, false);
-        let whole = beat(&edge, true);
+        let whole = beat(&edge);
         for (host, address, near) in peers {
-            let beat = if near || far_lists { &whole } else { &brief };
-            match edge.links.get(&host) {
-                Some(link) => link.tell(Body::HostBeat(beat.clone())),
-                None => connect(&edge, host, address),
-            }
+            let Some(link) = edge.links.get(&host) else {
+                connect(&edge, host, address);
+                continue;
+            };
+            let beat = if near { whole.clone() } else { far_beat(&edge, &whole, &host, far_lists) };
+            link.tell(Body::HostBeat(beat));
         }
     }
 }
 
+// a host of another data centre needs to know of requests at the engines that it orders only
+fn far_beat(edge: &Edge, whole: &HostBeatMsg, host: &str, lists_engines: bool) -> HostBeatMsg {
+    let mut beat = whole.clone();
+    if !lists_engines {
+        beat.lists_engines = false;
+        beat.engines.clear();
+    }
+    let tenure = edge.tenure.lock();
+    beat.loads.retain(|load| tenure.holder(&load.target).is_some_and(|holder| holder == host));
+    beat
+}
+
 // opens the link beside the heartbeats, so that a host that is gone holds up nobody
 fn connect(edge: &Arc<Edge>, host: FastStr, address: SocketAddr) {
     if !edge.connecting.lock().insert(host.clone()) {
@@ -64,7 +76,7 @@
     let edge = edge.clone();
     tokio::spawn(async move {
         if let Some(link) = edge.links.open(&host, address).await {
-            link.tell(Body::HostBeat(beat(&edge, true)));
+            link.tell(Body::HostBeat(beat(&edge)));
         } else {
             edge.peers.lock().lost(&host);
             tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
@@ -73,7 +85,7 @@
     });
 }
 
-fn beat(edge: &Edge, lists_engines: bool) -> HostBeatMsg {
+fn beat(edge: &Edge) -> HostBeatMsg {
     let loads = edge
         .at_targets
         .lock()
@@ -87,13 +99,12 @@
         .collect();
     let drivers = edge.drivers.all();
     let transit: usize = drivers.iter().map(|driver| driver.book.lock().in_transit()).sum();
-    let listed = drivers.iter().filter(|_| lists_engines);
     HostBeatMsg {
         host: edge.cfg.host.to_string(),
         revision: edge.routing().revision,
         store_age_ms: now().ms_since(*edge.fleet_read.lock()),
-        engines: listed.map(|driver| engine(edge, driver)).collect(),
-        lists_engines,
+        engines: drivers.iter().map(|driver| engine(edge, driver)).collect(),
+        lists_engines: true,
         digest: news::digest(edge),
         transit: u32::try_from(transit).unwrap_or(u32::MAX),
         loads,
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -59,6 +59,8 @@
     pub(crate) digest: u64,
     /// When it last read the registry.
     pub(crate) read_store_at: Time,
+    /// When it was last told what this host knows.
+    pub(crate) told_at: Time,
 }
 
 /// The other hosts, by name.
@@ -103,6 +105,7 @@
             revision: 0,
             digest: 0,
             read_store_at: Time::ZERO,
+            told_at: Time::ZERO,
         };
         self.all.insert(FastStr::new(host), peer);
     }
@@ -157,6 +160,11 @@
         &self.all
     }
 
+    /// The same, to be changed.
+    pub(crate) fn all_mut(&mut self) -> impl Iterator<Item = (&FastStr, &mut Peer)> {
+        self.all.iter_mut()
+    }
+
     /// True when `host` was heard of lately.
     pub(crate) fn alive(&self, host: &str) -> bool {
         self.all.get(host).is_some_and(|peer| now() < peer.heard.after_ms(ALIVE_MS))
--- a/crates/edge/src/peers/news.rs
+++ b/crates/edge/src/peers/news.rs
@@ -2,14 +2,16 @@
 //!
 //! One host reads the store often; the others compare what they know with it by a digest in the
 //! heartbeats, and read by themselves only when nobody who has read lately agrees with them. A
-//! host that the store turns away stays current the same way.
+//! host that the store turns away stays current the same way. Between data centres only the first host of each is
+//! told, which passes it on there.
 
 use {
+    super::known::Peers,
     crate::{state::Edge, watch},
     egret_core::{Routing, Target, Time, rendezvous},
     egret_runtime::{Body, NewsMsg, events, now},
     faststr::FastStr,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     xxhash_rust::xxh3::Xxh3,
@@ -19,6 +21,10 @@
 /// after that, a leaving target is known in well under two seconds.
 const CURRENT_MS: u64 = 1200;
 
+/// A host that was told something is not told again before its heartbeat can show that it knows,
+/// in milliseconds.
+const TELL_AGAIN_MS: u64 = 400;
+
 #[derive(Serialize, Deserialize)]
 struct News {
     // left out when the receiver has this revision
@@ -68,24 +74,31 @@
 }
 
 /// Passes what this host knows on to the hosts that know something else and have read the store
-/// less recently.
+/// less recently: to those of its data centre, and to the first host of each other one.
 pub(crate) fn pass_on(edge: &Edge) {
     let mine = digest(edge);
     let read_at = *edge.fleet_read.lock();
-    let behind: Vec<(FastStr, u64)> = edge
-        .peers
-        .lock()
-        .all()
-        .iter()
-        .filter(|(_, peer)| peer.digest != mine && peer.read_store_at < read_at)
-        .map(|(host, peer)| (host.clone(), peer.revision))
-        .collect();
+    let behind: Vec<(FastStr, u64)> = {
+        let mut peers = edge.peers.lock();
+        let told = told_by(edge, &peers);
+        let behind = peers.all_mut().filter(|(host, peer)| {
+            let waits = now() < peer.told_at.after_ms(TELL_AGAIN_MS);
+            let older = peer.digest != mine && peer.read_store_at < read_at;
+            older && !waits && told.contains(*host)
+        });
+        behind
+            .map(|(host, peer)| {
+                peer.told_at = now();
+                (host.clone(), peer.revision)
+            })
+            .collect()
+    };
     for (host, revision) in behind {
         let routing = edge.routing();
         let news = News {
             routing: (routing.revision > revision).then(|| (*routing).clone()),
             versions: edge.versions.read().clone(),
-            targets: edge.fleet.read().all().map(|target| (**target).clone()).collect(),
+            targets: edge.fleet.read().all().map(|target| without_adapters(target)).collect(),
         };
         let Ok(json) = serde_json::to_vec(&news) else {
             continue;
@@ -95,6 +108,33 @@
     }
 }
 
+// the hosts of this data centre, and the first live one of each other data centre
+fn told_by(edge: &Edge, peers: &Peers) -> IndexSet<FastStr> {
+    let mut told = IndexSet::new();
+    let mut first: IndexMap<FastStr, (u64, FastStr)> = IndexMap::new();
+    for (host, peer) in peers.all() {
+        let data_centre = &peer.record.data_centre;
+        if *data_centre == edge.cfg.data_centre {
+            told.insert(host.clone());
+        } else if peers.alive(host) {
+            let ranked = (rendezvous("reader", host), host.clone());
+            let best = first.entry(data_centre.clone()).or_insert_with(|| ranked.clone());
+            *best = ranked.max(best.clone());
+        }
+    }
+    told.extend(first.into_values().map(|(_, host)| host));
+    told
+}
+
+// what engines hold changes all the time, and the hosts that order them tell it
+fn without_adapters(target: &Target) -> Target {
+    let mut target = target.clone();
+    for model in &mut target.models {
+        model.adapters.clear();
+    }
+    target
+}
+
 /// Takes what another host knows, if it has read the store more recently than this one.
 pub(crate) fn take(edge: &Edge, host: &str, message: &NewsMsg) {
     let news: News = match serde_json::from_slice(&message.json) {
@@ -124,4 +164,5 @@
     ));
     edge.fleet.write().adopt(news.targets);
     edge.changed.notify_one();
+    pass_on(edge);
 }
