--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -153,7 +153,10 @@
         if down {
             continue;
         }
-        let running = running + edge.peers.lock().running(&target.id);
+        let running = {
+            let peers = edge.peers.lock();
+            (running + peers.running(&target.id)).max(peers.running_in_all(&target.id))
+        };
         let holds = match (&service.engine, &out.head.base) {
             (Some(_), Some(base)) => held(edge, &target, base, adapter, version),
             _ => Held { base: true, adapter: true, older: false, loads: false },
--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -56,12 +56,15 @@
     }
 }
 
-// a host of another data centre needs to know of requests at the engines that it orders only
-fn far_beat(edge: &Edge, whole: &HostBeatMsg, host: &str, lists_engines: bool) -> HostBeatMsg {
+// a host of another data centre needs to know of requests at the engines that it orders only: it
+// tells everybody how many run there in all
+fn far_beat(edge: &Edge, whole: &HostBeatMsg, host: &str, lists_held: bool) -> HostBeatMsg {
     let mut beat = whole.clone();
-    if !lists_engines {
-        beat.lists_engines = false;
-        beat.engines.clear();
+    if !lists_held {
+        beat.lists_held = false;
+        for engine in &mut beat.engines {
+            engine.held.clear();
+        }
     }
     let tenure = edge.tenure.lock();
     beat.loads.retain(|load| tenure.holder(&load.target).is_some_and(|holder| holder == host));
@@ -104,7 +107,7 @@
         revision: edge.routing().revision,
         store_age_ms: now().ms_since(*edge.fleet_read.lock()),
         engines: drivers.iter().map(|driver| engine(edge, driver)).collect(),
-        lists_engines: true,
+        lists_held: true,
         digest: news::digest(edge),
         transit: u32::try_from(transit).unwrap_or(u32::MAX),
         loads,
@@ -112,12 +115,15 @@
 }
 
 fn engine(edge: &Edge, driver: &Driver) -> EngineHeldMsg {
+    let own = edge.at_targets.lock().get(&driver.engine).map_or(0, |at| u64::from(at.running));
+    let running = own + edge.peers.lock().running(&driver.engine);
     let right = edge.tenure.lock().fence(now(), &driver.engine).is_some();
     let book = driver.book.lock();
     let held = book.held().iter();
     EngineHeldMsg {
         engine: driver.engine.to_string(),
         able: right && book.able(),
+        running: u32::try_from(running).unwrap_or(u32::MAX),
         held: held
             .map(|(name, held)| HeldMsg { name: name.to_string(), version: held.version })
             .collect(),
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -33,6 +33,8 @@
 pub(crate) struct EngineView {
     /// True when that host can load adapters there.
     pub(crate) able: bool,
+    /// Requests of all hosts that run there.
+    pub(crate) running: u64,
     /// Adapters that it holds, with their versions.
     pub(crate) held: IndexMap<FastStr, u64>,
 }
@@ -129,19 +131,27 @@
         let read_at = now().as_millis().saturating_sub(beat.store_age_ms);
         peer.read_store_at = Time::from_millis(read_at);
         peer.transit = usize::try_from(beat.transit).unwrap_or(0);
-        if !beat.lists_engines {
-            return Vec::new();
-        }
+        let before = std::mem::take(&mut peer.engines);
         peer.engines = beat
             .engines
             .into_iter()
             .map(|engine| {
-                let held =
-                    engine.held.into_iter().map(|h| (FastStr::from_string(h.name), h.version));
-                let view = EngineView { able: engine.able, held: held.collect() };
-                (FastStr::from_string(engine.engine), view)
+                let known = before.get(engine.engine.as_str()).map(|view| view.held.clone());
+                let listed = engine.held.into_iter();
+                let held = match known {
+                    Some(known) if !beat.lists_held => known,
+                    _ => listed.map(|h| (FastStr::from_string(h.name), h.version)).collect(),
+                };
+                let running = u64::from(engine.running);
+                (
+                    FastStr::from_string(engine.engine),
+                    EngineView { able: engine.able, running, held },
+                )
             })
             .collect();
+        if !beat.lists_held {
+            return Vec::new();
+        }
         let engines = peer.engines.iter();
         engines
             .map(|(engine, view)| (engine.clone(), view.held.keys().cloned().collect()))
@@ -193,6 +203,13 @@
         live.filter_map(|peer| peer.loads.get(target)).map(|load| u64::from(load.running)).sum()
     }
 
+    /// Requests that run at `target` in all, as the live host says that orders it.
+    pub(crate) fn running_in_all(&self, target: &str) -> u64 {
+        let now = now();
+        let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
+        live.filter_map(|peer| peer.engines.get(target)).map(|view| view.running).max().unwrap_or(0)
+    }
+
     /// True when a live host has a request for `adapter` at `target`.
     pub(crate) fn uses(&self, target: &str, adapter: &str) -> bool {
         let now = now();
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -391,9 +391,9 @@
     /// Engines that it orders.
     #[prost(message, repeated, tag = "5")]
     pub engines: Vec<EngineHeldMsg>,
-    /// True when `engines` is filled in.
+    /// True when `engines` tells what they hold.
     #[prost(bool, tag = "6")]
-    pub lists_engines: bool,
+    pub lists_held: bool,
     /// Adapters on their way to engines that it orders.
     #[prost(uint32, tag = "7")]
     pub transit: u32,
@@ -436,9 +436,12 @@
     /// True when adapters can be loaded there now.
     #[prost(bool, tag = "2")]
     pub able: bool,
-    /// Adapters that it holds.
+    /// Adapters that it holds, unless the heartbeat leaves them out.
     #[prost(message, repeated, tag = "3")]
     pub held: Vec<HeldMsg>,
+    /// Requests of all hosts that run there, as far as the sender knows.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
 }
 
 /// An adapter that an engine holds.
