--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -2,9 +2,10 @@
 
 use {
     egret_core::{
-        CallerBounds, Candidate, Crashes, Crossings, EventCutter, Final, Fingerprint, Fleet,
-        Health, Homes, Place, RetryBounds, RetryWindow, Route, RouteKind, Routing, Send, SendEnd,
-        Service, Share, Step, Target, TargetState, Time, steer_adapter, steer_plain,
+        CallerBounds, Candidate, Crashes, Crossings, EventCutter, Fencing, Final, Fingerprint,
+        Fleet, Health, Homes, Place, RetryBounds, RetryWindow, Route, RouteKind, Routing, Send,
+        SendEnd, Service, Share, Step, Target, TargetState, Tenure, TenureRecord, Time,
+        steer_adapter, steer_plain,
     },
     faststr::FastStr,
     quickcheck::{Gen, QuickCheck},
@@ -425,3 +426,38 @@
     crashes.broke(at(3000), &target, Fingerprint(4));
     assert!(crashes.down(at(5000), "t").is_empty());
 }
+
+fn record(host: &str, incarnation: u64, taken_over: bool) -> TenureRecord {
+    TenureRecord { host: FastStr::new(host), incarnation, taken_over }
+}
+
+#[test]
+fn tenure_restart_after_takeover() {
+    // b took the engine over from a and was started again at once
+    let mut tenure = Tenure::new(record("b", 2, false), Fencing::Checked, 1000);
+    tenure.saw(at(10), "e", 0, Some(record("a", 1, false)));
+    tenure.saw(at(10), "e", 1, Some(record("b", 1, true)));
+    let claim = tenure.claim("e");
+    assert!(claim.taken_over);
+    tenure.saw(at(20), "e", 2, Some(claim));
+    assert_eq!(tenure.fence(at(500), "e"), None);
+    assert_eq!(tenure.fence(at(1300), "e"), Some(3));
+    // only the newest record is left to read
+    let mut tenure = Tenure::new(record("b", 3, false), Fencing::Checked, 1000);
+    tenure.saw(at(10), "e", 2, Some(record("b", 2, true)));
+    tenure.saw(at(20), "e", 3, Some(tenure.claim("e")));
+    assert_eq!(tenure.fence(at(500), "e"), None);
+    assert_eq!(tenure.fence(at(1300), "e"), Some(4));
+}
+
+#[test]
+fn tenure_restart_of_first_holder() {
+    let mut tenure = Tenure::new(record("a", 2, false), Fencing::Checked, 1000);
+    tenure.saw(at(10), "e", 0, Some(record("a", 1, false)));
+    assert!(!tenure.mine("e"));
+    tenure.saw(at(20), "e", 1, Some(tenure.claim("e")));
+    assert_eq!(tenure.fence(at(20), "e"), Some(2));
+    // refused since a newer holder is known: never again under this number
+    tenure.refused("e", 2);
+    assert_eq!(tenure.fence(at(30), "e"), None);
+}
--- a/crates/edge/src/front/accept.rs
+++ b/crates/edge/src/front/accept.rs
@@ -124,11 +124,8 @@
 }
 
 async fn serve_request(edge: Arc<Edge>, req: Request<Incoming>, peer: SocketAddr) -> Answer {
-    // what follows such a body may be meant as another request by one of the two framings
-    // (RFC 9112, section 6.1), so nothing is read after it
-    let chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
     let mut answer = dispatch::serve(&edge, req, peer).await;
-    if chunked || edge.stopping() || answer.status() == StatusCode::BAD_REQUEST {
+    if edge.stopping() || answer.status() == StatusCode::BAD_REQUEST {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     answer
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -6,7 +6,7 @@
     egret_standin::platform::{StoreFault, TargetFault},
     http::Method,
     nix::sys::signal::Signal,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 #[tokio::test]
@@ -89,8 +89,10 @@
     let d = Deployment::new().await;
     d.configure(7);
     let a = d.plain("p-1").await;
+    let b = d.plain("p-2").await;
     let edge = d.edge(1).await;
     for (id, entry) in [
+        ("p-2", "{\"service\":\"plain\",\"state\":\"ready\"}"),
         ("f-1", "{\"service\":\"plain\"}"),
         ("f-2", "not json"),
         ("f-3", "{\"service\":\"plain\",\"address\":7,\"zone\":\"dc-1\",\"slots\":\"many\"}"),
@@ -106,7 +108,8 @@
     for _ in 0..5 {
         assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
     }
-    assert_eq!(a.runs().len(), 5);
+    // also the one whose entry was overwritten is not used before it has written another
+    assert_eq!((a.runs().len(), b.runs().len()), (5, 0));
 }
 
 #[tokio::test]
@@ -254,6 +257,9 @@
     let edge = d.edge(1).await;
     d.store.set_fault(StoreFault::Refuse(503));
     until("store away", || d.log(1).contains("stream=targets problem")).await;
+    // long enough for entries to lapse
+    let away = Instant::now();
+    until("long outage", || away.elapsed() > Duration::from_secs(3)).await;
     // it comes and goes while the store can't be read
     let b = d.plain("p-2").await;
     d.store.write("keyed.servers", "p-2", None);
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -183,6 +183,7 @@
             let id = req.headers()["request-id"].to_str().unwrap().to_owned();
             let answer = edge.call(req).await.unwrap();
             assert_eq!(answer.status, 200, "{fault:?}");
+            assert!(answer.header("server-seal").is_some(), "{fault:?}");
             assert_eq!(answer.body, format!("answer to {id}"), "{fault:?}");
         }
     }
