--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -206,9 +206,11 @@
             assert_eq!(answer.body, format!("answer to {id}"));
         }
     }
-    plain.set_fault(TargetFault::Crossed);
-    let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
-    assert_eq!(answer.status, 502);
+    for fault in [TargetFault::Crossed, TargetFault::Unsealed] {
+        plain.set_fault(fault);
+        let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+        assert_eq!(answer.status, 502, "{fault:?}");
+    }
 }
 
 #[tokio::test]
