Entries that may come back are kept by each host for itself

Change: lists and digests leave out what may come back; what a list lacks is treated as in a read of one's own; what is told counts as 50 ms older. Ruled out: no lapse after a standstill, since a thawed host can't tell it from an outage. Tests: fleet_lapsed_entry (all_listed); drain_despite_thawed_peer passes before and after and guards the way only.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -131,15 +131,6 @@
         }
     }
 
-    /// Takes a whole listing from a process that has read the registry more recently, and has
-    /// waited for entries that may come back.
-    pub fn adopt(&mut self, targets: Vec<Target>) {
-        self.targets.retain(|id, _| targets.iter().any(|target| target.id == *id));
-        for target in targets {
-            self.saw(target);
-        }
-    }
-
     /// Drops targets whose entries did not come back in time.
     pub fn expire(&mut self, now: Time) {
         self.targets.retain(|_, known| known.gone_at.is_none_or(|at| now < at));
@@ -163,6 +154,12 @@
         targets.filter(|t| t.state == TargetState::Ready)
     }
 
+    /// Targets that stand in the registry, without those that may come back.
+    pub fn all_listed(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let listed = self.targets.values().filter(|known| known.gone_at.is_none());
+        listed.map(|known| &known.target)
+    }
+
     /// All targets.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.targets.values().map(|known| &known.target)
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -110,6 +110,8 @@
     for id in ["lives", "dead", "left"] {
         fleet.vanished(at(100), id);
     }
+    // what may come back is nothing to tell others of
+    assert_eq!(fleet.all_listed().count(), 0);
     // what had said that it leaves is gone at once
     assert!(fleet.get("left").is_none());
     assert!(fleet.ready("lives").is_some() && fleet.ready("dead").is_some());
--- a/crates/edge/src/peers/news.rs
+++ b/crates/edge/src/peers/news.rs
@@ -21,6 +21,10 @@
 /// after that, a leaving target is known in well under two seconds.
 const CURRENT_MS: u64 = 1200;
 
+/// Added to the age of what was told, in milliseconds: more than a message between hosts takes, so
+/// that what a host hears back of its own reads never seems newer.
+const HOP_MS: u64 = 50;
+
 /// A host that was told something is not told again before its heartbeat can show that it knows,
 /// in milliseconds.
 const TELL_AGAIN_MS: u64 = 400;
@@ -63,7 +67,7 @@
         hash.update(adapter.as_bytes());
         hash.update(&version.to_le_bytes());
     }
-    let mut targets: Vec<Arc<Target>> = edge.fleet.read().all().cloned().collect();
+    let mut targets: Vec<Arc<Target>> = edge.fleet.read().all_listed().cloned().collect();
     targets.sort_by(|a, b| a.id.cmp(&b.id));
     for target in targets {
         hash.update(target.id.as_bytes());
@@ -98,7 +102,12 @@
         let news = News {
             routing: (routing.revision > revision).then(|| (*routing).clone()),
             versions: edge.versions.read().clone(),
-            targets: edge.fleet.read().all().map(|target| without_adapters(target)).collect(),
+            targets: edge
+                .fleet
+                .read()
+                .all_listed()
+                .map(|target| without_adapters(target))
+                .collect(),
         };
         let Ok(json) = serde_json::to_vec(&news) else {
             continue;
@@ -150,19 +159,19 @@
     for (adapter, version) in &news.versions {
         watch::take_version(edge, adapter, *version);
     }
-    let read_at = Time::from_millis(now().as_millis().saturating_sub(message.age_ms));
-    let mut own = edge.fleet_read.lock();
-    if read_at <= *own {
+    let age_ms = message.age_ms + HOP_MS;
+    let read_at = Time::from_millis(now().as_millis().saturating_sub(age_ms));
+    if read_at <= *edge.fleet_read.lock() {
         return;
     }
-    *own = read_at;
-    drop(own);
+    watch::note_gap(edge);
+    *edge.fleet_read.lock() = read_at;
     events::NEWS_TAKEN.info(format_args!(
         "peer={host} age_ms={} targets={}",
         message.age_ms,
         news.targets.len()
     ));
-    edge.fleet.write().adopt(news.targets);
+    edge.fleet.write().listed(now(), news.targets);
     edge.changed.notify_one();
     pass_on(edge);
 }
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) use {
     operator::{take_routing, take_version},
     own::{append_own, engine_key},
+    targets::note_gap,
 };
 
 use {crate::state::Edge, std::sync::Arc};
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -45,12 +45,7 @@
         match page {
             Ok(page) => {
                 reach.answered();
-                // entries may have lapsed while nobody could write them; a host that was kept up
-                // to date by others has missed nothing
-                let known = *edge.fleet_read.lock();
-                if known > Time::ZERO && now().ms_since(known) > RELIST_MS {
-                    edge.fleet.write().regained(now().after_ms(edge.cfg.store.lapse_ms));
-                }
+                note_gap(&edge);
                 let whole = next.is_none();
                 next = Some(page.next);
                 take(&edge, &page, whole);
@@ -67,6 +62,15 @@
     }
 }
 
+/// Notes, before something new is taken, whether this host has long known nothing new: entries may
+/// have lapsed meanwhile. One that was kept up to date by others has missed nothing.
+pub(crate) fn note_gap(edge: &Edge) {
+    let known = *edge.fleet_read.lock();
+    if known > Time::ZERO && now().ms_since(known) > RELIST_MS {
+        edge.fleet.write().regained(now().after_ms(edge.cfg.store.lapse_ms));
+    }
+}
+
 // forgets what is only kept for targets that are gone
 fn tidy(edge: &Edge) {
     edge.fleet.write().expire(now());
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -270,3 +270,28 @@
     }
     assert_eq!((a.runs().len(), b.runs().len()), (20, 0));
 }
+
+#[tokio::test]
+async fn drain_despite_thawed_peer() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    let other = d.edge(2).await;
+    // a target leaves while the other host stands still
+    other.signal(Signal::SIGSTOP);
+    let frozen = Instant::now();
+    until("long freeze", || frozen.elapsed() > Duration::from_secs(3)).await;
+    d.store.write("keyed.servers", "p-2", None);
+    until("left", || d.log(1).contains("registration ended target=p-2")).await;
+    other.signal(Signal::SIGCONT);
+    let thawed = Instant::now();
+    let listed = || d.log(2).matches("registry of targets read as a whole").count() > 1;
+    let mut calls = 0;
+    while !listed() || thawed.elapsed() < Duration::from_millis(900) {
+        assert!(thawed.elapsed() < Duration::from_secs(20), "the other host reads again");
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+        calls += 1;
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (calls, 0));
+}
