Lists of targets are ordered by the registry's offset

Change: news and heartbeats carry the offset up to which they reflect the registry; only a later one is taken, and records that were reflected already are passed over. Ruled out: stricter ages, which say nothing of a message that was held up. Tests: fleet_late_listing failed first (a listing from before was taken).

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -64,6 +64,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     targets: IndexMap<FastStr, Known>,
+    // records of the registry before this offset are reflected
+    position: u64,
     trusted_from: Time,
 }
 
@@ -81,6 +83,18 @@
         self.trusted_from = self.trusted_from.max(until);
     }
 
+    /// Records of the registry before this offset are reflected. It orders what different hosts
+    /// know, however late that is told.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Notes that all records before `position` are taken.
+    pub fn advance(&mut self, position: u64) {
+        self.position = self.position.max(position);
+    }
+
     /// Takes an entry. Entries of an earlier start of the same id are ignored, and a target that
     /// leaves does not come back before it starts again.
     pub fn saw(&mut self, mut target: Target) {
@@ -115,8 +129,13 @@
         self.targets.swap_remove(id);
     }
 
-    /// Takes a whole listing: what it lacks has vanished.
-    pub fn listed(&mut self, now: Time, targets: Vec<Target>) {
+    /// Takes a whole listing that reflects the records before `position`: what it lacks has
+    /// vanished. False when more is known already.
+    pub fn listed(&mut self, now: Time, position: u64, targets: Vec<Target>) -> bool {
+        if position < self.position {
+            return false;
+        }
+        self.position = position;
         let missing: Vec<FastStr> = self
             .targets
             .keys()
@@ -129,6 +148,7 @@
         for target in targets {
             self.saw(target);
         }
+        true
     }
 
     /// Drops targets whose entries did not come back in time.
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -127,7 +127,7 @@
 fn fleet_listing_drops_missing() {
     let mut fleet = Fleet::default();
     fleet.saw(target("a", TargetState::Ready, 1));
-    fleet.listed(at(1), vec![target("b", TargetState::Ready, 1)]);
+    assert!(fleet.listed(at(1), 7, vec![target("b", TargetState::Ready, 1)]));
     let ids: Vec<&str> = fleet.all().map(|t| t.id.as_str()).collect();
     assert_eq!(ids, ["b"]);
 }
@@ -463,3 +463,17 @@
     tenure.refused("e", 2);
     assert_eq!(tenure.fence(at(30), "e"), None);
 }
+
+#[test]
+fn fleet_late_listing() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.listed(at(1), 7, vec![target("a", TargetState::Ready, 1)]));
+    // its end was read; a listing from before that is told late, and brings nothing back
+    fleet.advance(8);
+    fleet.vanished(at(2), "a");
+    assert!(!fleet.listed(at(3), 7, vec![target("a", TargetState::Ready, 1)]));
+    assert!(fleet.get("a").is_none());
+    assert!(fleet.listed(at(4), 12, Vec::new()));
+    fleet.advance(9);
+    assert_eq!(fleet.position(), 12);
+}
--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -109,6 +109,7 @@
         engines: drivers.iter().map(|driver| engine(edge, driver)).collect(),
         lists_held: true,
         digest: news::digest(edge),
+        position: edge.fleet.read().position(),
         transit: u32::try_from(transit).unwrap_or(u32::MAX),
         loads,
     }
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -63,6 +63,8 @@
     pub(crate) revision: u64,
     /// Digest of what it knows of the platform.
     pub(crate) digest: u64,
+    /// Offset of the registry up to which it knows the targets.
+    pub(crate) position: u64,
     /// When it last read the registry.
     pub(crate) read_store_at: Time,
     /// When it was last told what this host knows.
@@ -110,6 +112,7 @@
             transit: 0,
             revision: 0,
             digest: 0,
+            position: 0,
             read_store_at: Time::ZERO,
             told_at: Time::ZERO,
         };
@@ -132,6 +135,7 @@
             .collect();
         peer.revision = beat.revision;
         peer.digest = beat.digest;
+        peer.position = beat.position;
         let read_at = now().as_millis().saturating_sub(beat.store_age_ms + HOP_MS);
         peer.read_store_at = Time::from_millis(read_at);
         peer.transit = usize::try_from(beat.transit).unwrap_or(0);
--- a/crates/edge/src/peers/news.rs
+++ b/crates/edge/src/peers/news.rs
@@ -79,17 +79,18 @@
     hash.digest()
 }
 
-/// Passes what this host knows on to the hosts that know something else and have read the store
-/// less recently: to those of its data centre, and to the first host of each other one.
+/// Passes what this host knows on to the hosts that know something else and no later records of
+/// the registry: to those of its data centre, and to the first host of each other one.
 pub(crate) fn pass_on(edge: &Edge) {
     let mine = digest(edge);
     let read_at = *edge.fleet_read.lock();
+    let position = edge.fleet.read().position();
     let behind: Vec<(FastStr, u64)> = {
         let mut peers = edge.peers.lock();
         let told = told_by(edge, &peers);
         let behind = peers.all_mut().filter(|(host, peer)| {
             let waits = now() < peer.told_at.after_ms(TELL_AGAIN_MS);
-            let older = peer.digest != mine && peer.read_store_at < read_at;
+            let older = peer.digest != mine && peer.position <= position;
             older && !waits && told.contains(*host)
         });
         behind
@@ -115,7 +116,7 @@
             continue;
         };
         let age_ms = now().ms_since(read_at);
-        edge.links.tell(&host, Body::News(NewsMsg { json, age_ms }));
+        edge.links.tell(&host, Body::News(NewsMsg { json, age_ms, position }));
     }
 }
 
@@ -146,7 +147,8 @@
     target
 }
 
-/// Takes what another host knows, if it has read the store more recently than this one.
+/// Takes what another host knows: routes and versions that are newer, and targets if it has come
+/// further in the registry. Ages tell nothing of the order, since a message may be held up.
 pub(crate) fn take(edge: &Edge, host: &str, message: &NewsMsg) {
     let news: News = match serde_json::from_slice(&message.json) {
         Ok(news) => news,
@@ -163,17 +165,19 @@
     }
     let age_ms = message.age_ms + HOP_MS;
     let read_at = Time::from_millis(now().as_millis().saturating_sub(age_ms));
-    if read_at <= *edge.fleet_read.lock() {
+    if message.position <= edge.fleet.read().position() {
         return;
     }
     watch::note_gap(edge);
-    *edge.fleet_read.lock() = read_at;
+    let mut known = edge.fleet_read.lock();
+    *known = read_at.max(*known);
+    drop(known);
     events::NEWS_TAKEN.info(format_args!(
         "peer={host} age_ms={} targets={}",
         message.age_ms,
         news.targets.len()
     ));
-    edge.fleet.write().listed(now(), news.targets);
+    edge.fleet.write().listed(now(), message.position, news.targets);
     edge.changed.notify_one();
     pass_on(edge);
 }
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -84,9 +84,14 @@
     let now = now();
     let mut listed = Vec::new();
     let mut fleet = edge.fleet.write();
+    // what others told may reflect some of these records already
+    let reflected = fleet.position();
     // only the last record of each target counts: what it was in between is over
     let last: IndexMap<&FastStr, &Record> = page.records.iter().map(|r| (&r.key, r)).collect();
     for record in last.into_values() {
+        if !whole && record.offset < reflected {
+            continue;
+        }
         let Some(value) = &record.value else {
             events::TARGET_GONE.info(format_args!("target={}", record.key));
             fleet.vanished(now, &record.key);
@@ -107,7 +112,9 @@
     }
     if whole {
         events::TARGETS_LISTED.info(format_args!("targets={}", listed.len()));
-        fleet.listed(now, listed);
+        fleet.listed(now, page.end, listed);
+    } else {
+        fleet.advance(page.next);
     }
 }
 
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -400,6 +400,9 @@
     /// Digest of the routes, versions and targets that it knows.
     #[prost(fixed64, tag = "8")]
     pub digest: u64,
+    /// Offset of the registry up to which it knows the targets.
+    #[prost(uint64, tag = "9")]
+    pub position: u64,
 }
 
 /// What an edge host has read from the platform.
@@ -411,6 +414,9 @@
     /// Milliseconds since it was read.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Offset of the registry up to which the targets reflect it.
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
 }
 
 /// Requests of a host at one target.
