--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -3,7 +3,7 @@
 use {
     crate::Time,
     faststr::FastStr,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
 };
@@ -136,12 +136,9 @@
             return false;
         }
         self.position = position;
-        let missing: Vec<FastStr> = self
-            .targets
-            .keys()
-            .filter(|id| !targets.iter().any(|t| t.id == **id))
-            .cloned()
-            .collect();
+        let listed: IndexSet<&FastStr> = targets.iter().map(|target| &target.id).collect();
+        let missing = self.targets.keys().filter(|id| !listed.contains(id));
+        let missing: Vec<FastStr> = missing.cloned().collect();
         for id in missing {
             self.vanished(now, &id);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 mod suspects;
 mod tenure;
 mod time;
+mod transit;
 mod window;
 
 pub use admission::CallerLimits;
@@ -69,4 +70,5 @@
 pub use suspects::{Standing, SuspectRecord, Suspects};
 pub use tenure::{Fencing, Tenure, TenureRecord};
 pub use time::Time;
+pub use transit::TransitLimit;
 pub use window::{RetryBounds, RetryWindow};
--- a/crates/core/src/residency/answers.rs
+++ b/crates/core/src/residency/answers.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        book::{Book, COLD_LOAD_MS, Coming, Ghost, REPORT_LAG_MS},
+        book::{Book, Coming, Ghost, REPORT_LAG_MS},
         next::{LOAD_LOST_MS, LOOK_AGAIN_MS},
         types::{AdapterOrder, Held, OrderAnswer, Report},
     },
-    crate::Time,
+    crate::{Time, transit::COLD_LOAD_MS},
     faststr::FastStr,
     indexmap::IndexMap,
 };
--- a/crates/core/src/residency/book.rs
+++ b/crates/core/src/residency/book.rs
@@ -2,7 +2,7 @@
 
 use {
     super::types::{AdapterOrder, Held},
-    crate::Time,
+    crate::{Time, transit::COLD_LOAD_MS},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
 };
@@ -11,9 +11,6 @@
 /// deployment's engines keep, so that what counts as a copy is one.
 const COPIES_MAX: usize = 140;
 
-/// Load of an adapter from the weight store, in milliseconds.
-pub(super) const COLD_LOAD_MS: u64 = 252;
-
 /// Age that a report may have, in milliseconds: what happened later may be missing from it.
 pub(super) const REPORT_LAG_MS: u64 = 300;
 
@@ -117,6 +114,26 @@
         self.coming.len()
     }
 
+    /// Adapters that the engine is to load from the weight store, those under way included.
+    #[must_use]
+    pub fn wanting(&self) -> usize {
+        let cold = self.wanted.iter().filter(|(adapter, wanted)| {
+            !self.coming.contains_key(*adapter) && !self.has_copy(adapter, wanted.version)
+        });
+        self.coming.len() + cold.count()
+    }
+
+    /// How long the adapter that `order` loads has been on its way, in milliseconds.
+    #[must_use]
+    pub fn coming_for_ms(&self, now: Time, order: &AdapterOrder) -> Option<u64> {
+        match order {
+            AdapterOrder::Load { adapter, .. } => {
+                self.coming.get(adapter).map(|coming| now.ms_since(coming.since))
+            }
+            AdapterOrder::LoadBase { .. } | AdapterOrder::Unload { .. } => None,
+        }
+    }
+
     /// Adapters that are held, by name.
     #[must_use]
     pub fn held(&self) -> &IndexMap<FastStr, Held> {
--- a/crates/core/src/tenure.rs
+++ b/crates/core/src/tenure.rs
@@ -146,31 +146,32 @@
         self.holders.keys()
     }
 
-    /// True when this process is to claim `engine`. `rivals` are the hosts that are alive and best
-    /// placed for it, this one included if it is. A claim of a live host stands.
+    /// The host that is to get `engine`, if its holder is gone. `live` are the hosts that may
+    /// live, with their processes; `rivals` are those of them that are best placed for it. A claim
+    /// of a live process stands, and a process that started again takes over what its host held.
     #[must_use]
-    pub fn should_claim(
+    pub fn successor<'a>(
         &self,
         engine: &str,
-        alive: impl Fn(&str) -> bool,
-        rivals: &[FastStr],
-    ) -> bool {
-        match self.holders.get(engine) {
-            Some(h) if h.record.host == self.me.host => !h.record.same_process(&self.me),
-            Some(h) if alive(&h.record.host) => false,
-            _ => {
-                let first = rivals.iter().max_by_key(|host| rendezvous(engine, host));
-                first.is_some_and(|host| *host == self.me.host)
-            }
+        live: &'a IndexMap<FastStr, u64>,
+        rivals: &[&'a FastStr],
+    ) -> Option<&'a FastStr> {
+        let holder = self.holders.get(engine).map(|holder| &holder.record);
+        let living = holder.and_then(|record| Some((live.get_key_value(&record.host)?, record)));
+        match living {
+            Some(((_, incarnation), record)) if *incarnation == record.incarnation => None,
+            Some(((host, _), _)) => Some(host),
+            None => rivals.iter().max_by_key(|host| rendezvous(engine, host)).copied(),
         }
     }
 
-    /// The record of a claim on `engine` by this process.
+    /// The record of a claim on `engine` for the process `incarnation` of `host`. Any host may
+    /// append it, since `host` orders only once it has read it: hosts that all claimed for
+    /// themselves at the same time would each have to wait for the others' appends.
     #[must_use]
-    pub fn claim(&self, engine: &str) -> TenureRecord {
+    pub fn claim(&self, engine: &str, host: &FastStr, incarnation: u64) -> TenureRecord {
         let before = self.holders.get(engine).map(|holder| &holder.record);
-        let taken_over =
-            before.is_some_and(|record| record.host != self.me.host || record.taken_over);
-        TenureRecord { taken_over, ..self.me.clone() }
+        let taken_over = before.is_some_and(|record| record.host != *host || record.taken_over);
+        TenureRecord { host: host.clone(), incarnation, taken_over }
     }
 }
--- /dev/null
+++ b/crates/core/src/transit.rs
@@ -0,0 +1,96 @@
+//! How many adapters may be on their way from the weight store.
+//!
+//! Answers the load pattern of a deployment's first minute and of shifts of demand: more loads
+//! are wanted than the store serves at full speed, and no setting says how many those are. Beyond
+//! that number all loads take longer in proportion, and nothing is gained. So the limit follows
+//! the time that loads take, by additive increase in proportion and multiplicative decrease
+//! (Chiu and Jain 1989; the steps are larger, since a day begins with its highest demand).
+
+use crate::Time;
+
+/// Load of an adapter from the weight store at full speed, in milliseconds.
+pub(crate) const COLD_LOAD_MS: u64 = 252;
+
+/// A load that is there by this time went at full speed, in milliseconds.
+const FULL_SPEED_MS: u64 = 276;
+
+/// A load that is still on its way after this time did not, in milliseconds.
+const SLOWED_MS: u64 = 280;
+
+/// Limit before any load was seen.
+const START: usize = 8;
+
+/// Lowest limit.
+const LEAST: usize = 4;
+
+/// Highest limit; a deployment of 3,500 servers is far below.
+const MOST: usize = 4096;
+
+/// The limit falls once in this time, in milliseconds: the loads that began before it fell say
+/// nothing of the new one.
+const FALL_EVERY_MS: u64 = 500;
+
+/// The limit rises once in this time, in milliseconds, however many loads a host has.
+const RISE_EVERY_MS: u64 = 60;
+
+/// Limit on adapters under way, over all engines, as one host sees it.
+#[derive(Clone, Debug)]
+pub struct TransitLimit {
+    limit: usize,
+    fell: Option<Time>,
+    rose: Option<Time>,
+}
+
+impl Default for TransitLimit {
+    fn default() -> Self {
+        Self { limit: START, fell: None, rose: None }
+    }
+}
+
+impl TransitLimit {
+    /// The limit.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Loads that a host may have under way that wants `mine` of them, while the other hosts want
+    /// `theirs`. Shares go by what is wanted and not by what is under way elsewhere: that is known
+    /// late, and hosts that all saw the same room would all fill it. Each host may have one.
+    #[must_use]
+    pub fn share(&self, mine: usize, theirs: usize) -> usize {
+        let all = (mine + theirs).max(1);
+        ((self.limit * mine + all / 2) / all).max(1)
+    }
+
+    /// True when so many are under way that a copy elsewhere is better than one more load.
+    #[must_use]
+    pub fn busy(&self, in_transit: usize) -> bool {
+        in_transit * 4 >= self.limit * 3
+    }
+
+    /// Notes a load that is there after `took_ms`, with `in_transit` under way over all engines.
+    /// `held_back` tells that this host wanted more loads than its share. Loads from an engine's
+    /// own copies say nothing.
+    ///
+    /// The limit stays near what was seen to go at full speed: of hosts that each raised their own
+    /// the one that has most under way would raise it most.
+    pub fn arrived(&mut self, now: Time, took_ms: u64, in_transit: usize, held_back: bool) {
+        let from_store = (COLD_LOAD_MS..=FULL_SPEED_MS).contains(&took_ms);
+        let since_last = self.rose.map_or(u64::MAX, |rose| now.ms_since(rose));
+        if from_store && held_back && since_last >= RISE_EVERY_MS {
+            self.rose = Some(now);
+            let raised = (self.limit + self.limit.div_ceil(8)).min(in_transit * 2);
+            self.limit = raised.max(self.limit).min(MOST);
+        }
+    }
+
+    /// Notes a load that is still under way after `since_ms`.
+    pub fn under_way(&mut self, now: Time, since_ms: u64) {
+        let since_last = self.fell.map_or(u64::MAX, |fell| now.ms_since(fell));
+        if since_ms >= SLOWED_MS && since_last >= FALL_EVERY_MS {
+            self.limit = (self.limit * 3 / 4).max(LEAST);
+            self.fell = Some(now);
+        }
+    }
+}
--- a/crates/core/tests/fuzz/tenure_world.rs
+++ b/crates/core/tests/fuzz/tenure_world.rs
@@ -55,17 +55,20 @@
         host.tenure.read_to_end(started);
     }
 
-    fn claim(&mut self, number: usize, lost_answer: bool) {
+    // `number` claims for `other`, of which it may know an earlier process
+    fn claim(&mut self, number: usize, other: usize, lost_answer: bool, late: bool) {
         let host = &self.hosts[number];
+        let other = &self.hosts[other];
         // the append is made under the condition that the log ends where it was last read
         if host.read_to != self.log.len() {
             return;
         }
-        let alive = |_: &str| false;
-        if !host.tenure.should_claim("e", alive, std::slice::from_ref(&host.name)) {
+        let live = IndexMap::new();
+        let Some(successor) = host.tenure.successor("e", &live, &[&other.name]) else {
             return;
-        }
-        self.log.push(host.tenure.claim("e"));
+        };
+        let incarnation = other.incarnation - u64::from(late && other.incarnation > 1);
+        self.log.push(host.tenure.claim("e", successor, incarnation));
         if !lost_answer {
             self.read(number);
         }
@@ -99,7 +102,10 @@
         let number = usize::from(command.who) % HOSTS;
         match command.verb % 8 {
             0..=2 => world.read(number),
-            3 => world.claim(number, command.what < 60),
+            3 => {
+                let other = usize::from(command.how) % HOSTS;
+                world.claim(number, other, command.what < 60, command.what > 200);
+            }
             4..=6 => world.order(number)?,
             _ if command.how < 40 => {
                 let incarnation = world.hosts[number].incarnation + 1;
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -17,10 +17,6 @@
 /// for four aims; one that is told to come back before finds the adapter there.
 const LOAD_WAIT_AIMS: u64 = 3;
 
-/// Adapters under way over all engines from which on a copy elsewhere is better than one more
-/// load.
-const TRANSIT_BUSY: usize = 6;
-
 /// Where a request can go.
 #[derive(Clone, Debug)]
 pub(crate) enum Placed {
@@ -47,7 +43,9 @@
         None => steer_plain(&candidates, &out.head.id),
         Some(adapter) => {
             let copy_near = edge.crossings.lock().copy_near(now(), adapter);
-            steer_adapter(&candidates, adapter, transit(edge) >= TRANSIT_BUSY, copy_near)
+            let in_transit = orders::in_transit(edge);
+            let busy = edge.transit.lock().busy(in_transit);
+            steer_adapter(&candidates, adapter, busy, copy_near)
         }
     };
     if let (Place::Use(candidate), Some(adapter)) = (&chosen, adapter)
@@ -121,11 +119,6 @@
     }
 }
 
-fn transit(edge: &Edge) -> usize {
-    let own: usize = edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum();
-    own + edge.peers.lock().transit()
-}
-
 fn candidates(
     edge: &Edge,
     out: &Outgoing,
--- a/crates/edge/src/orders/claims.rs
+++ b/crates/edge/src/orders/claims.rs
@@ -3,13 +3,15 @@
 use {
     crate::{
         orders::driver,
+        peers,
         state::Edge,
         watch::{append_own, engine_key},
     },
     bytes::Bytes,
-    egret_core::Target,
+    egret_core::{Target, TenureRecord, Time, backoff_ms},
     egret_runtime::now,
     faststr::FastStr,
+    indexmap::IndexMap,
     std::{sync::Arc, time::Duration},
 };
 
@@ -24,14 +26,27 @@
 /// A look that comes later than this, in milliseconds, means that the process stood still.
 const STOOD_STILL_MS: u64 = 500;
 
-/// Pause after a claim that failed, in milliseconds: another host has claimed at the same time,
+/// Time after which the next host claims what the one before it should have claimed, in
+/// milliseconds.
+const RANK_MS: u64 = 600;
+
+/// Hosts after which all further ones wait no longer.
+const RANKS_MAX: u64 = 5;
+
+/// First pause after a claim that failed, in milliseconds: another host has claimed at the same time,
 /// and its records are read first.
 const PAUSE_MS: u64 = 60;
 
-/// Claims engines whose holder is gone, and orders those that this host holds.
+/// Doublings of that pause at most.
+const DOUBLINGS: u32 = 4;
+
+/// Has engines whose holder is gone claimed, and orders those that this host holds.
 pub(crate) async fn keep(edge: Arc<Edge>) {
     edge.peers.lock().awake();
     let settled = now().after_ms(SETTLE_MS);
+    let mut refused = 0;
+    // engines that are to get a holder, since when
+    let mut due_since: IndexMap<FastStr, Time> = IndexMap::new();
     loop {
         let began = now();
         let look = Duration::from_millis(LOOK_MS);
@@ -41,13 +56,22 @@
             edge.peers.lock().awake();
         }
         let engines = engines(&edge);
-        let wanted: Vec<FastStr> = engines
-            .iter()
-            .filter(|engine| wants_claim(&edge, engine, now() >= settled))
-            .map(|engine| engine.id.clone())
-            .collect();
-        if !wanted.is_empty() && !claim(&edge, &wanted).await {
-            tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        let due = due(&edge, &engines, now() >= settled);
+        due_since.retain(|engine, _| due.contains_key(engine));
+        for engine in due.keys() {
+            due_since.entry(engine.clone()).or_insert(now());
+        }
+        // one host appends for all; the next does when it does not
+        let wait_ms = peers::rank(&edge).min(RANKS_MAX) * RANK_MS;
+        let late = |engine: &FastStr| now() >= due_since[engine].after_ms(wait_ms);
+        let claims: Vec<(FastStr, TenureRecord)> =
+            due.into_iter().filter(|(engine, _)| late(engine)).collect();
+        if claims.is_empty() || append(&edge, &claims).await {
+            refused = 0;
+        } else {
+            refused += 1;
+            let pause = backoff_ms(PAUSE_MS, refused.min(DOUBLINGS), edge.incarnation);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
         }
         driver::keep_drivers(&edge, &engines);
     }
@@ -61,38 +85,43 @@
     edge.fleet.read().all_ready().filter(is_engine).cloned().collect()
 }
 
-fn wants_claim(edge: &Edge, engine: &Target, settled: bool) -> bool {
-    let (live, rivals) = {
-        let peers = edge.peers.lock();
-        let live: Vec<(FastStr, FastStr)> = peers
-            .all()
-            .iter()
-            .filter(|(host, _)| peers.may_live(host))
-            .map(|(host, peer)| (host.clone(), peer.record.data_centre.clone()))
-            .collect();
-        let me = (edge.cfg.host.clone(), edge.cfg.data_centre.clone());
-        let all: Vec<(FastStr, FastStr)> = live.into_iter().chain([me]).collect();
-        let near: Vec<FastStr> = all
-            .iter()
-            .filter(|(_, data_centre)| *data_centre == engine.data_centre)
-            .map(|(host, _)| host.clone())
-            .collect();
-        let everyone: Vec<FastStr> = all.into_iter().map(|(host, _)| host).collect();
-        let rivals = if near.is_empty() { everyone.clone() } else { near };
-        (everyone, rivals)
+// the claims that engines without a live holder are to get
+fn due(edge: &Edge, engines: &[Arc<Target>], settled: bool) -> IndexMap<FastStr, TenureRecord> {
+    let mut live: IndexMap<FastStr, u64> = IndexMap::new();
+    let mut by_data_centre: IndexMap<FastStr, Vec<FastStr>> = IndexMap::new();
+    let mut add = |host: &FastStr, data_centre: &FastStr, incarnation: u64| {
+        live.insert(host.clone(), incarnation);
+        by_data_centre.entry(data_centre.clone()).or_default().push(host.clone());
     };
+    add(&edge.cfg.host, &edge.cfg.data_centre, edge.incarnation);
+    {
+        let peers = edge.peers.lock();
+        for (host, peer) in peers.all().iter().filter(|(host, _)| peers.may_live(host)) {
+            add(host, &peer.record.data_centre, peer.record.incarnation);
+        }
+    }
     let tenure = edge.tenure.lock();
-    let mine_before = tenure.holder(&engine.id) == Some(&edge.cfg.host);
-    (settled || mine_before)
-        && tenure.should_claim(&engine.id, |host| live.iter().any(|h| h == host), &rivals)
+    let mut due = IndexMap::new();
+    for engine in engines {
+        let near = by_data_centre.get(&engine.data_centre);
+        let rivals: Vec<&FastStr> =
+            near.map_or_else(|| live.keys().collect(), |n| n.iter().collect());
+        let Some(host) = tenure.successor(&engine.id, &live, &rivals) else {
+            continue;
+        };
+        // hosts that start together are to know of each other first
+        if settled || tenure.holder(&engine.id) == Some(host) {
+            due.insert(engine.id.clone(), tenure.claim(&engine.id, host, live[host]));
+        }
+    }
+    due
 }
 
-async fn claim(edge: &Edge, engines: &[FastStr]) -> bool {
-    let record = |engine: &FastStr| {
-        let claim = edge.tenure.lock().claim(engine);
-        let value = serde_json::to_vec(&claim).expect("a claim has only text and numbers");
+async fn append(edge: &Edge, claims: &[(FastStr, TenureRecord)]) -> bool {
+    let record = |(engine, claim): &(FastStr, TenureRecord)| {
+        let value = serde_json::to_vec(claim).expect("a claim has only text and numbers");
         (engine_key(engine), Bytes::from(value))
     };
-    let records: Vec<(FastStr, Bytes)> = engines.iter().map(record).collect();
+    let records: Vec<(FastStr, Bytes)> = claims.iter().map(record).collect();
     append_own(edge, &records).await
 }
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -1,7 +1,7 @@
 //! Gives orders to one engine, one after the other.
 
 use {
-    crate::state::Edge,
+    crate::{conf::OrderSettings, state::Edge},
     bytes::Bytes,
     egret_core::{AdapterOrder, Book, NextOrder, OrderAnswer, Target, Time},
     egret_platform::{
@@ -35,12 +35,6 @@
 /// Longest pause of a driver that has nothing to do, in milliseconds.
 const IDLE_MS: u64 = 1000;
 
-/// Adapters that the weight store has under way at full speed, over all engines.
-const TRANSIT_FULL_SPEED: usize = 8;
-
-/// Loads that a host may have under way whatever the others have, so that nobody starves.
-const TRANSIT_OWN_MIN: usize = 2;
-
 /// Loads of base models allowed in a window beyond the rate, over all hosts.
 const BASE_EXTRA: u64 = 3;
 
@@ -88,6 +82,7 @@
         let tenure = edge.tenure.lock();
         engines.iter().filter(|engine| tenure.mine(&engine.id)).collect()
     };
+    let hosts = edge.hosts();
     let mut drivers = edge.drivers.by_engine.lock();
     drivers.retain(|engine, driver| {
         // an engine that has started again under its id holds nothing of before
@@ -119,17 +114,31 @@
         });
         drivers.insert(target.id.clone(), driver.clone());
         events::HOLDING_CHANGED.info(format_args!("engine={} held=true", target.id));
-        let base_max = base_loads_max(edge, traits.loads_per_s_milli);
+        let base_max = base_loads_max(&edge.cfg.orders, traits.loads_per_s_milli, hosts);
         tokio::spawn(drive(edge.clone(), driver, base_max));
     }
 }
 
+/// Adapters on their way to the engines that this host orders.
+pub(crate) fn own_transit(edge: &Edge) -> usize {
+    edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum()
+}
+
+/// Adapters that the engines which this host orders are to load, those under way included.
+pub(crate) fn own_wanted(edge: &Edge) -> usize {
+    edge.drivers.all().iter().map(|driver| driver.book.lock().wanting()).sum()
+}
+
+/// Adapters on their way to all engines, as far as is known.
+pub(crate) fn in_transit(edge: &Edge) -> usize {
+    own_transit(edge) + edge.peers.lock().transit()
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
-fn base_loads_max(edge: &Edge, loads_per_s_milli: u64) -> usize {
-    let orders = &edge.cfg.orders;
+fn base_loads_max(orders: &OrderSettings, loads_per_s_milli: u64, hosts: u64) -> usize {
     let rated = loads_per_s_milli as f64 / 1000.0 * orders.ceiling_window_s as f64;
     let all = (rated * orders.ceiling_over) as u64 + BASE_EXTRA;
-    usize::try_from(all / edge.hosts()).unwrap_or(1).max(1)
+    usize::try_from(all / hosts).unwrap_or(1).max(1)
 }
 
 /// An adapter that a request needs at an engine.
@@ -193,13 +202,12 @@
 impl Driver {
     fn next(&self, edge: &Edge, base_max: usize) -> NextOrder {
         let now = now();
-        let own: usize =
-            edge.drivers.all().iter().map(|driver| driver.book.lock().in_transit()).sum();
+        let (in_transit, wanted) = (own_transit(edge), own_wanted(edge));
+        let held: Vec<FastStr> = self.book.lock().held().keys().cloned().collect();
         let (theirs, in_use) = {
             let peers = edge.peers.lock();
-            let held: Vec<FastStr> = self.book.lock().held().keys().cloned().collect();
             let used = held.into_iter().filter(|adapter| peers.uses(&self.engine, adapter));
-            (peers.transit(), used.collect::<Vec<FastStr>>())
+            (peers.wanted(), used.collect::<Vec<FastStr>>())
         };
         let mine: Vec<FastStr> = {
             let at_targets = edge.at_targets.lock();
@@ -208,9 +216,7 @@
                 .map(|at| at.adapters.keys().cloned().collect())
                 .unwrap_or_default()
         };
-        let room = TRANSIT_FULL_SPEED
-            .saturating_sub(own + theirs)
-            .max(TRANSIT_OWN_MIN.saturating_sub(own));
+        let room = edge.transit.lock().share(wanted, theirs).saturating_sub(in_transit);
         let base_room = {
             let mut loads = edge.drivers.base_loads.lock();
             let window = edge.cfg.orders.ceiling_window_s * 1000;
@@ -299,12 +305,32 @@
             )),
             _ => {}
         }
+        self.time_load(edge, order, answer);
         self.book.lock().answered(now(), order, answer);
         if let (AdapterOrder::Load { adapter, .. }, OrderAnswer::Holds) = (order, answer) {
             edge.homes.lock().holds(&self.engine, std::iter::once(adapter));
         }
     }
 
+    // how long loads take tells how many the weight store serves
+    fn time_load(&self, edge: &Edge, order: &AdapterOrder, answer: OrderAnswer) {
+        let now = now();
+        let Some(took_ms) = self.book.lock().coming_for_ms(now, order) else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Holds => {
+                let (mine, theirs) = (own_wanted(edge), edge.peers.lock().wanted());
+                let in_transit = in_transit(edge);
+                let mut transit = edge.transit.lock();
+                let held_back = mine > transit.share(mine, theirs);
+                transit.arrived(now, took_ms, in_transit, held_back);
+            }
+            OrderAnswer::Accepted => edge.transit.lock().under_way(now, took_ms),
+            _ => {}
+        }
+    }
+
     // answers those who wait for an adapter that is there, and those whose time is over
     fn settle(&self, now: Time) {
         let waiting = std::mem::take(&mut *self.waiting.lock());
--- a/crates/edge/src/orders/mod.rs
+++ b/crates/edge/src/orders/mod.rs
@@ -3,7 +3,9 @@
 mod claims;
 mod driver;
 
-pub(crate) use driver::{Driver, Drivers, Wish, load_here, missing_here};
+pub(crate) use driver::{
+    Driver, Drivers, Wish, in_transit, load_here, missing_here, own_transit, own_wanted,
+};
 
 use {crate::state::Edge, std::sync::Arc};
 
--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -2,9 +2,13 @@
 
 use {
     super::news,
-    crate::{orders::Driver, state::Edge},
-    egret_runtime::{Body, EngineHeldMsg, HeldMsg, HostBeatMsg, TargetLoadMsg, now},
+    crate::{
+        orders::{self, Driver},
+        state::{Edge, Reading},
+    },
+    egret_runtime::{Body, EngineHeldMsg, HeldMsg, HostBeatMsg, ReadMsg, TargetLoadMsg, now},
     faststr::FastStr,
+    parking_lot::Mutex,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -101,7 +105,8 @@
         })
         .collect();
     let drivers = edge.drivers.all();
-    let transit: usize = drivers.iter().map(|driver| driver.book.lock().in_transit()).sum();
+    let transit = orders::own_transit(edge);
+    let wanted = orders::own_wanted(edge);
     HostBeatMsg {
         host: edge.cfg.host.to_string(),
         revision: edge.routing().revision,
@@ -111,10 +116,18 @@
         digest: news::digest(edge),
         position: edge.fleet.read().position(),
         transit: u32::try_from(transit).unwrap_or(u32::MAX),
+        wanted: u32::try_from(wanted).unwrap_or(u32::MAX),
+        operator: read(&edge.operator_read),
+        own: read(&edge.own_read),
         loads,
     }
 }
 
+fn read(reading: &Mutex<Reading>) -> ReadMsg {
+    let reading = *reading.lock();
+    ReadMsg { end: reading.end, age_ms: now().ms_since(reading.at) }
+}
+
 fn engine(edge: &Edge, driver: &Driver) -> EngineHeldMsg {
     let own = edge.at_targets.lock().get(&driver.engine).map_or(0, |at| u64::from(at.running));
     let running = own + edge.peers.lock().running(&driver.engine);
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -1,8 +1,9 @@
 //! What is known of the other hosts.
 
 use {
+    crate::state::Reading,
     egret_core::Time,
-    egret_runtime::{HostBeatMsg, now},
+    egret_runtime::{HostBeatMsg, ReadMsg, now},
     faststr::FastStr,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
@@ -19,7 +20,7 @@
 
 /// Added to the age of what another host has read, in milliseconds: more than a message between
 /// hosts takes, so that what a host hears back of its own reads never seems newer.
-pub(crate) const HOP_MS: u64 = 50;
+const HOP_MS: u64 = 50;
 
 /// A host as it stands on the log.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     pub(crate) engines: IndexMap<FastStr, EngineView>,
     /// Adapters on their way to its engines.
     pub(crate) transit: usize,
+    /// Adapters that its engines are to load, those included.
+    pub(crate) wanted: usize,
     /// Revision of the routes that it has in force.
     pub(crate) revision: u64,
     /// Digest of what it knows of the platform.
@@ -67,10 +70,23 @@
     pub(crate) position: u64,
     /// When it last read the registry.
     pub(crate) read_store_at: Time,
+    /// How far it has read the operator's records.
+    pub(crate) operator: Reading,
+    /// How far it has read the hosts' own records.
+    pub(crate) own: Reading,
     /// When it was last told what this host knows.
     pub(crate) told_at: Time,
 }
 
+/// When another host did what it says is `age_ms` ago.
+pub(crate) fn ago(age_ms: u64) -> Time {
+    Time::from_millis(now().as_millis().saturating_sub(age_ms + HOP_MS))
+}
+
+fn reading(read: ReadMsg) -> Reading {
+    Reading { end: read.end, at: ago(read.age_ms) }
+}
+
 /// The other hosts, by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
@@ -100,6 +116,9 @@
                 peer.heard = now();
                 peer.loads.clear();
                 peer.engines.clear();
+                peer.revision = 0;
+                peer.operator = Reading::default();
+                peer.own = Reading::default();
             }
             peer.record = record;
             return;
@@ -110,10 +129,13 @@
             loads: IndexMap::new(),
             engines: IndexMap::new(),
             transit: 0,
+            wanted: 0,
             revision: 0,
             digest: 0,
             position: 0,
             read_store_at: Time::ZERO,
+            operator: Reading::default(),
+            own: Reading::default(),
             told_at: Time::ZERO,
         };
         self.all.insert(FastStr::new(host), peer);
@@ -136,9 +158,11 @@
         peer.revision = beat.revision;
         peer.digest = beat.digest;
         peer.position = beat.position;
-        let read_at = now().as_millis().saturating_sub(beat.store_age_ms + HOP_MS);
-        peer.read_store_at = Time::from_millis(read_at);
+        peer.read_store_at = ago(beat.store_age_ms);
+        peer.operator = reading(beat.operator);
+        peer.own = reading(beat.own);
         peer.transit = usize::try_from(beat.transit).unwrap_or(0);
+        peer.wanted = usize::try_from(beat.wanted).unwrap_or(0);
         let before = std::mem::take(&mut peer.engines);
         peer.engines = beat
             .engines
@@ -232,4 +256,11 @@
         let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
         live.map(|peer| peer.transit).sum()
     }
+
+    /// Adapters that the engines of live hosts are to load, those under way included.
+    pub(crate) fn wanted(&self) -> usize {
+        let now = now();
+        let live = self.all.values().filter(|peer| now < peer.heard.after_ms(ALIVE_MS));
+        live.map(|peer| peer.wanted).sum()
+    }
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) use {
     ask::{ask_load, tell_missing},
     known::{HostRecord, Peers},
-    news::{current, pass_on, reads_for_all},
+    news::{Told, current, pass_on, rank, reads_for_all, told},
 };
 
 use {crate::state::Edge, std::sync::Arc};
--- a/crates/edge/src/peers/news.rs
+++ b/crates/edge/src/peers/news.rs
@@ -2,13 +2,16 @@
 //!
 //! One host reads the store often; the others compare what they know with it by a digest in the
 //! heartbeats, and read by themselves only when nobody who has read lately agrees with them. A
-//! host that the store turns away stays current the same way. Between data centres only the first host of each is
-//! told, which passes it on there.
+//! host that the store turns away stays current the same way. Between data centres only the first
+//! host of each is told, which passes it on there.
 
 use {
-    super::known::{HOP_MS, Peer, Peers},
-    crate::{state::Edge, watch},
-    egret_core::{Routing, Target, Time, rendezvous},
+    super::known::{Peer, Peers, ago},
+    crate::{
+        state::{Edge, Reading},
+        watch,
+    },
+    egret_core::{Routing, Target, rendezvous},
     egret_runtime::{Body, NewsMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -33,12 +36,17 @@
     targets: Vec<Target>,
 }
 
+/// Hosts that come before this one, which does what one host does for all when there is none.
+pub(crate) fn rank(edge: &Edge) -> u64 {
+    let peers = edge.peers.lock();
+    let score = |host: &str| rendezvous("reader", host);
+    let mine = score(&edge.cfg.host);
+    peers.all().keys().filter(|host| peers.alive(host) && score(host) > mine).count() as u64
+}
+
 /// True when this host is the one that reads the store for the others.
 pub(crate) fn reads_for_all(edge: &Edge) -> bool {
-    let peers = edge.peers.lock();
-    let rank = |host: &str| rendezvous("reader", host);
-    let mine = rank(&edge.cfg.host);
-    !peers.all().keys().any(|host| peers.alive(host) && rank(host) > mine)
+    rank(edge) == 0
 }
 
 /// True when a live host that has read the store lately knows the same as this one. What this host
@@ -58,6 +66,32 @@
     true
 }
 
+/// What other hosts that have read a stream of the store lately say of what this one has read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Told {
+    /// There is nothing more.
+    Current,
+    /// There is more.
+    Behind,
+    /// Nobody has read it lately.
+    Nothing,
+}
+
+/// How far this host has read a stream, as against the others' `theirs`.
+pub(crate) fn told(edge: &Edge, mine: Reading, theirs: impl Fn(&Peer) -> Reading) -> Told {
+    let peers = edge.peers.lock();
+    let alive = peers.all().iter().filter(|(host, _)| peers.alive(host));
+    let lately = alive
+        .map(|(_, peer)| theirs(peer))
+        .filter(|reading| now().ms_since(reading.at) < CURRENT_MS)
+        .map(|reading| reading.end);
+    match lately.max() {
+        Some(end) if end > mine.end => Told::Behind,
+        Some(_) => Told::Current,
+        None => Told::Nothing,
+    }
+}
+
 /// Digest of routes, versions and targets as this host knows them.
 pub(crate) fn digest(edge: &Edge) -> u64 {
     let mut hash = Xxh3::new();
@@ -85,6 +119,8 @@
     let mine = digest(edge);
     let read_at = *edge.fleet_read.lock();
     let position = edge.fleet.read().position();
+    // taken before what it describes, which can only be newer
+    let operator_end = edge.operator_read.lock().end;
     let behind: Vec<(FastStr, u64)> = {
         let mut peers = edge.peers.lock();
         let told = told_by(edge, &peers);
@@ -116,7 +152,9 @@
             continue;
         };
         let age_ms = now().ms_since(read_at);
-        edge.links.tell(&host, Body::News(NewsMsg { json, age_ms, position }));
+        let revision = routing.revision;
+        let message = NewsMsg { json, age_ms, position, operator_end, revision };
+        edge.links.tell(&host, Body::News(message));
     }
 }
 
@@ -163,14 +201,16 @@
     for (adapter, version) in &news.versions {
         watch::take_version(edge, adapter, *version);
     }
-    let age_ms = message.age_ms + HOP_MS;
-    let read_at = Time::from_millis(now().as_millis().saturating_sub(age_ms));
+    if edge.routing().revision >= message.revision {
+        // routes are left out for a host that was known to have them
+        edge.operator_read.lock().read(message.operator_end, false);
+    }
     if message.position <= edge.fleet.read().position() {
         return;
     }
     watch::note_gap(edge);
     let mut known = edge.fleet_read.lock();
-    *known = read_at.max(*known);
+    *known = ago(message.age_ms).max(*known);
     drop(known);
     events::NEWS_TAKEN.info(format_args!(
         "peer={host} age_ms={} targets={}",
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,7 +4,7 @@
     crate::{conf::Settings, orders::Drivers, peers::Peers, pool::Pool},
     egret_core::{
         Crashes, Crossings, Fleet, Health, Homes, RetryBounds, RetryWindow, Routing, Suspects,
-        Tenure, TenureRecord, Time,
+        Tenure, TenureRecord, Time, TransitLimit,
     },
     egret_platform::Store,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -14,7 +14,7 @@
     prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
     std::sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     tokio::sync::{Notify, watch},
 };
@@ -51,6 +51,31 @@
     pub(crate) health: Health,
 }
 
+/// How far a stream of the store was read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reading {
+    /// Offset up to which its records are known.
+    pub(crate) end: u64,
+    /// When the store last said that there are no others.
+    pub(crate) at: Time,
+}
+
+impl Default for Reading {
+    fn default() -> Self {
+        Self { end: 0, at: Time::ZERO }
+    }
+}
+
+impl Reading {
+    /// Notes an answer of the store, which has nothing after `end` if `to_end` is set.
+    pub(crate) fn read(&mut self, end: u64, to_end: bool) {
+        self.end = self.end.max(end);
+        if to_end {
+            self.at = now();
+        }
+    }
+}
+
 /// An edge host.
 #[derive(Debug)]
 pub(crate) struct Edge {
@@ -65,6 +90,7 @@
     pub(crate) at_targets: Mutex<IndexMap<FastStr, AtTarget>>,
     pub(crate) tenure: Mutex<Tenure>,
     pub(crate) drivers: Drivers,
+    pub(crate) transit: Mutex<TransitLimit>,
     pub(crate) crossings: Mutex<Crossings>,
     pub(crate) homes: Mutex<Homes>,
     pub(crate) peers: Mutex<Peers>,
@@ -76,8 +102,13 @@
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) crashes: Mutex<Crashes>,
     pub(crate) store: Store,
-    /// Where our own stream ends as far as it was read; appends are made under this condition.
-    pub(crate) own_end: AtomicU64,
+    pub(crate) operator_read: Mutex<Reading>,
+    // appends to our own stream are made under the condition that it ends where it was read to
+    pub(crate) own_read: Mutex<Reading>,
+    /// True once this process stands on our own stream.
+    pub(crate) announced: AtomicBool,
+    /// Set off when our own stream is to be read at once.
+    pub(crate) read_own: Notify,
     pub(crate) metrics: Metrics,
     pub(crate) counts: Counts,
     /// Set off when peers, targets or claims have changed.
@@ -103,6 +134,7 @@
             at_targets: Mutex::default(),
             tenure: Mutex::new(Tenure::new(me, cfg.orders.fencing, cfg.orders.lease_ms)),
             drivers: Drivers::default(),
+            transit: Mutex::default(),
             crossings: Mutex::default(),
             homes: Mutex::default(),
             peers: Mutex::default(),
@@ -113,7 +145,10 @@
             suspects: Mutex::default(),
             crashes: Mutex::default(),
             store: Store::new(cfg.store.address),
-            own_end: AtomicU64::new(0),
+            operator_read: Mutex::default(),
+            own_read: Mutex::default(),
+            announced: AtomicBool::new(false),
+            read_own: Notify::new(),
             counts: Counts::new(&metrics),
             metrics,
             changed: Notify::new(),
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -1,39 +1,64 @@
 //! Routes and versions, as the operator writes them.
 
 use {
-    super::reach::{Reach, answer_by, wait_ms},
-    crate::{peers, state::Edge},
+    super::reach::{LOOK_MS, READER_WAIT_MS, Reach, answer_by},
+    crate::{
+        peers::{self, Told},
+        state::Edge,
+    },
     egret_core::Routing,
     egret_platform::{Directive, Record, StoreError, Topic, read_directive},
-    egret_runtime::events,
+    egret_runtime::{events, now},
     faststr::FastStr,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Time in which a host is told what another one has read, in milliseconds, before it reads by
+/// itself.
+const NEWS_MS: u64 = 400;
+
 /// Follows the operator's records.
 pub(crate) async fn follow(edge: Arc<Edge>) {
     let mut reach = Reach::new("operator", edge.incarnation);
-    let mut next = None;
+    let mut known = false;
+    let mut behind_since = None;
     loop {
-        let page = match next {
-            Some(from) => {
-                let wait_ms = wait_ms(&edge);
-                edge.store.read(Topic::Operator, from, wait_ms, answer_by(wait_ms)).await
+        let mine = *edge.operator_read.lock();
+        let mut wait_ms = READER_WAIT_MS;
+        if known && !peers::reads_for_all(&edge) {
+            match peers::told(&edge, mine, |peer| peer.operator) {
+                Told::Current => {
+                    behind_since = None;
+                    tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+                    continue;
+                }
+                Told::Behind if now() < behind_since.get_or_insert(now()).after_ms(NEWS_MS) => {
+                    tokio::time::sleep(Duration::from_millis(LOOK_MS / 4)).await;
+                    continue;
+                }
+                Told::Behind => wait_ms = 0,
+                Told::Nothing => {}
             }
-            None => edge.store.newest(Topic::Operator, answer_by(0)).await,
+        }
+        let page = if known {
+            edge.store.read(Topic::Operator, mine.end, wait_ms, answer_by(wait_ms)).await
+        } else {
+            edge.store.newest(Topic::Operator, answer_by(0)).await
         };
         match page {
             Ok(page) => {
                 reach.answered();
-                next = Some(page.next);
+                known = true;
+                behind_since = None;
                 for record in &page.records {
                     take(&edge, record);
                 }
+                edge.operator_read.lock().read(page.next, page.next >= page.end);
                 if !page.records.is_empty() {
                     peers::pass_on(&edge);
                 }
             }
-            Err(StoreError::Gone) => next = None,
+            Err(StoreError::Gone) => known = false,
             Err(e) => reach.failed(&e).await,
         }
     }
--- a/crates/edge/src/watch/own.rs
+++ b/crates/edge/src/watch/own.rs
@@ -1,20 +1,34 @@
 //! Hosts and claims of our own.
 
 use {
-    super::reach::{READER_WAIT_MS, Reach, answer_by, wait_ms},
-    crate::{peers::HostRecord, state::Edge},
+    super::reach::{LOOK_MS, READER_WAIT_MS, Reach, answer_by},
+    crate::{
+        peers::{self, HostRecord, Told},
+        state::Edge,
+    },
     bytes::Bytes,
     egret_core::{Fencing, TenureRecord, Time},
     egret_platform::{Page, Record, StoreError, Topic},
     egret_runtime::{events, now},
     faststr::FastStr,
     serde::de::DeserializeOwned,
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 const HOST_PREFIX: &str = "host/";
 const ENGINE_PREFIX: &str = "engine/";
 
+/// Time after the start in which a host waits for records by itself, in milliseconds: others are
+/// not yet known to read for it.
+const SETTLED_MS: u64 = 3000;
+
+/// Pause after each read, in milliseconds, so that records which follow each other are read
+/// together.
+const GATHER_MS: u64 = 100;
+
 fn host_key(host: &str) -> FastStr {
     FastStr::from_string(format!("{HOST_PREFIX}{host}"))
 }
@@ -22,31 +36,45 @@
 /// Follows the stream of our own.
 pub(crate) async fn follow(edge: Arc<Edge>) {
     let mut reach = Reach::new("own", edge.incarnation);
-    let mut next = None;
-    let mut announced = false;
+    let settled = now().after_ms(SETTLED_MS);
+    let mut known = false;
     loop {
-        let started = now();
-        let page = match next {
-            Some(from) => {
-                // where engines don't check fencing numbers, a right to order follows from reads
-                let wait_ms = match edge.cfg.orders.fencing {
-                    Fencing::Checked => wait_ms(&edge),
-                    Fencing::Unchecked => READER_WAIT_MS,
-                };
-                edge.store.read(Topic::Own, from, wait_ms, answer_by(wait_ms)).await
+        let mine = *edge.own_read.lock();
+        let mut wait_ms = READER_WAIT_MS;
+        // where engines don't check fencing numbers, a right to order follows from own reads
+        let told = edge.cfg.orders.fencing == Fencing::Checked && now() >= settled;
+        let announced = edge.announced.load(Ordering::Acquire);
+        if known && told && announced && !peers::reads_for_all(&edge) {
+            match peers::told(&edge, mine, |peer| peer.own) {
+                Told::Current => {
+                    let look = Duration::from_millis(LOOK_MS);
+                    if tokio::time::timeout(look, edge.read_own.notified()).await.is_err() {
+                        continue;
+                    }
+                    wait_ms = 0;
+                }
+                Told::Behind => wait_ms = 0,
+                Told::Nothing => {}
             }
-            None => edge.store.newest(Topic::Own, answer_by(0)).await,
+        }
+        let started = now();
+        let page = if known {
+            edge.store.read(Topic::Own, mine.end, wait_ms, answer_by(wait_ms)).await
+        } else {
+            edge.store.newest(Topic::Own, answer_by(0)).await
         };
         match page {
             Ok(page) => {
                 reach.answered();
-                next = Some(page.next);
+                known = true;
                 take(&edge, &page, started);
-                if !announced {
-                    announced = announce(&edge).await;
+                if !edge.announced.load(Ordering::Acquire) {
+                    announce(&edge).await;
                 }
+                // hosts start together, and claims follow each other
+                tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
             }
-            Err(StoreError::Gone) => next = None,
+            Err(StoreError::Gone) => known = false,
             Err(e) => reach.failed(&e).await,
         }
     }
@@ -56,6 +84,9 @@
     for record in &page.records {
         if let Some(host) = record.key.strip_prefix(HOST_PREFIX) {
             let value: Option<HostRecord> = parse(record);
+            if host == edge.cfg.host && value.as_ref() != Some(&own_record(edge)) {
+                edge.announced.store(false, Ordering::Release);
+            }
             edge.peers.lock().saw(&edge.cfg.host, host, value);
         } else if let Some(engine) = record.key.strip_prefix(ENGINE_PREFIX) {
             let value: Option<TenureRecord> = parse(record);
@@ -65,7 +96,7 @@
     if page.next >= page.end {
         edge.tenure.lock().read_to_end(started);
     }
-    edge.own_end.store(page.next, Ordering::Release);
+    edge.own_read.lock().read(page.next, page.next >= page.end);
     if !page.records.is_empty() {
         edge.changed.notify_one();
     }
@@ -83,22 +114,35 @@
     }
 }
 
-async fn announce(edge: &Edge) -> bool {
-    let record = HostRecord {
+fn own_record(edge: &Edge) -> HostRecord {
+    HostRecord {
         address: edge.cfg.listen.links,
         data_centre: edge.cfg.data_centre.clone(),
         incarnation: edge.incarnation,
-    };
-    let value = serde_json::to_vec(&record).expect("a host record has only text and numbers");
+    }
+}
+
+// needs no condition: nobody else writes this key, and what a call of an earlier process writes
+// late is written over
+async fn announce(edge: &Edge) {
+    let value = serde_json::to_vec(&own_record(edge)).expect("it has only text and numbers");
     let records = [(host_key(&edge.cfg.host), Bytes::from(value))];
-    append_own(edge, &records).await
+    let done = append(edge, &records, None).await;
+    edge.announced.store(done, Ordering::Release);
 }
 
 /// Appends records if the stream still ends where it was last read; false when it was not done,
 /// or is not known to be done.
 pub(crate) async fn append_own(edge: &Edge, records: &[(FastStr, Bytes)]) -> bool {
-    let at = edge.own_end.load(Ordering::Acquire);
-    match edge.store.append(Topic::Own, records, at, answer_by(0)).await {
+    let at = edge.own_read.lock().end;
+    append(edge, records, Some(at)).await
+}
+
+async fn append(edge: &Edge, records: &[(FastStr, Bytes)], at: Option<u64>) -> bool {
+    let appended = edge.store.append(Topic::Own, records, at, answer_by(0)).await;
+    // what was appended, by this host or another, counts once it is read
+    edge.read_own.notify_one();
+    match appended {
         Ok(appended) => {
             events::CLAIM_APPENDED.info(format_args!(
                 "records={} offset={}",
--- a/crates/edge/src/watch/reach.rs
+++ b/crates/edge/src/watch/reach.rs
@@ -1,7 +1,6 @@
 //! Whether the store answers, and how often it is asked while it does not.
 
 use {
-    crate::{peers, state::Edge},
     egret_core::{Time, backoff_ms},
     egret_platform::StoreError,
     egret_runtime::{events, now},
@@ -20,15 +19,10 @@
 
 /// How long the store is asked to wait for the next record by the host that reads for all, in
 /// milliseconds. A connection that has gone silent is noticed within this time.
-pub(crate) const READER_WAIT_MS: u64 = 1000;
+pub(crate) const READER_WAIT_MS: u64 = 700;
 
-/// The same for the other hosts, which are told what is new by the one that reads.
-const OTHERS_WAIT_MS: u64 = 4000;
-
-/// How long the store is asked to wait for the next record, in milliseconds.
-pub(crate) fn wait_ms(edge: &Edge) -> u64 {
-    if peers::reads_for_all(edge) { READER_WAIT_MS } else { OTHERS_WAIT_MS }
-}
+/// Time between looks at what the other hosts have read, in milliseconds.
+pub(crate) const LOOK_MS: u64 = 200;
 
 /// Deadline of a call on which the store waits up to `wait_ms`.
 pub(crate) fn answer_by(wait_ms: u64) -> Time {
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -321,3 +321,61 @@
     }
     assert_eq!(b.runs().len(), ran, "what has left is not held for lapsed");
 }
+
+#[tokio::test]
+async fn store_read_by_one() {
+    const HOSTS: u64 = 6;
+    const CHANGES: u64 = 20;
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _target = d.plain("p-1").await;
+    let mut edges = Vec::new();
+    for host in 1..=HOSTS {
+        edges.push(d.edge(host).await);
+    }
+    // until the hosts hear of each other, each reads by itself
+    let settling = Instant::now();
+    until("hosts know each other", || settling.elapsed() > Duration::from_secs(2)).await;
+    let before = d.store.calls();
+    for change in 0..CHANGES {
+        d.configure(100 + change);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let last = format!("revision={}", 99 + CHANGES);
+    for host in 1..=HOSTS {
+        until("last revision in force", || d.log(host).contains(&last)).await;
+    }
+    let calls = d.store.calls() - before;
+    assert!(calls < 2 * CHANGES, "{calls} calls for {CHANGES} changes at {HOSTS} hosts");
+}
+
+#[tokio::test]
+async fn start_all_at_once() {
+    const HOSTS: u64 = 6;
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = Vec::new();
+    for number in 0..HOSTS {
+        engines.push(d.engine(&format!("e-{number}"), 3).await);
+    }
+    let mut edges: Vec<_> = (1..=HOSTS).map(|host| d.start(host)).collect();
+    let adapter = |number: usize| format!("a{}", number + 1);
+    for (number, edge) in edges.iter().enumerate() {
+        edge.ready().await;
+        edge.call_until(200, || stream("stream", &adapter(number))).await;
+    }
+    // all lose power and start again, as the processes that they were not
+    for edge in &mut edges {
+        edge.process.kill();
+    }
+    let edges: Vec<_> = (1..=HOSTS).map(|host| d.start(host)).collect();
+    let began = Instant::now();
+    for (number, edge) in edges.iter().enumerate() {
+        edge.ready().await;
+        // an adapter that no engine holds, so that it has to be loaded
+        edge.call_until(200, || stream("stream", &adapter(number + edges.len()))).await;
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(3), "{took:?} until loads at all hosts");
+    assert!(engines.iter().all(|engine| !engine.overfilled()));
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -25,8 +25,8 @@
 pub use link::{
     AcquireMsg, AdapterAskMsg, BeatMsg, Body, BorrowMsg, EngineHeldMsg, EngineViewMsg, Frame,
     GrantMsg, HeldMsg, Hello, HostBeatMsg, KeyMsg, Link, LinkError, LinkPool, LoanMsg, LoansMsg,
-    NewsMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg, SuspectsMsg,
-    TargetLoadMsg, TicketMsg, ViewMsg, serve_links,
+    NewsMsg, ReadMsg, RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg,
+    SuspectsMsg, TargetLoadMsg, TicketMsg, ViewMsg, serve_links,
 };
 pub use logs::start_logs;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -403,6 +403,26 @@
     /// Offset of the registry up to which it knows the targets.
     #[prost(uint64, tag = "9")]
     pub position: u64,
+    /// Adapters that its engines are to load from the weight store, those under way included.
+    #[prost(uint32, tag = "10")]
+    pub wanted: u32,
+    /// What it has read of the operator's records.
+    #[prost(message, required, tag = "11")]
+    pub operator: ReadMsg,
+    /// What it has read of the hosts' own records.
+    #[prost(message, required, tag = "12")]
+    pub own: ReadMsg,
+}
+
+/// How far a host has read a stream of the platform's store.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ReadMsg {
+    /// Offset up to which it knows the records.
+    #[prost(uint64, tag = "1")]
+    pub end: u64,
+    /// Milliseconds since it last read to the end.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// What an edge host has read from the platform.
@@ -417,6 +437,12 @@
     /// Offset of the registry up to which the targets reflect it.
     #[prost(uint64, tag = "3")]
     pub position: u64,
+    /// Offset up to which routes and versions reflect the operator's records.
+    #[prost(uint64, tag = "4")]
+    pub operator_end: u64,
+    /// Revision of the routes that the sender has in force.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
 }
 
 /// Requests of a host at one target.
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -9,9 +9,9 @@
     client::{Link, LinkError},
     message::{
         AcquireMsg, AdapterAskMsg, BeatMsg, Body, BorrowMsg, EngineHeldMsg, EngineViewMsg, Frame,
-        GrantMsg, HeldMsg, Hello, HostBeatMsg, KeyMsg, LoanMsg, LoansMsg, NewsMsg, RefuseMsg,
-        RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg, SuspectsMsg, TargetLoadMsg,
-        TicketMsg, ViewMsg,
+        GrantMsg, HeldMsg, Hello, HostBeatMsg, KeyMsg, LoanMsg, LoansMsg, NewsMsg, ReadMsg,
+        RefuseMsg, RegisterMsg, ReleaseMsg, ResidentMsg, StatusMsg, SuspectMsg, SuspectsMsg,
+        TargetLoadMsg, TicketMsg, ViewMsg,
     },
     pool::LinkPool,
     server::serve_links,
