Loads begin at a limit fit for the fleet; fewer looks at loads under way

Each load took three orders: the order, a look after 26 ms (the time of a load from an engine's own copy) and one after 252 ms. While half of the orders get no answer each of them costs 80 ms of the one line of orders that an engine takes.

The first look comes when the load can be there: after 26 ms only where the engine keeps a copy of that version (versions of copies are known now). Orders are given again after 50 ms. Until loads have told more, one load at once is expected for each two engines, at least 8.

Test: transit_expected_by_fleet.

--- a/crates/core/src/residency/answers.rs
+++ b/crates/core/src/residency/answers.rs
@@ -79,7 +79,9 @@
             }
             AdapterOrder::Load { adapter, version } => {
                 self.held.swap_remove(adapter);
-                let look_at = now.after_ms(WARM_LOAD_MS);
+                let takes_ms =
+                    if self.has_copy(adapter, *version) { WARM_LOAD_MS } else { COLD_LOAD_MS };
+                let look_at = now.after_ms(takes_ms);
                 let coming = Coming { version: *version, since: now, look_at };
                 self.coming.insert(adapter.clone(), coming);
             }
@@ -101,8 +103,9 @@
             AdapterOrder::Load { adapter, version } => {
                 self.coming.swap_remove(adapter);
                 self.wanted.swap_remove(adapter);
-                self.note_copy(adapter);
-                let held = Held { version: version.unwrap_or(0), used: now };
+                let version = version.unwrap_or(0);
+                self.note_copy(adapter, version);
+                let held = Held { version, used: now };
                 self.held.insert(adapter.clone(), held);
             }
             AdapterOrder::Unload { adapter } => {
@@ -136,8 +139,8 @@
                 (adapter, Held { version, used })
             })
             .collect();
-        for adapter in held.keys() {
-            self.note_copy(adapter);
+        for (adapter, held) in &held {
+            self.note_copy(adapter, held.version);
         }
         self.held = held;
         let look_at = now.after_ms(LOOK_AGAIN_MS);
--- a/crates/core/src/residency/book.rs
+++ b/crates/core/src/residency/book.rs
@@ -4,7 +4,7 @@
     super::types::{AdapterOrder, Held},
     crate::{Time, transit::COLD_LOAD_MS},
     faststr::FastStr,
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
 };
 
 /// Copies of adapters that an engine keeps beside those that it holds; fewer than the smallest
@@ -62,8 +62,8 @@
     pub(super) coming: IndexMap<FastStr, Coming>,
     // adapters that are dropped once their runs have ended, and when to look at them
     pub(super) closing: IndexMap<FastStr, Time>,
-    // adapters of which the engine has kept copies, least recently held first
-    pub(super) copies: IndexSet<FastStr>,
+    // versions of the adapters of which the engine has kept copies, least recently held first
+    pub(super) copies: IndexMap<FastStr, u64>,
     pub(super) wanted: IndexMap<FastStr, Wanted>,
     pub(super) silent_in_row: u32,
     // loads that got no answer and may still be carried out
@@ -95,7 +95,7 @@
             held: IndexMap::new(),
             coming: IndexMap::new(),
             closing: IndexMap::new(),
-            copies: IndexSet::new(),
+            copies: IndexMap::new(),
             wanted: IndexMap::new(),
             silent_in_row: 0,
             ghosts: Vec::new(),
@@ -189,12 +189,12 @@
     }
 
     pub(super) fn has_copy(&self, adapter: &FastStr, version: Option<u64>) -> bool {
-        version.is_none() && self.copies.contains(adapter)
+        self.copies.get(adapter).is_some_and(|copy| version.is_none_or(|v| *copy >= v))
     }
 
-    pub(super) fn note_copy(&mut self, adapter: &FastStr) {
+    pub(super) fn note_copy(&mut self, adapter: &FastStr, version: u64) {
         self.copies.shift_remove(adapter);
-        self.copies.insert(adapter.clone());
+        self.copies.insert(adapter.clone(), version);
         if self.copies.len() > COPIES_MAX {
             self.copies.shift_remove_index(0);
         }
--- a/crates/core/src/transit.rs
+++ b/crates/core/src/transit.rs
@@ -17,7 +17,7 @@
 /// A load that is still on its way after this time did not, in milliseconds.
 const SLOWED_MS: u64 = 280;
 
-/// Limit before any load was seen.
+/// Lowest limit before any load was seen.
 const START: usize = 8;
 
 /// Lowest limit.
@@ -48,6 +48,14 @@
 }
 
 impl TransitLimit {
+    /// Notes that there are `engines` engines: until loads have told more, a store is taken to
+    /// serve one load at once for each two of them. Stores are sized by their deployments.
+    pub fn expect(&mut self, engines: usize) {
+        if self.fell.is_none() && self.rose.is_none() {
+            self.limit = (engines / 2).clamp(START, MOST);
+        }
+    }
+
     /// The limit.
     #[must_use]
     pub fn limit(&self) -> usize {
--- a/crates/core/tests/transit.rs
+++ b/crates/core/tests/transit.rs
@@ -97,6 +97,19 @@
     assert!(percent > 80, "{percent}% of what it loads");
 }
 
+#[test]
+fn transit_expected_by_fleet() {
+    let mut limit = TransitLimit::default();
+    limit.expect(9);
+    assert_eq!(limit.limit(), 8);
+    limit.expect(60);
+    assert_eq!(limit.limit(), 30);
+    // what loads have told counts more than the number of engines
+    limit.under_way(Time::from_millis(400), 300);
+    limit.expect(3500);
+    assert_eq!(limit.limit(), 22);
+}
+
 #[test]
 fn transit_copies_say_nothing() {
     let mut limit = TransitLimit::default();
--- a/crates/edge/src/orders/driver.rs
+++ b/crates/edge/src/orders/driver.rs
@@ -24,7 +24,7 @@
 
 /// Time in which an engine answers an order, in milliseconds; it answers at once, and an order
 /// whose answer is lost is given again.
-const ORDER_MS: u64 = 80;
+const ORDER_MS: u64 = 50;
 
 /// Time in which an engine answers a question for its report, in milliseconds.
 const REPORT_MS: u64 = 800;
@@ -83,6 +83,7 @@
         engines.iter().filter(|engine| tenure.mine(&engine.id)).collect()
     };
     let hosts = edge.hosts();
+    edge.transit.lock().expect(engines.len());
     let mut drivers = edge.drivers.by_engine.lock();
     drivers.retain(|engine, driver| {
         // an engine that has started again under its id holds nothing of before
