What engines hold is told as changes; links that fall silent are closed

Each heartbeat repeated the names of all adapters that a host's engines hold, to hosts of other data centres on every third one only, to save bytes: what they knew was up to 0.9 s old. A link whose connection has gone silent for good was never noticed, so that the other end took the host for gone after 2.5 s, though a new connection works.

Every eighth heartbeat is followed by a question; a link that does not answer within 0.9 s is closed and opened anew with the next heartbeat.

Tests: link_gone_silent_is_opened_anew (probe is new with it), held_told_as_changes (passes before as well: it guards the new way).

--- a/crates/edge/src/peers/beat.rs
+++ b/crates/edge/src/peers/beat.rs
@@ -1,12 +1,15 @@
 //! Heartbeats between hosts.
 
 use {
-    super::news,
+    super::{
+        held::{EngineNow, HeldTold},
+        news,
+    },
     crate::{
         orders::{self, Driver},
         state::{Edge, Reading},
     },
-    egret_runtime::{Body, EngineHeldMsg, HeldMsg, HostBeatMsg, ReadMsg, TargetLoadMsg, now},
+    egret_runtime::{Body, HostBeatMsg, ReadMsg, TargetLoadMsg, now},
     faststr::FastStr,
     parking_lot::Mutex,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -20,8 +23,12 @@
 /// centres are dear.
 const FAR_EVERY: u64 = 2;
 
-/// Of these, one in so many lists what engines hold.
-const FAR_LIST_EVERY: u64 = 3;
+/// Heartbeats after which links are probed.
+const PROBE_EVERY: u64 = 8;
+
+/// Time after which a link that answers nothing is closed, in milliseconds. With a new link the
+/// next heartbeat comes before this host counts as gone.
+const SILENT_MS: u64 = 900;
 
 /// Pause before a host that does not take links is tried again, in milliseconds.
 const RETRY_MS: u64 = 400;
@@ -29,11 +36,11 @@
 /// Sends heartbeats to all hosts.
 pub(crate) async fn beat_all(edge: Arc<Edge>) {
     let mut round = 0_u64;
+    let mut told = HeldTold::default();
     loop {
         tokio::time::sleep(Duration::from_millis(NEAR_MS)).await;
         round += 1;
         let far_too = round.is_multiple_of(FAR_EVERY);
-        let far_lists = round.is_multiple_of(FAR_EVERY * FAR_LIST_EVERY);
         let peers: Vec<(FastStr, SocketAddr, bool)> = edge
             .peers
             .lock()
@@ -48,28 +55,34 @@
         if peers.is_empty() {
             continue;
         }
+        let engines: Vec<EngineNow> =
+            edge.drivers.all().iter().map(|driver| engine(&edge, driver)).collect();
         let whole = beat(&edge);
+        let probes = round.is_multiple_of(PROBE_EVERY);
         for (host, address, near) in peers {
             let Some(link) = edge.links.get(&host) else {
                 connect(&edge, host, address);
                 continue;
             };
-            let beat = if near { whole.clone() } else { far_beat(&edge, &whole, &host, far_lists) };
-            link.tell(Body::HostBeat(beat));
+            let mut beat = if near { whole.clone() } else { far_beat(&edge, &whole, &host) };
+            beat.engines = told.changes(&host, &link, &engines);
+            if !link.try_tell(Body::HostBeat(beat)) {
+                told.lost(&host);
+            }
+            if probes {
+                let edge = edge.clone();
+                tokio::spawn(async move {
+                    edge.links.probe(&host, now().after_ms(SILENT_MS)).await;
+                });
+            }
         }
     }
 }
 
 // a host of another data centre needs to know of requests at the engines that it orders only: it
 // tells everybody how many run there in all
-fn far_beat(edge: &Edge, whole: &HostBeatMsg, host: &str, lists_held: bool) -> HostBeatMsg {
+fn far_beat(edge: &Edge, whole: &HostBeatMsg, host: &str) -> HostBeatMsg {
     let mut beat = whole.clone();
-    if !lists_held {
-        beat.lists_held = false;
-        for engine in &mut beat.engines {
-            engine.held.clear();
-        }
-    }
     let tenure = edge.tenure.lock();
     beat.loads.retain(|load| tenure.holder(&load.target).is_some_and(|holder| holder == host));
     beat
@@ -83,6 +96,7 @@
     let edge = edge.clone();
     tokio::spawn(async move {
         if let Some(link) = edge.links.open(&host, address).await {
+            // the next heartbeat tells the rest
             link.tell(Body::HostBeat(beat(&edge)));
         } else {
             edge.peers.lock().lost(&host);
@@ -104,15 +118,13 @@
             adapters: at.adapters.keys().map(ToString::to_string).collect(),
         })
         .collect();
-    let drivers = edge.drivers.all();
     let transit = orders::own_transit(edge);
     let wanted = orders::own_wanted(edge);
     HostBeatMsg {
         host: edge.cfg.host.to_string(),
         revision: edge.routing().revision,
         store_age_ms: now().ms_since(*edge.fleet_read.lock()),
-        engines: drivers.iter().map(|driver| engine(edge, driver)).collect(),
-        lists_held: true,
+        engines: Vec::new(),
         digest: news::digest(edge),
         position: edge.fleet.read().position(),
         transit: u32::try_from(transit).unwrap_or(u32::MAX),
@@ -128,18 +140,16 @@
     ReadMsg { end: reading.end, age_ms: now().ms_since(reading.at) }
 }
 
-fn engine(edge: &Edge, driver: &Driver) -> EngineHeldMsg {
+fn engine(edge: &Edge, driver: &Driver) -> EngineNow {
     let own = edge.at_targets.lock().get(&driver.engine).map_or(0, |at| u64::from(at.running));
     let running = own + edge.peers.lock().running(&driver.engine);
     let right = edge.tenure.lock().fence(now(), &driver.engine).is_some();
     let book = driver.book.lock();
-    let held = book.held().iter();
-    EngineHeldMsg {
-        engine: driver.engine.to_string(),
+    let held = book.held().iter().map(|(name, held)| (name.clone(), held.version));
+    EngineNow {
+        engine: driver.engine.clone(),
         able: right && book.able(),
         running: u32::try_from(running).unwrap_or(u32::MAX),
-        held: held
-            .map(|(name, held)| HeldMsg { name: name.to_string(), version: held.version })
-            .collect(),
+        held: Arc::new(held.collect()),
     }
 }
--- a/crates/edge/src/peers/known.rs
+++ b/crates/edge/src/peers/known.rs
@@ -112,10 +112,10 @@
         };
         if let Some(peer) = self.all.get_mut(host) {
             if peer.record.incarnation != record.incarnation {
-                // it has just started
+                // it has just started; its first heartbeat, which may have come already, tells
+                // which engines it orders
                 peer.heard = now();
                 peer.loads.clear();
-                peer.engines.clear();
                 peer.revision = 0;
                 peer.operator = Reading::default();
                 peer.own = Reading::default();
@@ -141,7 +141,7 @@
         self.all.insert(FastStr::new(host), peer);
     }
 
-    /// Takes a heartbeat. Returns the adapters by engine that it lists.
+    /// Takes a heartbeat. Returns the adapters by engine that it tells of.
     pub(crate) fn beat(&mut self, beat: HostBeatMsg) -> Vec<(FastStr, Vec<FastStr>)> {
         let Some(peer) = self.all.get_mut(beat.host.as_str()) else {
             return Vec::new();
@@ -163,31 +163,23 @@
         peer.own = reading(beat.own);
         peer.transit = usize::try_from(beat.transit).unwrap_or(0);
         peer.wanted = usize::try_from(beat.wanted).unwrap_or(0);
-        let before = std::mem::take(&mut peer.engines);
-        peer.engines = beat
-            .engines
-            .into_iter()
-            .map(|engine| {
-                let known = before.get(engine.engine.as_str()).map(|view| view.held.clone());
-                let listed = engine.held.into_iter();
-                let held = match known {
-                    Some(known) if !beat.lists_held => known,
-                    _ => listed.map(|h| (FastStr::from_string(h.name), h.version)).collect(),
-                };
-                let running = u64::from(engine.running);
-                (
-                    FastStr::from_string(engine.engine),
-                    EngineView { able: engine.able, running, held },
-                )
-            })
-            .collect();
-        if !beat.lists_held {
-            return Vec::new();
+        let mut before = std::mem::take(&mut peer.engines);
+        let mut listed = Vec::new();
+        for engine in beat.engines {
+            let name = FastStr::from_string(engine.engine);
+            let known = before.swap_remove(&name).unwrap_or_default().held;
+            let mut held = if engine.whole { IndexMap::new() } else { known };
+            for gone in &engine.gone {
+                held.swap_remove(gone.as_str());
+            }
+            let new = engine.held.into_iter().map(|h| (FastStr::from_string(h.name), h.version));
+            let new: Vec<(FastStr, u64)> = new.collect();
+            listed.push((name.clone(), new.iter().map(|(adapter, _)| adapter.clone()).collect()));
+            held.extend(new);
+            let running = u64::from(engine.running);
+            peer.engines.insert(name, EngineView { able: engine.able, running, held });
         }
-        let engines = peer.engines.iter();
-        engines
-            .map(|(engine, view)| (engine.clone(), view.held.keys().cloned().collect()))
-            .collect()
+        listed
     }
 
     /// Notes that `host` does not take links any more.
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -3,6 +3,7 @@
 
 mod ask;
 mod beat;
+mod held;
 mod known;
 mod news;
 
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -379,3 +379,22 @@
     assert!(took < Duration::from_secs(3), "{took:?} until loads at all hosts");
     assert!(engines.iter().all(|engine| !engine.overfilled()));
 }
+
+#[tokio::test]
+async fn held_told_as_changes() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    // one engine, so that the second host goes by what the first one tells of it
+    let engine = d.engine("e-1", 3).await;
+    let first = d.edge(1).await;
+    first.call_until(200, || stream("stream", "a1")).await;
+    let second = d.edge(2).await;
+    second.call_until(200, || stream("stream", "a1")).await;
+    for adapter in ["a2", "a3", "a4", "a1", "a3", "a2", "a4"] {
+        first.call_until(200, || stream("stream", adapter)).await;
+        second.call_until(200, || stream("stream", adapter)).await;
+    }
+    // the second host never took an adapter for held that had been dropped
+    assert!(!d.log(2).contains("reason=not there"));
+    assert!(!engine.overfilled());
+}
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -125,9 +125,15 @@
 
     /// Says something without waiting for the answer.
     pub fn tell(&self, body: Body) {
+        let _ = self.try_tell(body);
+    }
+
+    /// The same; false when it is certainly not sent.
+    #[must_use]
+    pub fn try_tell(&self, body: Body) -> bool {
         let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
         let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
-        let _ = self.tx.try_send(bytes);
+        self.tx.try_send(bytes).is_ok()
     }
 
     /// Closes the connection, for instance because the peer is silent.
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -391,9 +391,6 @@
     /// Engines that it orders.
     #[prost(message, repeated, tag = "5")]
     pub engines: Vec<EngineHeldMsg>,
-    /// True when `engines` tells what they hold.
-    #[prost(bool, tag = "6")]
-    pub lists_held: bool,
     /// Adapters on their way to engines that it orders.
     #[prost(uint32, tag = "7")]
     pub transit: u32,
@@ -468,12 +465,18 @@
     /// True when adapters can be loaded there now.
     #[prost(bool, tag = "2")]
     pub able: bool,
-    /// Adapters that it holds, unless the heartbeat leaves them out.
+    /// Adapters that it holds; if `whole` is not set, those that were not told before.
     #[prost(message, repeated, tag = "3")]
     pub held: Vec<HeldMsg>,
     /// Requests of all hosts that run there, as far as the sender knows.
     #[prost(uint32, tag = "4")]
     pub running: u32,
+    /// True when `held` lists all that it holds.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
+    /// Adapters that were told before and that it holds no longer.
+    #[prost(string, repeated, tag = "6")]
+    pub gone: Vec<String>,
 }
 
 /// An adapter that an engine holds.
--- a/crates/runtime/src/link/pool.rs
+++ b/crates/runtime/src/link/pool.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         client::{Link, LinkError},
-        message::{Body, Hello},
+        message::{Body, Hello, StatusMsg},
     },
     crate::now,
     egret_core::Time,
@@ -72,6 +72,18 @@
         link.call(body, deadline).await
     }
 
+    /// Closes the link to `host` if it answers nothing before `deadline`. A connection may have
+    /// gone silent for good without a sign, while a new one works.
+    pub async fn probe(&self, host: &str, deadline: Time) {
+        let Some(link) = self.get(host) else {
+            return;
+        };
+        let question = Body::Status(StatusMsg { json: String::new() });
+        if link.call(question, deadline).await.is_err() {
+            link.close();
+        }
+    }
+
     /// Tells `host` something, if there is an open link.
     pub fn tell(&self, host: &str, body: Body) {
         if let Some(link) = self.get(host) {
--- a/crates/runtime/tests/links.rs
+++ b/crates/runtime/tests/links.rs
@@ -1,11 +1,21 @@
 //! Links: wrong secrets, frames that make no sense, peers that go silent.
 
 use {
-    egret_runtime::{Body, Hello, Link, LinkError, StatusMsg, now, serve_links},
-    std::{net::SocketAddr, sync::Arc},
+    egret_runtime::{Body, Hello, Link, LinkError, LinkPool, StatusMsg, now, serve_links},
+    faststr::FastStr,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
     },
 };
 
@@ -85,3 +95,49 @@
     let link = Link::connect(address, &hello("right"), now().after_ms(2000)).await;
     assert_eq!(link.unwrap_err(), LinkError::NotConnected);
 }
+
+/// Passes connections on to `to`; those that are open fall silent, without a sign, as soon as
+/// `silent` is set, and those opened later work.
+async fn passes_on(to: SocketAddr, silent: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(to).await.unwrap();
+            let silent = (!silent.load(Ordering::Acquire)).then(|| silent.clone());
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::spawn(pass(near_read, far_write, silent.clone()));
+            tokio::spawn(pass(far_read, near_write, silent));
+        }
+    });
+    address
+}
+
+async fn pass(mut read: OwnedReadHalf, mut write: OwnedWriteHalf, silent: Option<Arc<AtomicBool>>) {
+    let mut buffer = [0_u8; 4096];
+    while let Ok(got @ 1..) = read.read(&mut buffer).await {
+        let drops = silent.as_ref().is_some_and(|silent| silent.load(Ordering::Acquire));
+        if !drops && write.write_all(&buffer[..got]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn link_gone_silent_is_opened_anew() {
+    let silent = Arc::new(AtomicBool::new(false));
+    let address = passes_on(server().await, silent.clone()).await;
+    let pool = LinkPool::new(hello("right"));
+    let host = FastStr::from_static_str("h-2");
+    assert!(pool.open(&host, address).await.is_some());
+    // one that answers stays open
+    pool.probe(&host, now().after_ms(5000)).await;
+    assert!(pool.get(&host).is_some());
+    silent.store(true, Ordering::Release);
+    pool.probe(&host, now().after_ms(200)).await;
+    assert!(pool.get(&host).is_none(), "a silent link is closed");
+    assert!(pool.open(&host, address).await.is_some());
+    pool.probe(&host, now().after_ms(5000)).await;
+    assert!(pool.get(&host).is_some());
+}
