The platform's stand-in is a program: engines in batches, a weight store, callers

Engines run batches by rank, within slots and memory for tokens, put less urgent requests back, read prompts in proportion; loads beyond full speed take longer; copies load in a tenth. New faults: garbled answers, refusals before a request has come in, appends that are done late.

--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -398,3 +398,30 @@
     assert!(!d.log(2).contains("reason=not there"));
     assert!(!engine.overfilled());
 }
+
+#[tokio::test]
+async fn tenure_with_late_appends() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let mut first = d.edge(1).await;
+    first.call_until(200, || stream("stream", "a1")).await;
+    let second = d.edge(2).await;
+    second.call_until(200, || stream("stream", "a1")).await;
+    // claims and announcements are written late, or never when others came before
+    d.store.set_fault(StoreFault::AppendsLate(700));
+    first.process.kill();
+    let first = d.edge(1).await;
+    until("a claim was tried", || {
+        d.log(1).contains("append failed") || d.log(2).contains("append")
+    })
+    .await;
+    d.store.set_fault(StoreFault::None);
+    first.call_until(200, || stream("stream", "a2")).await;
+    second.call_until(200, || stream("stream", "a3")).await;
+    assert!(!engine.overfilled());
+    // what the log says in the end is what lives
+    let host: serde_json::Value =
+        serde_json::from_str(&d.store.newest("keyed.egretshore", "host/host-1").unwrap()).unwrap();
+    assert!(d.log(1).contains(&format!("incarnation={}", host["incarnation"])));
+}
--- /dev/null
+++ b/crates/edge/tests/edge/load.rs
@@ -0,0 +1,69 @@
+//! Hosts under load, before the platform's stand-in with batches and a weight store.
+
+use {
+    crate::support::Deployment,
+    egret_standin::platform::{
+        BatchConf, CallersConf, CallersReport, Scene, SceneConf, TargetFault, call_hosts,
+    },
+};
+
+async fn scene() -> Scene {
+    let conf = SceneConf {
+        store: "127.0.0.1:0".parse().unwrap(),
+        control: None,
+        data_centres: 1,
+        engines: 3,
+        plain: 2,
+        adapter_slots: 8,
+        load_ms: 60,
+        full_speed: 4,
+        batch: BatchConf::default(),
+    };
+    Scene::start(conf).await.unwrap()
+}
+
+async fn play(scene: &Scene, rate: f64) -> CallersReport {
+    let d = Deployment::before(scene.store.clone());
+    let mut edges = Vec::new();
+    for host in 1..=3 {
+        edges.push(d.edge(host).await);
+    }
+    let hosts = edges.iter().map(|edge| edge.callers).collect();
+    let conf =
+        CallersConf { hosts, rate, seconds: 3, adapters: 60, exponent: 1.2, plain: 0.3, seed: 7 };
+    call_hosts(conf).await
+}
+
+#[tokio::test]
+async fn load_whole_answers() {
+    let scene = scene().await;
+    let report = play(&scene, 40.0).await;
+    let text = report.text();
+    assert_eq!(report.wrong(), 0, "{text}");
+    for (route, counts) in &report.routes {
+        // nothing fails here; what is refused waits for adapters
+        assert_eq!(counts.broken + counts.unknown, 0, "{route}\n{text}");
+        assert_eq!(counts.without_retry_after, 0, "{route}\n{text}");
+    }
+    let plain = ["safe", "once"].map(|route| report.routes[route].refused);
+    assert_eq!(plain, [0, 0], "{text}");
+    assert!(scene.targets().all(|target| !target.overfilled()));
+}
+
+#[tokio::test]
+async fn load_beyond_capacity() {
+    // an engine answers about 80 requests a second, and the other two fail all they get
+    let scene = scene().await;
+    for engine in ["engine-2", "engine-3"] {
+        scene.target(engine).unwrap().set_fault(TargetFault::Full);
+    }
+    let report = play(&scene, 150.0).await;
+    let text = report.text();
+    assert_eq!(report.wrong(), 0, "{text}");
+    let streams = &report.routes["stream"];
+    // each gets an answer, and each refusal says when to come back
+    assert_eq!(streams.broken, 0, "{text}");
+    assert_eq!(streams.without_retry_after, 0, "{text}");
+    assert!(streams.in_aim + streams.late > 0, "{text}");
+    assert!(scene.targets().all(|target| !target.overfilled()));
+}
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Real edge processes before the platform in small.
 
 mod hosts;
+mod load;
 mod requests;
 mod settings;
 mod support;
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -1,10 +1,12 @@
 //! Requests and their answers: whole, to their own caller, at most once where that is due.
 
 use {
-    crate::support::{Deployment, HOST, request, stream, until, whole_stream},
+    crate::support::{Deployment, request, stream, until, whole_stream},
+    bytes::Bytes,
     egret_runtime::{HttpError, now},
-    egret_standin::platform::{StoreFault, TargetFault},
+    egret_standin::platform::{HOST, StoreFault, TargetFault},
     http::Method,
+    http_body_util::Full,
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -146,6 +148,26 @@
     assert_eq!((a.runs().len(), b.runs().len()), (0, 4));
 }
 
+#[tokio::test]
+async fn once_refused_early() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.plain("p-1").await, d.plain("p-2").await);
+    let edge = d.edge(1).await;
+    a.set_fault(TargetFault::Early);
+    for number in 0..6 {
+        // longer than what the connection takes before the target reads
+        let mut long = request(Method::POST, "/once/a", &[]);
+        *long.body_mut() = Full::new(Bytes::from(vec![b'x'; 60_000]));
+        let answer = edge.call(long).await.unwrap();
+        assert_eq!(answer.status, 200, "request {number}");
+    }
+    assert_eq!((a.runs().len(), b.runs().len()), (0, 6));
+    b.set_fault(TargetFault::Early);
+    let refused = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    assert_eq!(refused.status, 503);
+}
+
 #[tokio::test]
 async fn once_mute_target() {
     let d = Deployment::new().await;
@@ -175,6 +197,8 @@
         TargetFault::UnframedReset,
         TargetFault::Crossed,
         TargetFault::Unsealed,
+        TargetFault::Garbled,
+        TargetFault::Early,
         TargetFault::Error,
     ] {
         a.set_fault(fault);
@@ -187,7 +211,7 @@
             assert_eq!(answer.body, format!("answer to {id}"), "{fault:?}");
         }
     }
-    assert!(b.runs().len() >= 18);
+    assert!(b.runs().len() >= 24);
 }
 
 #[tokio::test]
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -4,26 +4,24 @@
     bytes::Bytes,
     egret_runtime::{Conn, HttpError, Reply, now},
     egret_scenarios::Process,
-    egret_standin::platform::{EngineConf, Metastore, Target, TargetConf},
+    egret_standin::platform::{
+        self, BatchConf, EngineConf, HOST, MODEL, Metastore, Target, TargetConf, Weights,
+    },
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request},
     http_body_util::Full,
     nix::sys::signal::Signal,
-    serde_json::json,
     std::{
         net::SocketAddr,
         path::Path,
-        sync::atomic::{AtomicU64, Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tempfile::TempDir,
 };
 
-/// Base model of all engines.
-pub(crate) const MODEL: &str = "base";
-
-/// Host name of all routes.
-pub(crate) const HOST: &str = "calls.example";
-
 /// Longest wait for a condition.
 const WAIT: Duration = Duration::from_secs(20);
 
@@ -32,7 +30,7 @@
 
 /// A deployment.
 pub(crate) struct Deployment {
-    pub(crate) store: Metastore,
+    pub(crate) store: Arc<Metastore>,
     number: u64,
     folder: TempDir,
 }
@@ -48,6 +46,11 @@
     /// A store and nothing else.
     pub(crate) async fn new() -> Self {
         let store = Metastore::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        Self::before(Arc::new(store))
+    }
+
+    /// Hosts before the store of a scene.
+    pub(crate) fn before(store: Arc<Metastore>) -> Self {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         Self { store, number, folder: tempfile::tempdir().unwrap() }
     }
@@ -76,9 +79,10 @@
         let engine = EngineConf {
             model: MODEL.to_owned(),
             adapter_slots: slots,
-            load: Duration::from_millis(60),
+            weights: Arc::new(Weights::new(Duration::from_millis(60), 8)),
             events: 6,
             pause,
+            batch: BatchConf::default(),
         };
         self.target(id, "engines", Some(engine)).await
     }
@@ -140,34 +144,9 @@
     }
 }
 
-/// A revision with one route of each kind; `timeout_ms` is that of the plain ones.
+/// A revision; `timeout_ms` is that of the plain routes.
 pub(crate) fn config(revision: u64, timeout_ms: u64) -> serde_json::Value {
-    let route = |prefix: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
-        json!({
-            "name": prefix, "host": HOST, "path_prefix": format!("/{prefix}/"),
-            "route_type": kind, "timeout_ms": timeout_ms, "target_latency_ms": 400,
-            "priority": 1, "service": service, "max_attempts": attempts, "sticky": true,
-            "resumable": resumable, "gap_target_ms": 200,
-        })
-    };
-    json!({
-        "version": revision,
-        "routes": [
-            route("safe", "safe", "plain", false, 2),
-            route("once", "unsafe", "plain", false, 1),
-            route("stream", "streaming", "engines", true, 2),
-            route("frail", "streaming", "engines", false, 1),
-        ],
-        "services": [
-            { "name": "plain", "health_path": "/health", "max_conns": 50 },
-            { "name": "engines", "health_path": "/health", "max_conns": 50, "engine": {
-                "slots": 8, "adapter_slots": 3, "loads_per_s": 4.0,
-                "models": [{ "name": MODEL, "weights_mb": 10.0, "load_s": 0.1 }],
-            }},
-        ],
-        "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
-                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
-    })
+    platform::config(revision, timeout_ms, 8, 3)
 }
 
 /// Waits until `condition` holds.
--- /dev/null
+++ b/crates/scenarios/examples/edge.rs
@@ -0,0 +1,106 @@
+//! Brings up edge hosts before the stand-in of the users' platform on loopback, sends them
+//! requests, and prints what became of them.
+
+use {
+    egret_scenarios::{Process, programs},
+    egret_standin::platform::{BatchConf, CallersConf, Scene, SceneConf, call_hosts},
+    std::{fs, io, net::SocketAddr, path::Path, process::ExitCode, time::Duration},
+    tokio::net::TcpStream,
+};
+
+/// Entry hosts, as many as Meteora has.
+const HOSTS: u8 = 4;
+
+/// First port of the first host.
+const PORT: u16 = 7000;
+
+fn main() -> ExitCode {
+    let seconds = std::env::args().nth(1).and_then(|v| v.parse().ok()).unwrap_or(10);
+    let played = tokio::runtime::Runtime::new().and_then(|runtime| runtime.block_on(play(seconds)));
+    match played {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(wrong) => {
+            eprintln!("{wrong} wrong answers");
+            ExitCode::FAILURE
+        }
+        Err(e) => {
+            eprintln!("edge: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+// wrong answers
+async fn play(seconds: u64) -> io::Result<u64> {
+    println!("starting {HOSTS} edge hosts, 9 engines, 3 targets of a plain service, and the store");
+    let scene = Scene::start(SceneConf {
+        store: ([127, 0, 0, 1], 0).into(),
+        control: None,
+        data_centres: 3,
+        engines: 9,
+        plain: 3,
+        adapter_slots: 27,
+        load_ms: 250,
+        full_speed: 8,
+        batch: BatchConf { slots: 64, ..BatchConf::default() },
+    })
+    .await?;
+    let folder = tempfile::tempdir()?;
+    let mut processes = Vec::new();
+    let mut hosts = Vec::new();
+    for number in 1..=HOSTS {
+        let (process, callers) = host(number, &scene, folder.path())?;
+        processes.push(process);
+        hosts.push(callers);
+    }
+    for host in &hosts {
+        while TcpStream::connect(host).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    // until hosts know each other and each engine has one that orders it
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    println!("sending requests for {seconds} s");
+    let report = call_hosts(CallersConf {
+        hosts,
+        rate: 100.0,
+        seconds,
+        adapters: 3000,
+        exponent: 1.2,
+        plain: 0.25,
+        seed: 1,
+    })
+    .await;
+    print!("{}", report.text());
+    let (loads, at_once) = scene.weights.loads();
+    let orders: u64 = scene.targets().map(egret_standin::platform::Target::orders).sum();
+    let calls = scene.store.calls();
+    println!("{loads} loads from the weight store, at most {at_once} at once; {orders} orders");
+    println!("{calls} calls to the platform's store");
+    Ok(report.wrong())
+}
+
+fn host(number: u8, scene: &Scene, folder: &Path) -> io::Result<(Process, SocketAddr)> {
+    let address = |port: u16| SocketAddr::from(([127, 0, 2, number], PORT + port));
+    let settings = format!(
+        "host = \"edge-{number}\"\ndata_centre = \"dc-{}\"\n\
+         [listen]\ncallers = \"{}\"\nready = \"{}\"\nlinks = \"{}\"\nmetrics = \"{}\"\n\
+         [store]\naddress = \"{}\"\n\
+         [orders]\nfencing = \"checked\"\nlease_ms = 3000\nceiling_window_s = 5\n\
+         ceiling_over = 1.1\n\
+         [retries]\nwindow_s = 10\nratio = 0.2\nfree = 54\n\
+         [stop]\ngrace_ms = 8000\n",
+        (number - 1) % 3 + 1,
+        address(0),
+        address(1),
+        address(2),
+        address(3),
+        scene.store.address(),
+    );
+    let file = folder.join(format!("edge-{number}.toml"));
+    fs::write(&file, settings)?;
+    let args = ["--config".to_owned(), file.display().to_string()];
+    let name = format!("edge-{number}");
+    let process = Process::start(&name, &programs().join("egret-edge"), &args, folder)?;
+    Ok((process, address(0)))
+}
--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -73,7 +73,7 @@
             plan,
             caller: Caller::unpooled(),
             folder: TempDir::new().expect("a temporary folder can be made"),
-            binaries: binaries(),
+            binaries: programs(),
             runtime: Runtime::new().expect("a runtime can be built"),
             processes: IndexMap::new(),
         }
@@ -379,7 +379,12 @@
 }
 
 /// The folder in which the programs of this workspace were built.
-fn binaries() -> PathBuf {
+///
+/// # Panics
+///
+/// When they were not.
+#[must_use]
+pub fn programs() -> PathBuf {
     let own = std::env::current_exe().expect("the path of this program is known");
     let is_profile = |folder: &&Path| folder.join("egret-standin").exists();
     let found = own.ancestors().skip(1).find(is_profile);
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -5,7 +5,7 @@
 mod process;
 
 pub use {
-    deployment::Deployment,
+    deployment::{Deployment, programs},
     layout::{Layout, Plan},
     process::Process,
 };
--- a/crates/standin/src/cli/args.rs
+++ b/crates/standin/src/cli/args.rs
@@ -27,6 +27,10 @@
     Hosts(HostsArgs),
     /// A TCP relay that can cut or silence connections
     Relay(RelayArgs),
+    /// The users' platform: its store, engines and plain services
+    Platform(PlatformArgs),
+    /// Callers of edge hosts on that platform; stops by itself
+    Callers(CallersArgs),
 }
 
 #[derive(ClapArgs, Clone, Debug)]
@@ -138,3 +142,77 @@
     #[arg(long)]
     pub(crate) control: SocketAddr,
 }
+
+#[derive(ClapArgs, Clone, Debug)]
+pub(crate) struct PlatformArgs {
+    /// Where the store listens; targets listen at free ports of the same address
+    #[arg(long, default_value = "127.0.0.1:9000")]
+    pub(crate) store: SocketAddr,
+
+    /// Where the fault switches are
+    #[arg(long, default_value = "127.0.0.1:9001")]
+    pub(crate) control: SocketAddr,
+
+    /// Data centres
+    #[arg(long, default_value_t = 3)]
+    pub(crate) data_centres: usize,
+
+    /// Engines
+    #[arg(long, default_value_t = 9)]
+    pub(crate) engines: usize,
+
+    /// Targets of the plain service
+    #[arg(long, default_value_t = 3)]
+    pub(crate) plain: usize,
+
+    /// Adapters that an engine holds
+    #[arg(long, default_value_t = 27)]
+    pub(crate) adapter_slots: usize,
+
+    /// Milliseconds that a load takes at full speed
+    #[arg(long, default_value_t = 250)]
+    pub(crate) load_ms: u64,
+
+    /// Loads at once that go at full speed
+    #[arg(long, default_value_t = 8)]
+    pub(crate) full_speed: usize,
+
+    /// Requests that an engine runs at once
+    #[arg(long, default_value_t = 64)]
+    pub(crate) slots: usize,
+
+    /// Tokens that an engine's memory holds
+    #[arg(long, default_value_t = 156_000)]
+    pub(crate) tokens: u64,
+}
+
+#[derive(ClapArgs, Clone, Debug)]
+pub(crate) struct CallersArgs {
+    /// Hosts to send to, in turn
+    #[arg(long, value_delimiter = ',', required = true)]
+    pub(crate) hosts: Vec<SocketAddr>,
+
+    /// Requests a second
+    #[arg(long, default_value_t = 60.0)]
+    pub(crate) rate: f64,
+
+    /// Seconds of load
+    #[arg(long, default_value_t = 10)]
+    pub(crate) seconds: u64,
+
+    /// Adapters that streams name
+    #[arg(long, default_value_t = 3000)]
+    pub(crate) adapters: usize,
+
+    /// Exponent of their popularity
+    #[arg(long, default_value_t = 1.2)]
+    pub(crate) exponent: f64,
+
+    /// Share of requests that go to the plain service
+    #[arg(long, default_value_t = 0.25)]
+    pub(crate) plain: f64,
+
+    /// Seed of everything random
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+}
--- a/crates/standin/src/cli/mod.rs
+++ b/crates/standin/src/cli/mod.rs
@@ -3,10 +3,15 @@
 mod args;
 
 use {
-    crate::{engine, hosts, log, relay, service, store},
-    args::{Args, Role},
+    crate::{
+        engine, hosts, log,
+        platform::{BatchConf, CallersConf, Scene, SceneConf, call_hosts},
+        relay, service, store,
+    },
+    args::{Args, CallersArgs, PlatformArgs, Role},
     clap::Parser,
-    std::process::ExitCode,
+    std::{io, process::ExitCode},
+    tokio::runtime::Runtime,
 };
 
 /// Runs the stand-in that the arguments name.
@@ -20,6 +25,8 @@
         Role::Store(args) => store::run(&args),
         Role::Hosts(args) => hosts::run(&args),
         Role::Relay(args) => relay::run(&args),
+        Role::Platform(args) => play(&args),
+        Role::Callers(args) => return call(args),
     };
     match served {
         Ok(()) => ExitCode::SUCCESS,
@@ -30,4 +37,45 @@
     }
 }
 
+fn play(args: &PlatformArgs) -> io::Result<()> {
+    Runtime::new()?.block_on(async {
+        let scene = Scene::start(SceneConf {
+            store: args.store,
+            control: Some(args.control),
+            data_centres: args.data_centres,
+            engines: args.engines,
+            plain: args.plain,
+            adapter_slots: args.adapter_slots,
+            load_ms: args.load_ms,
+            full_speed: args.full_speed,
+            batch: BatchConf { slots: args.slots, tokens: args.tokens, ..BatchConf::default() },
+        })
+        .await?;
+        println!("store at {}, fault switches at {}", scene.store.address(), args.control);
+        tokio::signal::ctrl_c().await
+    })
+}
+
+fn call(args: CallersArgs) -> ExitCode {
+    let conf = CallersConf {
+        hosts: args.hosts,
+        rate: args.rate,
+        seconds: args.seconds,
+        adapters: args.adapters,
+        exponent: args.exponent,
+        plain: args.plain,
+        seed: args.seed,
+    };
+    let report = match Runtime::new() {
+        Ok(runtime) => runtime.block_on(call_hosts(conf)),
+        Err(e) => {
+            eprintln!("egret-standin: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    print!("{}", report.text());
+    // a wrong output is never acceptable, whatever else was measured
+    if report.wrong() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 pub(crate) use args::{EngineArgs, HostsArgs, LogArgs, RelayArgs, ServiceArgs, StoreArgs};
--- /dev/null
+++ b/crates/standin/src/platform/callers.rs
@@ -0,0 +1,229 @@
+//! Callers: open load on the hosts of a deployment, each answer checked.
+
+use {
+    super::scene::{AIM_MS, EVENTS, HOST, MODEL},
+    bytes::Bytes,
+    egret_load::Popularity,
+    egret_runtime::{Conn, HttpError, Reply, now},
+    http::{HeaderValue, Method, Request, header},
+    http_body_util::Full,
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        fmt::Write,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// Time in which a caller waits for its answer, in milliseconds.
+const WAITS_MS: u64 = 6000;
+
+/// Requests open at once at most.
+const OPEN_MAX: usize = 1000;
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub struct CallersConf {
+    /// Hosts to send to, in turn, as a balancer would.
+    pub hosts: Vec<SocketAddr>,
+    /// Requests a second.
+    pub rate: f64,
+    /// Seconds of load.
+    pub seconds: u64,
+    /// Adapters that streams name.
+    pub adapters: usize,
+    /// Exponent of their popularity.
+    pub exponent: f64,
+    /// Share of requests that go to the plain service.
+    pub plain: f64,
+    /// Seed of everything random.
+    pub seed: u64,
+}
+
+/// What became of the requests of one route.
+#[derive(Clone, Debug, Default)]
+pub struct RouteCounts {
+    /// Requests.
+    pub sent: u64,
+    /// Answered whole within the aim.
+    pub in_aim: u64,
+    /// Answered whole, later.
+    pub late: u64,
+    /// Refused, as not run.
+    pub refused: u64,
+    /// Refused, with no time to come back.
+    pub without_retry_after: u64,
+    /// Answered with an unknown outcome.
+    pub unknown: u64,
+    /// No whole answer.
+    pub broken: u64,
+    /// Answers that were not the right ones.
+    pub wrong: u64,
+    // milliseconds to the whole answer
+    took: Vec<u64>,
+}
+
+/// What became of all requests, by route.
+#[derive(Clone, Debug, Default)]
+pub struct CallersReport {
+    /// Counts by route.
+    pub routes: IndexMap<&'static str, RouteCounts>,
+}
+
+impl RouteCounts {
+    /// Milliseconds in which this part, in thousandths, of the answers were there.
+    #[must_use]
+    pub fn took_ms(&self, part_milli: usize) -> u64 {
+        let mut took = self.took.clone();
+        took.sort_unstable();
+        let at = took.len() * part_milli / 1000;
+        took.get(at.min(took.len().saturating_sub(1))).copied().unwrap_or(0)
+    }
+}
+
+impl CallersReport {
+    /// The report as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = format!(
+            "{:<8}{:>7}{:>8}{:>7}{:>9}{:>9}{:>8}{:>7}{:>9}{:>9}\n",
+            "route",
+            "sent",
+            "in aim",
+            "late",
+            "refused",
+            "unknown",
+            "broken",
+            "wrong",
+            "p50 ms",
+            "p99 ms"
+        );
+        for (route, counts) in &self.routes {
+            let _ = writeln!(
+                text,
+                "{route:<8}{:>7}{:>8}{:>7}{:>9}{:>9}{:>8}{:>7}{:>9}{:>9}",
+                counts.sent,
+                counts.in_aim,
+                counts.late,
+                counts.refused,
+                counts.unknown,
+                counts.broken,
+                counts.wrong,
+                counts.took_ms(500),
+                counts.took_ms(990)
+            );
+        }
+        text
+    }
+
+    /// Answers that were not the right ones, over all routes.
+    #[must_use]
+    pub fn wrong(&self) -> u64 {
+        self.routes.values().map(|counts| counts.wrong).sum()
+    }
+}
+
+struct Ask {
+    route: &'static str,
+    id: String,
+    adapter: Option<usize>,
+}
+
+/// Sends the load and waits for every answer.
+pub async fn call_hosts(conf: CallersConf) -> CallersReport {
+    let report = Arc::new(Mutex::new(CallersReport::default()));
+    let mut rng = ChaCha8Rng::seed_from_u64(conf.seed);
+    let popularity = Popularity::new(conf.adapters, conf.exponent, &mut rng);
+    let mut open = JoinSet::new();
+    let begun = Instant::now();
+    let mut at = 0.0;
+    for number in 0.. {
+        // exponential gaps make a Poisson process
+        at += -(1.0 - rng.random::<f64>()).ln() / conf.rate;
+        if at >= Duration::from_secs(conf.seconds).as_secs_f64() {
+            break;
+        }
+        let adapter = (rng.random::<f64>() >= conf.plain).then(|| popularity.draw(&mut rng));
+        let route = match adapter {
+            Some(_) => "stream",
+            None if rng.random::<bool>() => "safe",
+            None => "once",
+        };
+        let ask = Ask { route, id: format!("{}-{number}", conf.seed), adapter };
+        let host = conf.hosts[number % conf.hosts.len()];
+        tokio::time::sleep_until((begun + Duration::from_secs_f64(at)).into()).await;
+        while open.len() >= OPEN_MAX {
+            open.join_next().await;
+        }
+        let report = report.clone();
+        open.spawn(async move {
+            let sent = Instant::now();
+            let got = send(host, &ask).await;
+            let took_ms = u64::try_from(sent.elapsed().as_millis()).unwrap_or(u64::MAX);
+            report.lock().routes.entry(ask.route).or_default().count(&ask, &got, took_ms);
+        });
+    }
+    while open.join_next().await.is_some() {}
+    std::mem::take(&mut *report.lock())
+}
+
+async fn send(host: SocketAddr, ask: &Ask) -> Result<Reply, HttpError> {
+    let deadline = now().after_ms(WAITS_MS);
+    let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = format!("/{}/x", ask.route).parse().expect("routes are plain words");
+    let headers = request.headers_mut();
+    headers.insert(header::HOST, HeaderValue::from_static(HOST));
+    headers.insert("deadline-ms", HeaderValue::from(WAITS_MS));
+    let text = |text: &str| HeaderValue::from_str(text).expect("ids are plain words");
+    headers.insert("request-id", text(&ask.id));
+    if let Some(adapter) = ask.adapter {
+        headers.insert("model", text(&format!("{MODEL}/a{adapter}")));
+        headers.insert("token-count", HeaderValue::from_static("600,36"));
+        headers.insert("prompt-prefix", HeaderValue::from_static("1:100"));
+    }
+    Conn::open(host, deadline).await?.call(request, deadline).await
+}
+
+impl RouteCounts {
+    fn count(&mut self, ask: &Ask, got: &Result<Reply, HttpError>, took_ms: u64) {
+        self.sent += 1;
+        let Ok(reply) = got else {
+            self.broken += 1;
+            return;
+        };
+        self.without_retry_after +=
+            u64::from(reply.status.as_u16() == 503 && reply.header("retry-after").is_none());
+        match reply.status.as_u16() {
+            200 if !right(ask, reply) => self.wrong += 1,
+            200 => {
+                self.took.push(took_ms);
+                // what streams after the first event is the engine's pace
+                let aim_ms = AIM_MS + if ask.adapter.is_some() { AIM_MS } else { 0 };
+                if took_ms <= aim_ms {
+                    self.in_aim += 1;
+                } else {
+                    self.late += 1;
+                }
+            }
+            503 => self.refused += 1,
+            _ => self.unknown += 1,
+        }
+    }
+}
+
+fn right(ask: &Ask, reply: &Reply) -> bool {
+    let expected = match ask.adapter {
+        Some(_) => {
+            let events = (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n"));
+            events.collect::<Vec<String>>().concat()
+        }
+        None => format!("answer to {}", ask.id),
+    };
+    reply.header("request-id") == Some(&ask.id) && reply.body == expected.as_bytes()
+}
--- a/crates/standin/src/platform/metastore.rs
+++ b/crates/standin/src/platform/metastore.rs
@@ -5,6 +5,7 @@
     base64::{Engine, prelude::BASE64_STANDARD},
     indexmap::IndexMap,
     parking_lot::Mutex,
+    serde::Deserialize,
     serde_json::json,
     std::{
         io,
@@ -16,7 +17,8 @@
 };
 
 /// What goes wrong with calls.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StoreFault {
     /// Nothing.
     #[default]
@@ -27,6 +29,8 @@
     Silent,
     /// Appends are done and not answered.
     LoseAnswers,
+    /// Appends are done after this many milliseconds, if they can be then, and not answered.
+    AppendsLate(u64),
     /// Connections are reset.
     Reset,
 }
@@ -179,7 +183,16 @@
                 conn.closed().await;
                 return;
             }
-            StoreFault::None | StoreFault::LoseAnswers => {
+            StoreFault::AppendsLate(ms) if request.path.starts_with("/v1/log-append") => {
+                let (state, changed) = (state.clone(), changed.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    append(&request, &state, &changed);
+                });
+                conn.closed().await;
+                return;
+            }
+            StoreFault::None | StoreFault::LoseAnswers | StoreFault::AppendsLate(_) => {
                 answer(&mut conn, &request, &state, &changed).await
             }
         };
--- a/crates/standin/src/platform/raw.rs
+++ b/crates/standin/src/platform/raw.rs
@@ -59,6 +59,29 @@
         }
     }
 
+    /// Waits until a request begins; false at the end of the connection.
+    pub(crate) async fn begins(&self) -> bool {
+        !self.buf.is_empty() || self.stream.peek(&mut [0; 1]).await.is_ok_and(|got| got > 0)
+    }
+
+    /// Reads to the end of a request's head, and no further than that came; the request's id.
+    pub(crate) async fn read_head(&mut self) -> io::Result<Option<String>> {
+        let mut buf = vec![0; 16_384];
+        loop {
+            let got = self.stream.peek(&mut buf).await?;
+            if got == 0 {
+                return Ok(None);
+            }
+            let text = String::from_utf8_lossy(&buf[..got]);
+            if let Some((head, _)) = text.split_once("\r\n\r\n") {
+                let named = |line: &&str| line.to_ascii_lowercase().starts_with("request-id:");
+                let id = head.lines().find(named).and_then(|line| line.split_once(':'));
+                return Ok(Some(id.map_or("", |(_, id)| id.trim()).to_owned()));
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Waits until the other side closes; what it sends is dropped.
     pub(crate) async fn closed(&mut self) {
         let mut chunk = [0; 1024];
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -2,11 +2,15 @@
 
 use {
     super::{
+        batch::{Batch, BatchConf},
+        engine,
         metastore::Metastore,
         raw::{RawConn, RawRequest, head},
+        weights::Weights,
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     parking_lot::Mutex,
+    serde::Deserialize,
     serde_json::{Value, json},
     std::{
         io,
@@ -27,12 +31,14 @@
     pub model: String,
     /// Adapters that it holds at most.
     pub adapter_slots: usize,
-    /// Time of a load.
-    pub load: Duration,
+    /// Where its adapters come from.
+    pub weights: Arc<Weights>,
     /// Events of each stream.
     pub events: u64,
-    /// Time between two events.
+    /// Time between two events of an engine that runs nothing else.
     pub pause: Duration,
+    /// Requests that it takes.
+    pub batch: BatchConf,
 }
 
 /// A target.
@@ -49,7 +55,8 @@
 }
 
 /// What goes wrong with requests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum TargetFault {
     /// Nothing.
     #[default]
@@ -70,6 +77,10 @@
     Unsealed,
     /// Answers have no length and end with a reset.
     UnframedReset,
+    /// Answers are no HTTP.
+    Garbled,
+    /// They are refused, with proof, before they have come in whole.
+    Early,
     /// They fail.
     Error,
     /// Orders get no answer and are carried out after this many milliseconds.
@@ -92,26 +103,29 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Adapter {
-    version: u64,
-    ready_at: Instant,
+pub(super) struct Adapter {
+    pub(super) version: u64,
+    pub(super) ready_at: Instant,
 }
 
 #[derive(Debug, Default)]
-struct State {
-    fault: TargetFault,
-    runs: Vec<Run>,
-    adapters: IndexMap<String, Adapter>,
-    versions: IndexMap<String, u64>,
-    seq: u64,
-    fence: u64,
-    crashed_by_orders: bool,
+pub(super) struct State {
+    pub(super) fault: TargetFault,
+    pub(super) runs: Vec<Run>,
+    pub(super) adapters: IndexMap<String, Adapter>,
+    // adapters with versions of which it has copies
+    pub(super) copies: IndexSet<(String, u64)>,
+    pub(super) versions: IndexMap<String, u64>,
+    pub(super) seq: u64,
+    pub(super) fence: u64,
+    pub(super) crashed_by_orders: bool,
 }
 
 #[derive(Debug)]
-struct Shared {
-    conf: TargetConf,
-    state: Mutex<State>,
+pub(super) struct Shared {
+    pub(super) conf: TargetConf,
+    pub(super) state: Mutex<State>,
+    pub(super) batch: Arc<Batch>,
     seals: AtomicU64,
 }
 
@@ -142,7 +156,9 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared { conf, state: Mutex::default(), seals: AtomicU64::new(0) });
+        let batch = Batch::new(conf.engine.as_ref().map(|e| e.batch).unwrap_or_default());
+        let seals = AtomicU64::new(0);
+        let shared = Arc::new(Shared { conf, state: Mutex::default(), batch, seals });
         let s = shared.clone();
         let server = tokio::spawn(async move {
             // connections end with the target, as when it crashes
@@ -208,6 +224,12 @@
         self.shared.state.lock().fence
     }
 
+    /// Requests that run there, and those that were put back for more urgent ones.
+    #[must_use]
+    pub fn batch(&self) -> (usize, u64) {
+        (self.shared.batch.running(), self.shared.batch.preempted())
+    }
+
     /// True when it was ordered to hold more than it has room for.
     #[must_use]
     pub fn overfilled(&self) -> bool {
@@ -216,7 +238,7 @@
 }
 
 impl Shared {
-    fn models(&self) -> Value {
+    pub(super) fn models(&self) -> Value {
         let Some(engine) = &self.conf.engine else {
             return json!([]);
         };
@@ -232,8 +254,23 @@
     }
 }
 
+// what has not come in yet is never read: the connection is reset behind the answer
+async fn refuse_early(mut conn: RawConn) {
+    let Ok(Some(id)) = conn.read_head().await else {
+        return;
+    };
+    let _ = conn.answer(503, &[("Request-Id", &id), ("Not-Executed", "1")], b"").await;
+}
+
 async fn serve(mut conn: RawConn, shared: Arc<Shared>) {
-    while let Ok(Some(request)) = conn.read().await {
+    // the fault counts that is set when a request begins to come in
+    while conn.begins().await {
+        if shared.state.lock().fault == TargetFault::Early {
+            return refuse_early(conn).await;
+        }
+        let Ok(Some(request)) = conn.read().await else {
+            return;
+        };
         let expected = request.header("expect-instance");
         if expected.is_some_and(|id| id != shared.conf.id) {
             if conn.answer(421, &[("Instance-Id", &shared.conf.id)], b"").await.is_err() {
@@ -242,8 +279,8 @@
             continue;
         }
         let kept = match request.path.as_str() {
-            "/v1/report" => report(&mut conn, &shared).await.is_ok(),
-            "/v1/order" => match order(&mut conn, &request, &shared).await {
+            "/v1/report" => engine::report(&mut conn, &shared).await.is_ok(),
+            "/v1/order" => match engine::order(&mut conn, &request, &shared).await {
                 Some(done) => done.is_ok(),
                 None => return conn.closed().await,
             },
@@ -261,85 +298,6 @@
     }
 }
 
-async fn report(conn: &mut RawConn, shared: &Shared) -> io::Result<()> {
-    let now = Instant::now();
-    let (seq, pending) = {
-        let state = shared.state.lock();
-        let coming = state.adapters.iter().filter(|(_, a)| a.ready_at > now);
-        let model = shared.conf.engine.as_ref().map_or("", |e| e.model.as_str());
-        let named = coming.map(|(name, a)| format!("{model}/{name}@{}", a.version));
-        (state.seq, named.collect::<Vec<String>>())
-    };
-    let body = json!({
-        "stage": "both", "models": shared.models(), "busy": false, "seq": seq, "queued": 0,
-        "running": 0, "kv_used": 0, "kv_total": 1000, "handles": 0, "pending": pending,
-    });
-    conn.answer(200, &[("Content-Type", "application/json")], body.to_string().as_bytes()).await
-}
-
-// none when the order gets no answer
-async fn order(
-    conn: &mut RawConn,
-    request: &RawRequest,
-    shared: &Arc<Shared>,
-) -> Option<io::Result<()>> {
-    let fault = shared.state.lock().fault;
-    if let TargetFault::OrdersLate(ms) = fault {
-        let (shared, body) = (shared.clone(), request.body.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
-            carry_out(&shared, &body);
-        });
-        return None;
-    }
-    let status = carry_out(shared, &request.body);
-    Some(conn.answer(status, &[], b"").await)
-}
-
-fn carry_out(shared: &Shared, body: &[u8]) -> u16 {
-    let Some(engine) = &shared.conf.engine else {
-        return 400;
-    };
-    let Ok(order) = serde_json::from_slice::<Value>(body) else {
-        return 400;
-    };
-    let (Some(fence), Some(_)) = (order["fence_token"].as_u64(), order["holder"].as_str()) else {
-        return 400;
-    };
-    let mut state = shared.state.lock();
-    if fence < state.fence {
-        return 412;
-    }
-    state.fence = fence;
-    let now = Instant::now();
-    let Some(adapter) = order["adapter"].as_str() else {
-        return 200;
-    };
-    let newest = state.versions.get(adapter).copied().unwrap_or(1);
-    let version = order["version"].as_u64().unwrap_or(newest);
-    let load = order["op_type"] == "load";
-    match state.adapters.get(adapter) {
-        Some(held) if load && held.version >= version && held.ready_at <= now => return 200,
-        Some(held) if load && held.version >= version => return 202,
-        None if !load => return 200,
-        _ => {}
-    }
-    if order["expected"].as_u64().is_some_and(|seq| seq != state.seq) {
-        return 409;
-    }
-    state.seq += 1;
-    if !load {
-        state.adapters.swap_remove(adapter);
-        return 200;
-    }
-    let held = Adapter { version, ready_at: now + engine.load };
-    state.adapters.insert(adapter.to_owned(), held);
-    if state.adapters.len() > engine.adapter_slots {
-        state.crashed_by_orders = true;
-    }
-    202
-}
-
 // the connection, if it can carry another request
 async fn run(mut conn: RawConn, request: &RawRequest, shared: &Arc<Shared>) -> Option<RawConn> {
     let fault = shared.state.lock().fault;
@@ -348,10 +306,15 @@
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         return conn.answer(503, &headers, b"").await.ok().map(|()| conn);
     }
-    if let Some(status) = not_held(shared, request) {
+    if let Some(status) = engine::not_held(shared, request) {
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         return conn.answer(status, &headers, b"").await.ok().map(|()| conn);
     }
+    let place = shared.conf.engine.as_ref().map(|_| engine::enter(shared, request));
+    let Some(place) = place.map_or(Some(None), |place| place.map(Some)) else {
+        let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
+        return conn.answer(503, &headers, b"").await.ok().map(|()| conn);
+    };
     let number = {
         let mut state = shared.state.lock();
         state.runs.push(Run {
@@ -379,9 +342,15 @@
             shared.state.lock().runs[number].abandoned = true;
             None
         }
+        (_, TargetFault::Garbled) => {
+            let _ = conn.write(b"HTTP/9.7 two hundred\r\n\r\n").await;
+            None
+        }
         (_, TargetFault::Error) => conn.answer(500, &headers, b"failed").await.ok().map(|()| conn),
         (Some(engine), _) => {
-            let streamed = stream(&mut conn, engine, request, &headers, fault).await;
+            let place = place.as_ref().expect("an engine's request has a place");
+            let with = engine::Streaming { conf: engine, batch: &shared.batch, place, fault };
+            let streamed = with.run(&mut conn, request, &headers).await;
             if streamed.is_err() {
                 shared.state.lock().runs[number].abandoned = true;
             }
@@ -394,24 +363,6 @@
     }
 }
 
-// the status for a request whose adapter is not there
-fn not_held(shared: &Shared, request: &RawRequest) -> Option<u16> {
-    let engine = shared.conf.engine.as_ref()?;
-    let (model, adapter) = request.header("model")?.split_once('/')?;
-    if model != engine.model {
-        return Some(421);
-    }
-    let state = shared.state.lock();
-    let Some(held) = state.adapters.get(adapter) else {
-        return Some(421);
-    };
-    if held.ready_at > Instant::now() {
-        return Some(503);
-    }
-    let wanted = request.header("expect-version").and_then(|v| v.parse().ok());
-    wanted.is_some_and(|wanted: u64| wanted != held.version).then_some(421)
-}
-
 async fn plain(
     mut conn: RawConn,
     id: &str,
@@ -440,32 +391,3 @@
         _ => conn.answer(200, headers, body.as_bytes()).await.ok().map(|()| conn),
     }
 }
-
-async fn stream(
-    conn: &mut RawConn,
-    engine: &EngineConf,
-    request: &RawRequest,
-    headers: &[(&str, &str)],
-    fault: TargetFault,
-) -> io::Result<()> {
-    let mut headers = headers.to_vec();
-    headers.push(("Content-Type", "text/event-stream"));
-    headers.push(("Transfer-Encoding", "chunked"));
-    conn.write(&head(200, &headers, None)).await?;
-    let last = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-    for id in last + 1..=engine.events {
-        if fault == TargetFault::CutAfter(id - 1) {
-            // the beginning of the next event goes out as well
-            return conn.write(b"10\r\nid: ").await;
-        }
-        let event = format!("id: {id}\ndata: token-{id}\n\n");
-        conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
-        // a caller that has left shows as a closed connection
-        let mut byte = [0; 1];
-        let left = tokio::time::timeout(engine.pause, conn.stream.peek(&mut byte)).await;
-        if matches!(left, Ok(Ok(0) | Err(_))) {
-            return Err(io::ErrorKind::BrokenPipe.into());
-        }
-    }
-    conn.write(b"0\r\n\r\n").await
-}
