Kept connections keep to the service's bound over all hosts

Cause. connections_max was read and not kept: each host kept up to 32 connections to each target, with 23 hosts more than the 550 that a target of the grown sites takes of all callers.

All hosts together keep at most half of what the service states; the rest is for what runs.

Test: keep_share_of_connections; with 32 kept whatever the service says it fails (31 open, then all expired).

--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{crash, place, request::Outgoing},
-    crate::state::{Edge, Running},
+    crate::{
+        pool::kept_max,
+        state::{Edge, Running},
+    },
     egret_core::{SendEnd, Target, Time},
     egret_platform::{AnswerHead, PassOn, judge, pass_on},
     egret_runtime::{Conn, HttpError, events, now},
@@ -114,6 +117,12 @@
     request
 }
 
+/// Keeps a connection to `target` for the next request.
+pub(crate) fn keep(edge: &Edge, out: &Outgoing, target: &Target, conn: Conn, headers: &HeaderMap) {
+    let kept_max = kept_max(out.selected.service.connections_max, edge.hosts());
+    edge.pool.keep(&target.id, conn, headers, kept_max);
+}
+
 /// What an answer says of its target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Health {
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -199,7 +199,7 @@
     }
     edge.crashes.lock().lives(&target.id);
     edge.suspects.lock().cleared(out.content);
-    edge.pool.keep(&target.id, answering.conn, &answering.headers);
+    attempt::keep(edge, out, &target, answering.conn, &answering.headers);
     let mut answer = plain(answering.status, body);
     *answer.headers_mut() = answer_headers(&answering.headers);
     done(edge, out, answering.status, &target.id);
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -69,7 +69,7 @@
     let Some(Ok(body)) = read else {
         return finish(edge, out, egret_core::Final::Unknown, "answer broke off");
     };
-    edge.pool.keep(&answering.target.id, answering.conn, &answering.headers);
+    attempt::keep(edge, out, &answering.target, answering.conn, &answering.headers);
     let mut answer = crate::front::plain(answering.status, body);
     *answer.headers_mut() = answer_headers(&answering.headers);
     done(edge, out, answering.status, &answering.target.id);
@@ -154,7 +154,8 @@
         health(&self.edge, &answering.target, Health::Good);
         self.edge.suspects.lock().cleared(self.out.content);
         done(&self.edge, &self.out, answering.status, &answering.target.id);
-        self.edge.pool.keep(&answering.target.id, answering.conn, &answering.headers);
+        let Answering { target, conn, headers, .. } = answering;
+        attempt::keep(&self.edge, &self.out, &target, conn, &headers);
     }
 
     // goes on at another engine after the last whole event
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -21,9 +21,16 @@
 /// milliseconds: a connection that was cut meanwhile would leave its fate unknown.
 const FRESH_MS: u64 = 1500;
 
-/// Connections that are kept for one target.
+/// Connections that are kept for one target, whatever it takes.
 const KEPT_MAX: usize = 32;
 
+/// Connections that `hosts` hosts may each keep to a target which takes `connections_max` of all
+/// callers: half of them, so that the other half is free for what runs.
+pub(crate) fn kept_max(connections_max: u32, hosts: u64) -> usize {
+    let share = u64::from(connections_max) / 2 / hosts.max(1);
+    usize::try_from(share).unwrap_or(KEPT_MAX).clamp(1, KEPT_MAX)
+}
+
 #[derive(Debug)]
 struct Kept {
     conn: Conn,
@@ -68,8 +75,9 @@
         None
     }
 
-    /// Keeps a connection whose last answer was whole. `headers` are those of that answer.
-    pub(crate) fn keep(&self, target: &FastStr, conn: Conn, headers: &HeaderMap) {
+    /// Keeps a connection whose last answer was whole, unless `kept_max` are kept. `headers` are
+    /// those of that answer.
+    pub(crate) fn keep(&self, target: &FastStr, conn: Conn, headers: &HeaderMap, kept_max: usize) {
         let value = |name| headers.get(name).and_then(|v: &http::HeaderValue| v.to_str().ok());
         if value("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
             return;
@@ -79,7 +87,7 @@
         let until = now.after_ms(idle_ms.saturating_sub(IDLE_MARGIN_MS).min(IDLE_MS));
         let mut all = self.kept.lock();
         let kept = all.entry(target.clone()).or_default();
-        if kept.len() < KEPT_MAX {
+        if kept.len() < kept_max {
             kept.push(Kept { conn, since: now, until });
         }
     }
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -419,3 +419,20 @@
     assert_eq!(refused.status, 503);
     assert!(!runs(&engines[0], "p-2"));
 }
+
+#[tokio::test]
+async fn keep_share_of_connections() {
+    let d = Deployment::new().await;
+    // the service takes 50 connections of all callers
+    d.configure(7);
+    let engine = d.engine("e-1", 3).await;
+    let edge = d.edge(1).await;
+    edge.call_until(200, || stream("stream", "a1")).await;
+    let calls = (0..30).map(|_| edge.call(stream("stream", "a1")));
+    let answers = futures::future::join_all(calls).await;
+    let statuses: Vec<u16> = answers.iter().map(|a| a.as_ref().unwrap().status.as_u16()).collect();
+    assert_eq!(statuses, [200; 30]);
+    // one more carries orders
+    until("what is not kept is closed", || engine.connections() <= 26).await;
+    assert!(engine.connections() > 20, "{} are kept", engine.connections());
+}
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -17,7 +17,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -126,6 +126,7 @@
     pub(super) conf: TargetConf,
     pub(super) state: Mutex<State>,
     pub(super) batch: Arc<Batch>,
+    open: AtomicUsize,
     seals: AtomicU64,
 }
 
@@ -158,14 +159,25 @@
         let address = listener.local_addr()?;
         let batch = Batch::new(conf.engine.as_ref().map(|e| e.batch).unwrap_or_default());
         let seals = AtomicU64::new(0);
-        let shared = Arc::new(Shared { conf, state: Mutex::default(), batch, seals });
+        let shared = Arc::new(Shared {
+            conf,
+            state: Mutex::default(),
+            batch,
+            open: AtomicUsize::new(0),
+            seals,
+        });
         let s = shared.clone();
         let server = tokio::spawn(async move {
             // connections end with the target, as when it crashes
             let mut conns = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let _ = stream.set_nodelay(true);
-                conns.spawn(serve(RawConn::new(stream), s.clone()));
+                let s = s.clone();
+                conns.spawn(async move {
+                    s.open.fetch_add(1, Ordering::Relaxed);
+                    serve(RawConn::new(stream), s.clone()).await;
+                    s.open.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
         let target = Self { shared, address, server };
@@ -224,6 +236,12 @@
         self.shared.state.lock().fence
     }
 
+    /// Connections that are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
     /// Requests that run there, and those that were put back for more urgent ones.
     #[must_use]
     pub fn batch(&self) -> (usize, u64) {
