--- a/crates/core/src/steer.rs
+++ b/crates/core/src/steer.rs
@@ -102,7 +102,8 @@
     let Some(resident) = resident else {
         return loader(candidates, adapter, false).map_or(Place::Nowhere, Place::Load);
     };
-    let crowded = resident.fill_milli() >= CROWDED_MILLI || resident.failing_milli >= FAILING_MILLI;
+    let crowded = resident.fill_milli() >= CROWDED_MILLI.max(mean_fill(candidates) + BOUND_MILLI)
+        || resident.failing_milli >= FAILING_MILLI;
     if busy || !(crowded || copy_near && !resident.near) {
         return Place::Use(resident);
     }
@@ -116,6 +117,12 @@
     }
 }
 
+// a copy elsewhere helps only if there is an engine that is less full
+fn mean_fill(candidates: &[Candidate]) -> u64 {
+    let total: u64 = candidates.iter().map(Candidate::fill_milli).sum();
+    total / candidates.len().max(1) as u64
+}
+
 // the first in rendezvous order that is not fuller than the average allows: the same few engines
 // see the same adapters and load them from their own copies
 fn loader<'a>(candidates: &'a [Candidate], adapter: &str, near: bool) -> Option<&'a Candidate> {
