Who waits for a load counts; a full engine's adapters get copies at any time

Traced by request (trial with the first event's time logged): while the weight store is busy no copies were made at all, so a newly popular adapter stayed on its one engine; and all requests that had waited for the same load went to its engine at once (35 within 0.2 s on 12 slots), where most waited more than 1.08 s and were tried elsewhere.

From 70% of its slots on an engine's adapters get copies even if the store is busy. Requests that wait for a load count as load of that engine, and are placed anew once it is there.

--- a/crates/core/src/steer.rs
+++ b/crates/core/src/steer.rs
@@ -14,6 +14,10 @@
 /// is. Above it another engine gets a copy.
 const CROWDED_MILLI: u64 = 450;
 
+/// Share of an engine's slots, in thousandths, from which on requests wait for a slot there
+/// longer than a load takes, however busy the weight store is.
+const FULL_MILLI: u64 = 700;
+
 /// Failures among the latest answers, in thousandths, from which on an engine gets no new
 /// adapters and its adapters get copies elsewhere.
 const FAILING_MILLI: u64 = 400;
@@ -104,7 +108,8 @@
     };
     let crowded = resident.fill_milli() >= CROWDED_MILLI.max(mean_fill(candidates) + BOUND_MILLI)
         || resident.failing_milli >= FAILING_MILLI;
-    if busy || !(crowded || copy_near && !resident.near) {
+    let full = resident.fill_milli() >= FULL_MILLI;
+    if busy && !full || !(crowded || copy_near && !resident.near) {
         return Place::Use(resident);
     }
     match loader(candidates, adapter, copy_near) {
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -309,6 +309,34 @@
     assert_eq!(uses(steer_adapter(&targets, "base/a1", true, false)), Some(home.as_str()));
 }
 
+#[test]
+fn steer_crowded_against_the_mean() {
+    // a high load everywhere: another copy would be no better off
+    let mut all: Vec<Candidate> = (0..6).map(|n| candidate(&format!("e{n}"), true, 12)).collect();
+    for c in &mut all {
+        c.slots = 20;
+    }
+    all[0].resident = true;
+    all[0].running = 17;
+    assert_eq!(uses(steer_adapter(&all, "a", false, false)), Some("e0"));
+    all[0].running = 19;
+    assert!(loads(steer_adapter(&all, "a", false, false)).is_some());
+}
+
+#[test]
+fn steer_full_engine_despite_busy_store() {
+    // a shift of demand: the weight store is busy, and one adapter is asked for by all
+    let mut all: Vec<Candidate> = (0..6).map(|n| candidate(&format!("e{n}"), true, 2)).collect();
+    for c in &mut all {
+        c.slots = 20;
+    }
+    all[0].resident = true;
+    all[0].running = 13;
+    assert_eq!(uses(steer_adapter(&all, "a", true, false)), Some("e0"));
+    all[0].running = 15;
+    assert!(loads(steer_adapter(&all, "a", true, false)).is_some());
+}
+
 #[test]
 fn steer_copies_before_others() {
     let mut targets: Vec<Candidate> =
--- a/crates/edge/src/dispatch/place.rs
+++ b/crates/edge/src/dispatch/place.rs
@@ -5,7 +5,7 @@
     crate::{
         orders::{self, Wish},
         peers,
-        state::Edge,
+        state::{Edge, Running},
     },
     egret_core::{Candidate, Place, Target, Time, steer_adapter, steer_plain},
     egret_runtime::{events, now},
@@ -67,7 +67,10 @@
         let patience = load_by(out, since);
         let wish =
             Wish { adapter: adapter.clone(), version, aim, deadline: patience.min(out.deadline) };
+        // those who wait for an engine are load that it will have: the next ones go elsewhere
+        let waiting = Running::new(edge, &id, None);
         let loaded = load_at(edge, &id, &wish).await;
+        drop(waiting);
         #[allow(clippy::cast_precision_loss)]
         edge.counts.stalls_ms.observe(now().ms_since(began) as f64);
         if !loaded {
@@ -78,6 +81,12 @@
             ));
             return Placed::NotLoaded(id);
         }
+        // all who waited go on at once, and copies may have come up elsewhere
+        let there = self::candidates(edge, out, Some(adapter), version, tried);
+        let id = match steer_adapter(&there, adapter, true, false) {
+            Place::Use(candidate) => candidate.id.clone(),
+            Place::Load(_) | Place::Nowhere => id,
+        };
         // the target may have begun to leave during the load
         return edge.fleet.read().ready(&id).cloned().map_or(Placed::Nowhere, Placed::At);
     }
