--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -390,9 +390,16 @@
     first.call_until(200, || stream("stream", "a1")).await;
     let second = d.edge(2).await;
     second.call_until(200, || stream("stream", "a1")).await;
-    for adapter in ["a2", "a3", "a4", "a1", "a3", "a2", "a4"] {
-        first.call_until(200, || stream("stream", adapter)).await;
-        second.call_until(200, || stream("stream", adapter)).await;
+    for round in [["a2", "a3", "a4"], ["a1", "a2", "a3"], ["a4", "a1", "a2"]] {
+        for adapter in round {
+            first.call_until(200, || stream("stream", adapter)).await;
+        }
+        // until heartbeats have told
+        let told = Instant::now();
+        until("heartbeats", || told.elapsed() > Duration::from_millis(500)).await;
+        // one that has been dropped again
+        let dropped = ["a1", "a2", "a3", "a4"].into_iter().find(|a| !round.contains(a)).unwrap();
+        second.call_until(200, || stream("stream", dropped)).await;
     }
     // the second host never took an adapter for held that had been dropped
     assert!(!d.log(2).contains("reason=not there"));
@@ -425,3 +432,18 @@
         serde_json::from_str(&d.store.newest("keyed.egretshore", "host/host-1").unwrap()).unwrap();
     assert!(d.log(1).contains(&format!("incarnation={}", host["incarnation"])));
 }
+
+#[tokio::test]
+async fn own_record_written_over() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _edge = d.edge(1).await;
+    let record = || d.store.newest("keyed.egretshore", "host/host-1");
+    until("the host has announced itself", || record().is_some()).await;
+    let announced = record().unwrap();
+    // what a call of an earlier process wrote late
+    let mut earlier: serde_json::Value = serde_json::from_str(&announced).unwrap();
+    earlier["incarnation"] = serde_json::json!(1);
+    d.store.write("keyed.egretshore", "host/host-1", Some(&earlier.to_string()));
+    until("its own record stands again", || record().as_ref() == Some(&announced)).await;
+}
