Log why a broken stream is not resumed, the revision of each request, and callers that leave

E1101 to E1103 now carry revision=, E1103 of a stream no_resumption=, and E1106 is new. No decision changes. The edge's and the runtime's tests pass.

--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -12,7 +12,10 @@
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    std::sync::Arc,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// Shortest retry delay given to a refused caller.
@@ -35,9 +38,13 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) selected: RouteMatch,
+    /// Revision of the routes by which the request was selected.
+    pub(crate) revision: u64,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
+    // set once the answer has ended, completely or not
+    is_finished: AtomicBool,
 }
 
 impl OutgoingRequest {
@@ -101,12 +108,19 @@
             headers: parts.headers,
             body,
             selected,
+            revision: routing.revision,
             fingerprint,
             arrived_at: arrived,
             deadline,
+            is_finished: AtomicBool::new(false),
         })
     }
 
+    /// Records that the answer has ended, completely or not.
+    pub(crate) fn mark_finished(&self) {
+        self.is_finished.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn kind(&self) -> RouteKind {
         self.selected.route.kind
     }
@@ -117,6 +131,19 @@
     }
 }
 
+impl Drop for OutgoingRequest {
+    fn drop(&mut self) {
+        if !*self.is_finished.get_mut() && !std::thread::panicking() {
+            events::REQUEST_ABANDONED.info(format_args!(
+                "request={} route={} ms={}",
+                self.head.id,
+                self.selected.route.name,
+                now().ms_since(self.arrived_at)
+            ));
+        }
+    }
+}
+
 // spread by the request's id, so that callers do not retry at the same time
 fn retry_after_ms(id: Option<&HeaderValue>) -> u64 {
     let bytes = id.map_or(&[][..], HeaderValue::as_bytes);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -230,10 +230,12 @@
 
 /// Logs and counts an answer received from a target.
 pub(crate) fn record_answer(edge: &Edge, out: &OutgoingRequest, status: StatusCode, target: &str) {
+    out.mark_finished();
     events::REQUEST_DONE.info(format_args!(
-        "request={} route={} adapter={} status={} target={target} ms={}",
+        "request={} route={} revision={} adapter={} status={} target={target} ms={}",
         out.head.id,
         out.selected.route.name,
+        out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
         now().ms_since(out.arrived_at)
@@ -248,6 +250,7 @@
     end: FinalAnswer,
     reason: &str,
 ) -> Answer {
+    out.mark_finished();
     let (status, retry, outcome) = match end {
         FinalAnswer::NotRun => {
             (StatusCode::SERVICE_UNAVAILABLE, Some(out.retry_after_ms()), "not_run")
@@ -260,9 +263,10 @@
         FinalAnswer::Unknown | FinalAnswer::DeadlinePassed => events::REQUEST_UNKNOWN,
     };
     event.info(format_args!(
-        "request={} route={} adapter={} status={} reason={reason} ms={}",
+        "request={} route={} revision={} adapter={} status={} reason={reason} ms={}",
         out.head.id,
         out.selected.route.name,
+        out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
         now().ms_since(out.arrived_at)
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -189,7 +189,7 @@
         self.abandon_answer(problem);
         match self.sender.record_end(&target, SendEnd::Lost) {
             SendDecision::RetryElsewhere => self.resume_elsewhere(&target, problem).await,
-            SendDecision::GiveUp(_) => Err(self.fail_stream(&target, problem)),
+            SendDecision::GiveUp(_) => Err(self.fail_stream(&target, problem, "not allowed")),
         }
     }
 
@@ -211,10 +211,10 @@
         if self.has_sent_events {
             self.sender.reset_wait();
         }
-        let resumed = self.sender.next_answer(self.splitter.last_number()).await.ok();
-        let Some(target_answer) = resumed.filter(|target_answer| target_answer.status.is_success())
-        else {
-            return Err(self.fail_stream(from, problem));
+        let target_answer = match self.sender.next_answer(self.splitter.last_number()).await {
+            Ok(target_answer) if target_answer.status.is_success() => target_answer,
+            Ok(_) => return Err(self.fail_stream(from, problem, "the next target failed")),
+            Err((_, reason)) => return Err(self.fail_stream(from, problem, reason)),
         };
         events::STREAM_MOVED.info(format_args!(
             "request={} from={from} to={} reason={problem} last_event={:?}",
@@ -227,10 +227,15 @@
         Ok(())
     }
 
-    fn fail_stream(&self, target: &FastStr, problem: &str) -> BodyError {
+    // `no_resumption` is the reason why the stream does not go on at another target
+    fn fail_stream(&self, target: &FastStr, problem: &str, no_resumption: &str) -> BodyError {
+        self.out.mark_finished();
         events::REQUEST_UNKNOWN.info(format_args!(
-            "request={} target={target} reason={problem} last_event={:?} ms={}",
+            "request={} route={} revision={} target={target} reason={problem} \
+             no_resumption={no_resumption} last_event={:?} ms={}",
             self.out.head.id,
+            self.out.selected.route.name,
+            self.out.revision,
             self.splitter.last_number(),
             now().ms_since(self.out.arrived_at)
         ));
