Failing tests: answers cut at targets that pause

A target that falls silent for a second or so and then goes on loses its requests: the edge closes the connection first and looks for another target afterwards. If none takes the request (all refuse, the adapter does not load, the next answer is lost), the stream is broken off or a call ends as 502, although the first target would have answered.

The stand-in gets the fault PauseAfter.

--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -4,4 +4,5 @@
 mod load;
 mod requests;
 mod settings;
+mod silence;
 mod support;
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -159,6 +159,7 @@
             self.batch.prefill_ms(header_number(request, "token-count").unwrap_or(0)),
         );
         while_connected(conn, self.run_prefill(prefill)).await?;
+        self.pause_after(conn, 0).await?;
         let mut headers = headers.to_vec();
         headers.push(("Content-Type", "text/event-stream"));
         headers.push(("Transfer-Encoding", "chunked"));
@@ -175,12 +176,22 @@
             }
             let event = format!("id: {id}\ndata: token-{id}\n\n");
             conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+            self.pause_after(conn, id).await?;
             let step = self.conf.event_interval + Duration::from_micros(self.batch.step_us());
             while_connected(conn, tokio::time::sleep(step)).await?;
         }
         conn.write(b"0\r\n\r\n").await
     }
 
+    async fn pause_after(&self, conn: &RawConn, event: u64) -> io::Result<()> {
+        match self.fault {
+            TargetFault::PauseAfter { events, ms } if events == event => {
+                while_connected(conn, tokio::time::sleep(Duration::from_millis(ms))).await
+            }
+            _ => Ok(()),
+        }
+    }
+
     async fn run_prefill(&self, prefill: Duration) {
         self.sequence.wait_until_running().await;
         tokio::time::sleep(prefill).await;
@@ -188,7 +199,10 @@
 }
 
 // any readable byte or end of stream counts as a disconnect
-async fn while_connected(conn: &RawConn, work: impl Future<Output = ()>) -> io::Result<()> {
+pub(super) async fn while_connected(
+    conn: &RawConn,
+    work: impl Future<Output = ()>,
+) -> io::Result<()> {
     let mut byte = [0; 1];
     tokio::select! {
         () = work => Ok(()),
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -88,6 +88,14 @@
     RefuseEarly,
     /// Requests run and are answered with status 500.
     Error,
+    /// Answers pause once for `ms` milliseconds and then go on: streams after this many events,
+    /// streams after 0 events and other answers before their head.
+    PauseAfter {
+        /// Events before the pause.
+        events: u64,
+        /// Length of the pause, in milliseconds.
+        ms: u64,
+    },
     /// Orders get no answer and are carried out after this many milliseconds.
     OrdersLate(u64),
 }
@@ -394,6 +402,14 @@
                 _ => streamed.ok().map(|()| conn),
             }
         }
+        (None, TargetFault::PauseAfter { events: 0, ms }) => {
+            let pause = tokio::time::sleep(Duration::from_millis(ms));
+            if engine::while_connected(&conn, pause).await.is_err() {
+                shared.state.lock().executed_requests[index].abandoned = true;
+                return None;
+            }
+            answer_plain(conn, &id, &headers, fault).await
+        }
         (None, _) => answer_plain(conn, &id, &headers, fault).await,
     }
 }
