Keep a silent target until another one has answered (LOST)

Callers saw requests that had been accepted end without an answer, once beside a change of the configuration.

Cause: a request that may be repeated gave up its target before another one had it. After 4.5 times the event gap (1.35 s), or before the head after 0.9 s (streams) and 0.3 s (calls), the edge closed the connection to the silent target and only then chose another one. When that one refused, did not have the adapter in time or lost the answer, or the retry budget was spent, the caller's answer was broken off, or ended as 502, although the first target was sound and went on a second later. Class of fault: what works is let go before its replacement is secured.

Change: the request is sent to another target beside the silent one, and the first answer counts. The silent target is released as soon as another one has answered successfully, and kept for as long as none has. Both waits (head, events) share RequestSender::wait_or_move. A second send counts towards the route's targets and the retry budget as before; connecting is still bounded by the wait for the head.

Ruled out: giving up the wait altogether (a silent connection would hold its stream until the deadline, although others could go on with it).

--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -44,6 +44,8 @@
     targets_tried: u32,
     refusals: u32,
     may_have_run: bool,
+    // a second send is open beside one to a silent target
+    is_second_open: bool,
 }
 
 /// Sends that may be refused before the caller gets a final answer: more of them add to the load
@@ -55,7 +57,15 @@
     #[must_use]
     pub fn new(kind: RouteKind, targets_max: u32, deadline: Time) -> Self {
         let targets_max = targets_max.max(1);
-        Self { kind, targets_max, deadline, targets_tried: 0, refusals: 0, may_have_run: false }
+        Self {
+            kind,
+            targets_max,
+            deadline,
+            targets_tried: 0,
+            refusals: 0,
+            may_have_run: false,
+            is_second_open: false,
+        }
     }
 
     /// Time after which an answer is useless to the caller.
@@ -76,17 +86,38 @@
         self.may_have_run
     }
 
-    /// True when a send to a slow target may be abandoned for another target.
+    /// True when the request may be sent to another target while its target is silent.
     #[must_use]
     pub fn can_reroute(&self) -> bool {
-        self.kind.is_repeatable() && self.targets_tried + 1 < self.targets_max
+        self.kind.is_repeatable()
+            && self.targets_tried + 1 < self.targets_max
+            && self.refusals <= REFUSALS_MAX
+    }
+
+    /// Starts a second send beside the one to a silent target. The caller has already taken it out
+    /// of the retry budget.
+    pub fn start_second_send(&mut self) {
+        self.is_second_open = true;
     }
 
-    /// Records an abandoned send to a target that may have run the request. The caller has already
-    /// taken its repetition out of the retry budget.
-    pub fn record_abandoned_send(&mut self) {
-        self.targets_tried += 1;
-        self.may_have_run = true;
+    /// Records that the second send ended without an answer that can be passed to the caller.
+    pub fn end_second_send(&mut self, end: SendEnd) {
+        self.is_second_open = false;
+        self.record_end(end);
+    }
+
+    /// Records that the silent target has answered. The second send, if one is open, is abandoned.
+    pub fn abandon_second_send(&mut self) {
+        if std::mem::take(&mut self.is_second_open) {
+            self.record_end(SendEnd::Lost);
+        }
+    }
+
+    /// Records that the second send has got the answer. The send to the silent target, which may
+    /// have run the request, is abandoned.
+    pub fn abandon_silent_send(&mut self) {
+        self.is_second_open = false;
+        self.record_end(SendEnd::Lost);
     }
 
     /// The answer when the request is not sent again.
@@ -107,13 +138,7 @@
         end: SendEnd,
         take_retry: impl FnOnce() -> bool,
     ) -> SendDecision {
-        match end {
-            SendEnd::NotSent | SendEnd::Refused => self.refusals += 1,
-            SendEnd::Failed | SendEnd::Lost => {
-                self.targets_tried += 1;
-                self.may_have_run = true;
-            }
-        }
+        self.record_end(end);
         let allowed = now < self.deadline
             && self.refusals <= REFUSALS_MAX
             && self.targets_tried < self.targets_max
@@ -125,4 +150,14 @@
             SendDecision::GiveUp(self.final_answer(now))
         }
     }
+
+    fn record_end(&mut self, end: SendEnd) {
+        match end {
+            SendEnd::NotSent | SendEnd::Refused => self.refusals += 1,
+            SendEnd::Failed | SendEnd::Lost => {
+                self.targets_tried += 1;
+                self.may_have_run = true;
+            }
+        }
+    }
 }
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -211,6 +211,46 @@
     );
 }
 
+#[test]
+fn send_second_beside_silent_target() {
+    // the silent target answers first: the second send may have run
+    let mut state = send(RouteKind::ResumableStream, 3);
+    state.start_second_send();
+    state.abandon_second_send();
+    assert!(state.may_have_run());
+    assert!(state.can_reroute());
+    state.start_second_send();
+    state.abandon_silent_send();
+    assert!(!state.can_reroute());
+    // without a second send, there is nothing to abandon
+    let mut state = send(RouteKind::Idempotent, 2);
+    state.abandon_second_send();
+    assert!(!state.may_have_run());
+    // a refused second send uses up no target, and proves nothing about the silent one
+    state.start_second_send();
+    state.end_second_send(SendEnd::Refused);
+    assert!(!state.may_have_run());
+    assert!(state.can_reroute());
+    state.start_second_send();
+    state.end_second_send(SendEnd::Lost);
+    assert!(!state.can_reroute());
+    assert_eq!(
+        state.decide_after_send(at(1), SendEnd::Lost, || true),
+        SendDecision::GiveUp(FinalAnswer::Unknown)
+    );
+    // refusals are limited like those of other sends
+    let mut state = send(RouteKind::Idempotent, 2);
+    for _ in 0..4 {
+        assert!(state.can_reroute());
+        state.start_second_send();
+        state.end_second_send(SendEnd::Refused);
+    }
+    assert!(!state.can_reroute());
+    // a request that may not be repeated has no second send
+    assert!(!send(RouteKind::Once, 3).can_reroute());
+    assert!(!send(RouteKind::Stream, 3).can_reroute());
+}
+
 #[test]
 fn send_limited_by_targets_and_budget() {
     let mut state = send(RouteKind::ResumableStream, 2);
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -28,8 +28,9 @@
     _running: RunningRequest,
 }
 
-/// Sends a request to `target` and waits for the head of the answer until `deadline`. A stream
-/// resumes after the event numbered `last_event`.
+/// Sends a request to `target` on a connection that is open by `connect_deadline`, and waits for
+/// the head of the answer until the request's deadline. A stream resumes after the event numbered
+/// `last_event`.
 ///
 /// # Errors
 ///
@@ -39,12 +40,12 @@
     out: &OutgoingRequest,
     target: Arc<Target>,
     last_event: Option<u64>,
-    deadline: Time,
+    connect_deadline: Time,
 ) -> Result<TargetAnswer, SendEnd> {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let running = RunningRequest::new(edge, &target.id, adapter);
     let repeatable = out.kind().is_repeatable();
-    let mut conn = match edge.connections.acquire(&target, repeatable, deadline).await {
+    let mut conn = match edge.connections.acquire(&target, repeatable, connect_deadline).await {
         Ok(conn) => conn,
         Err(e) => {
             record_health(edge, &target, HealthSignal::Unreachable);
@@ -53,7 +54,7 @@
         }
     };
     let request = build_request(edge, out, &target, last_event);
-    let answer = match conn.send(request, deadline).await {
+    let answer = match conn.send(request, out.deadline).await {
         Ok(answer) => answer,
         Err(e @ HttpError::NotSent(_)) => {
             return Err(record_failure(edge, out, &target, SendEnd::NotSent, &e.to_string()));
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -13,13 +13,13 @@
         server::{Answer, full_answer, refusal},
         state::{Edge, OpenRequest},
     },
-    egret_core::{FinalAnswer, RequestSends, RunPolicy, SendDecision, SendEnd, Time},
+    egret_core::{FinalAnswer, RequestSends, RunPolicy, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
     egret_runtime::{events, now, read_incoming, with_deadline},
     faststr::FastStr,
     http::{Request, StatusCode},
     hyper::body::Incoming,
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, pin::pin, sync::Arc},
 };
 
 /// Largest answer of a plain service. Such answers are read completely before they are passed on,
@@ -27,10 +27,10 @@
 const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
 
 /// A stream whose answer head has not arrived after this multiple (in tenths) of the route's
-/// latency goal is moved to another target, if the request may be repeated.
+/// latency goal is also sent to another target, if the request may be repeated.
 const STREAM_HEAD_GOAL_TENTHS: u64 = 18;
 
-/// A plain request that may be repeated is moved to another target if the answer head has not
+/// A plain request that may be repeated is also sent to another target if the answer head has not
 /// arrived after this multiple of the route's latency goal.
 const PLAIN_HEAD_GOALS: u64 = 3;
 
@@ -68,6 +68,20 @@
     answer
 }
 
+/// What came of waiting for a silent target.
+pub(crate) enum SilenceEnd<T> {
+    /// The target went on, or failed.
+    Answered(T),
+    /// Another target has answered, and the silent one is abandoned.
+    Moved(Box<TargetAnswer>),
+}
+
+impl<T> SilenceEnd<T> {
+    fn moved(answer: TargetAnswer) -> Self {
+        Self::Moved(Box::new(answer))
+    }
+}
+
 /// Sends one request to one target after another.
 pub(crate) struct RequestSender {
     edge: Arc<Edge>,
@@ -127,10 +141,7 @@
                 }
             };
             let id = target.id.clone();
-            let sent =
-                attempt::send(&self.edge, &self.out, target, last_event, self.head_deadline())
-                    .await;
-            match sent {
+            match self.send(target, last_event).await {
                 Ok(target_answer) if self.should_retry(&target_answer) => {
                     record_health(&self.edge, &target_answer.target, HealthSignal::Failure);
                     let decision = self.record_end(&target_answer.target.id, SendEnd::Failed);
@@ -148,6 +159,109 @@
         }
     }
 
+    async fn send(
+        &mut self,
+        target: Arc<Target>,
+        last_event: Option<u64>,
+    ) -> Result<TargetAnswer, SendEnd> {
+        let (edge, out) = (self.edge.clone(), self.out.clone());
+        let silent_at = self.head_deadline();
+        let attempt = attempt::send(&edge, &out, target.clone(), last_event, silent_at);
+        let mut attempt = pin!(attempt);
+        if let Some(sent) = with_deadline(silent_at, attempt.as_mut()).await {
+            return sent;
+        }
+        if now() >= out.deadline {
+            return attempt.await;
+        }
+        match self.wait_or_move(&target, last_event, attempt, Result::is_err).await {
+            SilenceEnd::Answered(sent) => sent,
+            SilenceEnd::Moved(answer) => Ok(*answer),
+        }
+    }
+
+    /// Waits for `next`, the next result of the silent `target`, and meanwhile sends the request to
+    /// another target as well, where a stream resumes after the event numbered `last_event`. The
+    /// silent target may go on at any time, so it is given up only for an answer.
+    pub(crate) async fn wait_or_move<T>(
+        &mut self,
+        target: &Target,
+        last_event: Option<u64>,
+        next: impl Future<Output = T>,
+        is_failure: impl Fn(&T) -> bool,
+    ) -> SilenceEnd<T> {
+        record_health(&self.edge, target, HealthSignal::Failure);
+        let mut next = pin!(next);
+        let end = {
+            let mut elsewhere = pin!(self.answer_elsewhere(&target.id, last_event));
+            tokio::select! {
+                biased;
+                result = next.as_mut() => {
+                    let answer = if is_failure(&result) { elsewhere.await } else { None };
+                    answer.map_or(SilenceEnd::Answered(result), SilenceEnd::moved)
+                }
+                answer = elsewhere.as_mut() => match answer {
+                    Some(answer) => SilenceEnd::moved(answer),
+                    None => SilenceEnd::Answered(next.await),
+                },
+            }
+        };
+        match end {
+            SilenceEnd::Answered(_) => self.sends.abandon_second_send(),
+            SilenceEnd::Moved(_) => self.abandon_silent_target(target),
+        }
+        end
+    }
+
+    // the successful answer of another target than `silent`, if one gives it
+    async fn answer_elsewhere(
+        &mut self,
+        silent: &FastStr,
+        last_event: Option<u64>,
+    ) -> Option<TargetAnswer> {
+        let mut tried_targets = self.tried_targets.clone();
+        tried_targets.push(silent.clone());
+        while self.sends.can_reroute()
+            && now() < self.out.deadline
+            && placement::has_alternative(&self.edge, &self.out, &tried_targets)
+            && self.edge.try_take_retry(&self.out.selected.service.name)
+        {
+            let target = self.select_elsewhere(&mut tried_targets).await?;
+            let id = target.id.clone();
+            self.sends.start_second_send();
+            let connect_deadline = self.head_deadline();
+            let sent =
+                attempt::send(&self.edge, &self.out, target, last_event, connect_deadline).await;
+            let end = match sent {
+                Ok(answer) if answer.status.is_success() => return Some(answer),
+                Ok(answer) => {
+                    record_health(&self.edge, &answer.target, HealthSignal::Failure);
+                    SendEnd::Failed
+                }
+                Err(end) => end,
+            };
+            self.sends.end_second_send(end);
+            tried_targets.push(id);
+        }
+        None
+    }
+
+    async fn select_elsewhere(&self, tried_targets: &mut Vec<FastStr>) -> Option<Arc<Target>> {
+        loop {
+            let placed =
+                select_target(&self.edge, &self.out, tried_targets, self.waiting_since).await;
+            match placed {
+                Placement::Target(target) => return Some(target),
+                Placement::AdapterNotLoaded(engine)
+                    if now() < placement::load_deadline(&self.out, self.waiting_since) =>
+                {
+                    tried_targets.push(engine);
+                }
+                Placement::AdapterNotLoaded(_) | Placement::NoTarget => return None,
+            }
+        }
+    }
+
     /// Records how an attempt ended and returns what to do next.
     pub(crate) fn record_end(&mut self, target: &FastStr, end: SendEnd) -> SendDecision {
         self.tried_targets.push(target.clone());
@@ -160,25 +274,17 @@
         self.waiting_since = now();
     }
 
+    /// True if the request may be sent to another target while its target is silent.
     pub(crate) fn can_reroute(&self) -> bool {
         self.sends.can_reroute()
     }
 
-    /// Abandons the attempt at `target`, which sends nothing, if the request can move to another
-    /// target. Returns false if it has to keep waiting.
-    pub(crate) fn abandon_silent_target(&mut self, target: &FastStr) -> bool {
-        let service = &self.out.selected.service.name;
-        self.tried_targets.push(target.clone());
-        let can_move = self.sends.can_reroute()
-            && now() < self.out.deadline
-            && placement::has_alternative(&self.edge, &self.out, &self.tried_targets)
-            && self.edge.try_take_retry(service);
-        if can_move {
-            self.sends.record_abandoned_send();
-        } else {
-            self.tried_targets.pop();
-        }
-        can_move
+    fn abandon_silent_target(&mut self, target: &Target) {
+        self.tried_targets.push(target.id.clone());
+        self.sends.abandon_silent_send();
+        // the other kept connections to this target may be broken as well
+        self.edge.connections.close_kept(&target.id);
+        attempt::record_failure(&self.edge, &self.out, target, SendEnd::Lost, "silent");
     }
 
     // a server error: another target may succeed
@@ -186,7 +292,8 @@
         target_answer.status.is_server_error() && self.sends.can_reroute()
     }
 
-    // a request that cannot move to another target waits until its deadline
+    // time from which a target counts as silent; a request that cannot move to another target
+    // waits until its deadline
     fn head_deadline(&self) -> Time {
         let route = &self.out.selected.route;
         if !self.sends.can_reroute() {
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -5,7 +5,7 @@
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
         request::{OutgoingRequest, SharedRequest},
-        serve::{RequestSender, finish_unanswered, record_answer},
+        serve::{RequestSender, SilenceEnd, finish_unanswered, record_answer},
     },
     crate::{
         server::{Answer, BodyError},
@@ -23,8 +23,8 @@
     std::sync::Arc,
 };
 
-/// A stream is moved to another target, if it may be, when no event arrives for this multiple (in
-/// tenths) of the route's longest event gap.
+/// Another target is asked to resume a stream, if it may be, when no event arrives for this multiple
+/// (in tenths) of the route's longest event gap.
 const EVENT_GAP_TENTHS: u64 = 45;
 
 /// Longest wait for the first event after the head, as a multiple (in tenths) of the route's
@@ -57,7 +57,6 @@
         sender,
         target_answer: Some(target_answer),
         has_sent_events: false,
-        waits_until_deadline: false,
         _open: open,
     };
     let events = unfold(state, |mut state| async move {
@@ -101,18 +100,26 @@
     target_answer: Option<TargetAnswer>,
     splitter: EventSplitter,
     has_sent_events: bool,
-    // set once a silent target could not be abandoned
-    waits_until_deadline: bool,
     _open: OpenRequest,
 }
 
+// the next frame of an answer, unless the deadline passes before it
+type NextFrame = Option<Option<Result<Frame<Bytes>, hyper::Error>>>;
+
 impl EventStream {
     // returns the next complete events, or none at the end of the stream
     async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             let deadline = self.event_deadline();
             let target_answer = self.target_answer.as_mut()?;
-            let handled = match with_deadline(deadline, target_answer.body.frame()).await {
+            let mut next = with_deadline(deadline, target_answer.body.frame()).await;
+            if next.is_none() && now() < self.out.deadline {
+                let Some(frame) = self.wait_while_silent().await else {
+                    continue;
+                };
+                next = frame;
+            }
+            let handled = match next {
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
@@ -141,8 +148,7 @@
                     }
                     self.handle_break(&e.to_string()).await
                 }
-                None if now() >= self.out.deadline => self.handle_break("deadline exceeded").await,
-                None => self.handle_silence().await,
+                None => self.handle_break("deadline exceeded").await,
             };
             if let Err(e) = handled {
                 return Some(Err(e));
@@ -150,16 +156,29 @@
         }
     }
 
-    // a silent stream is not abandoned if no other target can resume it
-    async fn handle_silence(&mut self) -> Result<(), BodyError> {
-        let target =
-            self.target_answer.as_ref().map(|target_answer| target_answer.target.id.clone());
-        let Some(target) = target.filter(|target| self.sender.abandon_silent_target(target)) else {
-            self.waits_until_deadline = true;
-            return Ok(());
+    // Waits until the silent target goes on, or another one resumes the stream. Returns the next
+    // frame of the silent target, if it came first.
+    async fn wait_while_silent(&mut self) -> Option<NextFrame> {
+        if self.has_sent_events {
+            self.sender.reset_wait();
+        }
+        let last_event = self.splitter.last_number();
+        let silent = self.target_answer.as_mut()?;
+        let target = silent.target.clone();
+        let next = with_deadline(self.out.deadline, silent.body.frame());
+        let is_complete = self.splitter.is_at_boundary();
+        let has_failed = |next: &NextFrame| match next {
+            Some(Some(Ok(_))) => false,
+            Some(None) => !is_complete,
+            Some(Some(Err(_))) | None => true,
         };
-        self.abandon_answer("silent");
-        self.resume_elsewhere(&target, "silent").await
+        match self.sender.wait_or_move(&target, last_event, next, has_failed).await {
+            SilenceEnd::Answered(next) => Some(next),
+            SilenceEnd::Moved(answer) => {
+                self.resume_from(*answer, &target.id, "silent");
+                None
+            }
+        }
     }
 
     fn record_first_event(&mut self) {
@@ -216,6 +235,11 @@
             Ok(_) => return Err(self.fail_stream(from, problem, "the next target failed")),
             Err((_, reason)) => return Err(self.fail_stream(from, problem, reason)),
         };
+        self.resume_from(target_answer, from, problem);
+        Ok(())
+    }
+
+    fn resume_from(&mut self, target_answer: TargetAnswer, from: &FastStr, problem: &str) {
         events::STREAM_MOVED.info(format_args!(
             "request={} from={from} to={} reason={problem} last_event={:?}",
             self.out.head.id,
@@ -224,7 +248,6 @@
         ));
         self.splitter.discard_partial();
         self.target_answer = Some(target_answer);
-        Ok(())
     }
 
     // `no_resumption` is the reason why the stream does not go on at another target
@@ -245,7 +268,7 @@
     }
 
     fn event_deadline(&self) -> Time {
-        if self.waits_until_deadline || !self.sender.can_reroute() {
+        if !self.sender.can_reroute() {
             return self.out.deadline;
         }
         let route = &self.out.selected.route;
