Write queued log lines before a process ends

Lines are written by a thread, and nothing waited for it at the end, so a request cut by a stop left no trace.

run_daemon waits up to 300 ms for the queue.

--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -176,6 +176,20 @@
     assert!(status.success());
 }
 
+// the last lines of a host were lost when it stopped
+#[tokio::test]
+async fn stop_writes_last_log_lines() {
+    let mut d = Deployment::new().await;
+    d.log_output = "stdout";
+    d.configure(7);
+    let _plain = d.start_plain_target("p-1").await;
+    let mut edge = d.start_ready_edge(1).await;
+    edge.signal(Signal::SIGTERM);
+    let status = edge.process.wait_for_exit(Duration::from_secs(8)).expect("the process ends");
+    assert!(status.success());
+    assert!(d.log(1).contains("graceful stop ended"), "{}", d.log(1));
+}
+
 #[tokio::test]
 async fn reload_settings_on_sighup() {
     let d = Deployment::new().await;
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -32,6 +32,8 @@
 /// A store, and a folder for the settings and logs of its hosts.
 pub(crate) struct Deployment {
     pub(crate) store: Arc<Metastore>,
+    /// Where hosts write their logs: `stderr` at once, or `stdout` by a thread, as on the platform.
+    pub(crate) log_output: &'static str,
     number: u64,
     folder: TempDir,
 }
@@ -53,7 +55,8 @@
     /// Creates a deployment that uses `store`.
     pub(crate) fn with_store(store: Arc<Metastore>) -> Self {
         let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
-        Self { store, number, folder: tempfile::tempdir().unwrap() }
+        let folder = tempfile::tempdir().unwrap();
+        Self { store, log_output: "stderr", number, folder }
     }
 
     /// Writes revision `revision` with all routes.
@@ -116,12 +119,13 @@
              ceiling_over = 1.1\n\
              [retries]\nwindow_s = 10\nratio = 0.2\nfree = 60\n\
              [stop]\nnotice_ms = 400\ngrace_ms = 6000\n\
-             [logs]\nformat = \"json\"\nlevel = \"debug\"\n",
+             [logs]\nto = \"{}\"\nformat = \"json\"\nlevel = \"debug\"\n",
             address(7000),
             address(7001),
             address(7002),
             address(7003),
             self.store.address(),
+            self.log_output,
         );
         let file = self.folder.path().join(format!("host-{host}.toml"));
         std::fs::write(&file, settings).unwrap();
--- a/crates/runtime/src/daemon.rs
+++ b/crates/runtime/src/daemon.rs
@@ -4,7 +4,7 @@
     crate::{
         args::CommonArgs,
         conf::{LogSettings, SettingsError},
-        logs::init_logging,
+        logs::{flush_logs, init_logging},
     },
     std::process::ExitCode,
 };
@@ -33,7 +33,9 @@
         return ExitCode::SUCCESS;
     }
     init_logging(log_settings(&cfg));
-    match serve(cfg) {
+    let served = serve(cfg);
+    flush_logs();
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{name}: {e}");
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -8,11 +8,16 @@
         layout::{JsonLayout, TextLayout},
         record::LevelFilter,
     },
+    std::time::Duration,
 };
 
 /// Limit of lines queued for standard output. Further lines are dropped.
 const QUEUED_LINES_MAX: usize = 4096;
 
+/// Longest wait for queued lines at the end of the process, in milliseconds. It ends well before the
+/// process would be killed, even if nobody reads standard output.
+const FLUSH_TIMEOUT_MS: u64 = 300;
+
 /// Initialises the logger from the settings. Later calls have no effect.
 pub fn init_logging(cfg: &LogSettings) {
     let layout: Box<dyn Layout> = match cfg.format {
@@ -36,3 +41,15 @@
         log::set_max_level(cfg.level);
     }
 }
+
+/// Writes the queued lines, before the process ends.
+pub(crate) fn flush_logs() {
+    let (done_tx, done_rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        log::logger().flush();
+        // fails once the wait is over, which needs no handling
+        let _ = done_tx.send(());
+    });
+    // lines that could not be written in time are lost
+    let _ = done_rx.recv_timeout(Duration::from_millis(FLUSH_TIMEOUT_MS));
+}
