Stand-in: targets with a software version, restarts under the same id, faults of unresumed streams

Cause: every registry entry of the platform's stand-in had version "v1" and born 1, so that no test could have engines of two software versions in one service. Change: TargetConf names the software version, which is written to the entry and recorded with each executed request. Target::restart starts a target again under its id and address with another version and a later start. Engines can hold adapters from the start. The count of open connections also falls when a connection's task is aborted.

--- a/crates/edge/tests/edge/load.rs
+++ b/crates/edge/tests/edge/load.rs
@@ -14,6 +14,7 @@
         control: None,
         data_centres: 1,
         engines: 3,
+        upgraded_engines: 0,
         plain_targets: 2,
         adapter_slots: 8,
         load_ms: 60,
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -63,7 +63,7 @@
 
     /// Starts a target of the plain service.
     pub(crate) async fn start_plain_target(&self, id: &str) -> Target {
-        self.start_target(id, "plain", None).await
+        self.start_target(id, "v1", "plain", None).await
     }
 
     /// Starts an engine with `pause` between events.
@@ -77,20 +77,19 @@
     }
 
     async fn start_engine_with(&self, id: &str, slots: usize, pause: Duration) -> Target {
-        let engine = EngineConf {
-            model: BASE_MODEL.to_owned(),
-            adapter_slots: slots,
-            weight_store: Arc::new(WeightStore::new(Duration::from_millis(60), 8)),
-            events_per_stream: 6,
-            event_interval: pause,
-            batch: BatchConf::default(),
-        };
-        self.start_target(id, "engines", Some(engine)).await
+        self.start_target(id, "v1", "engines", Some(engine_conf(slots, pause))).await
     }
 
-    async fn start_target(&self, id: &str, service: &str, engine: Option<EngineConf>) -> Target {
+    async fn start_target(
+        &self,
+        id: &str,
+        software_version: &str,
+        service: &str,
+        engine: Option<EngineConf>,
+    ) -> Target {
         let conf = TargetConf {
             id: id.to_owned(),
+            software_version: software_version.to_owned(),
             service: service.to_owned(),
             data_centre: "dc-1".to_owned(),
             engine,
@@ -145,6 +144,18 @@
     }
 }
 
+fn engine_conf(adapter_slots: usize, event_interval: Duration) -> EngineConf {
+    EngineConf {
+        model: BASE_MODEL.to_owned(),
+        adapter_slots,
+        weight_store: Arc::new(WeightStore::new(Duration::from_millis(60), 8)),
+        events_per_stream: 6,
+        event_interval,
+        batch: BatchConf::default(),
+        initial_adapters: Vec::new(),
+    }
+}
+
 /// Routing configuration of a revision. `timeout_ms` applies to the plain routes.
 pub(crate) fn config(revision: u64, timeout_ms: u64) -> serde_json::Value {
     platform::config(revision, timeout_ms, 8, 3)
--- a/crates/scenarios/examples/edge.rs
+++ b/crates/scenarios/examples/edge.rs
@@ -41,6 +41,7 @@
         control: None,
         data_centres: 3,
         engines: 9,
+        upgraded_engines: 0,
         plain_targets: 3,
         adapter_slots: 27,
         load_ms: 250,
--- a/crates/standin/src/cli/args.rs
+++ b/crates/standin/src/cli/args.rs
@@ -162,6 +162,10 @@
     #[arg(long, default_value_t = 9)]
     pub(crate) engines: usize,
 
+    /// Number of engines that run software version v2 instead of v1
+    #[arg(long = "upgraded", default_value_t = 0)]
+    pub(crate) upgraded_engines: usize,
+
     /// Number of targets of the plain service
     #[arg(long = "plain", default_value_t = 3)]
     pub(crate) plain_targets: usize,
--- a/crates/standin/src/cli/mod.rs
+++ b/crates/standin/src/cli/mod.rs
@@ -44,6 +44,7 @@
             control: Some(args.control),
             data_centres: args.data_centres,
             engines: args.engines,
+            upgraded_engines: args.upgraded_engines,
             plain_targets: args.plain_targets,
             adapter_slots: args.adapter_slots,
             load_ms: args.load_ms,
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -164,8 +164,21 @@
         headers.push(("Transfer-Encoding", "chunked"));
         conn.write(&response_head(200, &headers, None)).await?;
         let last = header_number(request, "last-event-id").unwrap_or(0);
+        let ends_after = match self.fault {
+            TargetFault::CutAfter(events) => Some(events),
+            TargetFault::CutUnresumedAfter(events) | TargetFault::StallUnresumedAfter(events)
+                if last == 0 =>
+            {
+                Some(events)
+            }
+            _ => None,
+        };
         for id in last + 1..=self.conf.events_per_stream {
-            if self.fault == TargetFault::CutAfter(id - 1) {
+            if ends_after == Some(id - 1) {
+                if matches!(self.fault, TargetFault::StallUnresumedAfter(_)) {
+                    conn.wait_for_close().await;
+                    return Err(io::ErrorKind::BrokenPipe.into());
+                }
                 // the stream breaks off within the next event
                 return conn.write(b"10\r\nid: ").await;
             }
--- a/crates/standin/src/platform/simulated.rs
+++ b/crates/standin/src/platform/simulated.rs
@@ -24,6 +24,12 @@
 /// Events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
 
+/// Software version of all targets except the upgraded engines.
+const SOFTWARE_VERSION: &str = "v1";
+
+/// Software version of the upgraded engines.
+const UPGRADED_VERSION: &str = "v2";
+
 /// Target latency of all routes; of streams, until their first event.
 pub(super) const TARGET_LATENCY_MS: u64 = 400;
 
@@ -38,6 +44,9 @@
     pub data_centres: usize,
     /// Number of engines, named `engine-1` and so on.
     pub engines: usize,
+    /// Number of engines that run software version v2; all other targets run v1. The engines with
+    /// the highest numbers are the upgraded ones.
+    pub upgraded_engines: usize,
     /// Number of targets of the plain service, named `plain-1` and so on.
     pub plain_targets: usize,
     /// Adapters that an engine holds at most.
@@ -79,6 +88,7 @@
             events_per_stream: EVENTS_PER_STREAM,
             event_interval: Duration::from_millis(5),
             batch: conf.batch,
+            initial_adapters: Vec::new(),
         };
         store.write("keyed.op", "config", Some(&conf.config(1, 8000).to_string()));
         let mut targets = IndexMap::new();
@@ -88,8 +98,16 @@
                 let id = format!("{kind}-{}", number + 1);
                 let data_centre = format!("dc-{}", number % conf.data_centres.max(1) + 1);
                 let service = if engine.is_some() { "engines" } else { "plain" }.to_owned();
-                let target =
-                    TargetConf { id: id.clone(), service, data_centre, engine: engine.clone() };
+                let is_upgraded = engine.is_some() && number + conf.upgraded_engines >= count;
+                let software_version =
+                    if is_upgraded { UPGRADED_VERSION } else { SOFTWARE_VERSION }.to_owned();
+                let target = TargetConf {
+                    id: id.clone(),
+                    software_version,
+                    service,
+                    data_centre,
+                    engine: engine.clone(),
+                };
                 let address = SocketAddr::new(conf.store.ip(), 0);
                 targets.insert(id, Target::start(address, target, &store).await?);
             }
@@ -230,7 +248,7 @@
         json!({
             "runs": target.executed_requests().len(), "running": running, "preempted": preempted,
             "orders": target.accepted_orders(), "adapters": target.adapters(),
-            "overfilled": target.is_overfilled(),
+            "overfilled": target.is_overfilled(), "software_version": target.software_version(),
         })
     };
     let targets = targets.iter().map(|(id, target)| (id.clone(), target_json(target)));
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -22,7 +22,10 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::{
+        net::TcpListener,
+        task::{JoinHandle, JoinSet},
+    },
 };
 
 /// Settings of a target that is an engine.
@@ -40,13 +43,17 @@
     pub event_interval: Duration,
     /// Capacity and pace of its batch.
     pub batch: BatchConf,
+    /// Adapters that are loaded from the start, in version 1.
+    pub initial_adapters: Vec<String>,
 }
 
 /// Settings of a target.
 #[derive(Clone, Debug)]
 pub struct TargetConf {
-    /// Identity of this run of the target; a restart gets another one.
+    /// Key of the target's entry in the registry.
     pub id: String,
+    /// Version of the software that the target runs.
+    pub software_version: String,
     /// Name of its service.
     pub service: String,
     /// Name of its data centre.
@@ -71,6 +78,12 @@
     NoAnswer,
     /// Streams break off after this many events, other answers in the middle.
     CutAfter(u64),
+    /// Streams without a `Last-Event-Id` break off after this many events; resumed ones are
+    /// complete.
+    CutUnresumedAfter(u64),
+    /// Streams without a `Last-Event-Id` stay open without a further event after this many;
+    /// resumed ones are complete.
+    StallUnresumedAfter(u64),
     /// A second answer follows the first on the same connection.
     #[serde(rename = "doubled")]
     DuplicateAnswer,
@@ -103,6 +116,8 @@
     pub headers: http::HeaderMap,
     /// The whole body.
     pub body: Vec<u8>,
+    /// Version of the software that executed the request.
+    pub software_version: String,
     /// True once the caller has closed the connection before the end of the answer.
     pub abandoned: bool,
 }
@@ -116,6 +131,9 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
+    pub(super) software_version: String,
+    // number of starts, written as the time of the latest one
+    starts: u64,
     pub(super) fault: TargetFault,
     pub(super) executed_requests: Vec<ExecutedRequest>,
     pub(super) adapters: IndexMap<String, AdapterState>,
@@ -138,6 +156,22 @@
     seal_count: AtomicU64,
 }
 
+// counts an open connection, also when its task is aborted
+struct OpenConnection(Arc<Shared>);
+
+impl OpenConnection {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A running target. Dropping it closes all its connections, like a crash.
 #[derive(Debug)]
 pub struct Target {
@@ -166,33 +200,38 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let batch = Batch::new(conf.engine.as_ref().map(|e| e.batch).unwrap_or_default());
-        let seal_count = AtomicU64::new(0);
+        let software_version = conf.software_version.clone();
         let shared = Arc::new(Shared {
             conf,
             state: Mutex::default(),
             batch,
             open_connections: AtomicUsize::new(0),
-            seal_count,
-        });
-        let server_shared = shared.clone();
-        let server = tokio::spawn(async move {
-            // dropping the set closes all connections, like a crash
-            let mut conns = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.set_nodelay(true);
-                let shared = server_shared.clone();
-                conns.spawn(async move {
-                    shared.open_connections.fetch_add(1, Ordering::Relaxed);
-                    serve_connection(RawConn::new(stream), shared.clone()).await;
-                    shared.open_connections.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
+            seal_count: AtomicU64::new(0),
         });
+        shared.reset_state(software_version);
+        let server = tokio::spawn(serve(listener, shared.clone()));
         let target = Self { shared, address, server };
         target.register(store, "ready");
         Ok(target)
     }
 
+    /// Restarts the target under its id and address with another version of its software, and
+    /// registers it as ready. Its faults, local copies and recorded requests are kept.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound again.
+    pub async fn restart(&mut self, store: &Metastore, software_version: &str) -> io::Result<()> {
+        self.server.abort();
+        // the listener is closed once the task has ended
+        let _ = (&mut self.server).await;
+        let listener = TcpListener::bind(self.address).await?;
+        self.shared.reset_state(software_version.to_owned());
+        self.server = tokio::spawn(serve(listener, self.shared.clone()));
+        self.register(store, "ready");
+        Ok(())
+    }
+
     /// Address that the target listens on.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -202,14 +241,25 @@
     /// Writes the target's record with this state to the store.
     pub fn register(&self, store: &Metastore, state: &str) {
         let conf = &self.shared.conf;
-        let entry = json!({
-            "service": conf.service, "address": self.address.to_string(), "zone": conf.data_centre,
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "stage": "both",
-            "seq": self.shared.state.lock().seq, "born": 1, "models": self.shared.models_json(),
-        });
+        let models = self.shared.models_json();
+        let entry = {
+            let target = self.shared.state.lock();
+            json!({
+                "service": conf.service, "address": self.address.to_string(),
+                "zone": conf.data_centre, "version": target.software_version, "slots": 8,
+                "state": state, "cold_left_ms": 0, "stage": "both", "seq": target.seq,
+                "born": target.starts, "models": models,
+            })
+        };
         store.write("keyed.servers", &conf.id, Some(&entry.to_string()));
     }
 
+    /// Version of the software that the target runs.
+    #[must_use]
+    pub fn software_version(&self) -> String {
+        self.shared.state.lock().software_version.clone()
+    }
+
     /// Sets the fault of all later requests and orders.
     pub fn set_fault(&self, fault: TargetFault) {
         self.shared.state.lock().fault = fault;
@@ -275,6 +325,19 @@
         json!([{ "name": engine.model, "version": 1, "adapters": loaded }])
     }
 
+    // the state after a start
+    fn reset_state(&self, software_version: String) {
+        let now = Instant::now();
+        let initial = self.conf.engine.as_ref().map_or(&[][..], |e| &e.initial_adapters);
+        let loaded = AdapterState { version: 1, ready_at: now };
+        let mut state = self.state.lock();
+        state.software_version = software_version;
+        state.starts += 1;
+        state.seq = 0;
+        state.fence = 0;
+        state.adapters = initial.iter().map(|name| (name.clone(), loaded)).collect();
+    }
+
     fn next_seal(&self) -> String {
         format!("{}.{}", self.conf.id, self.seal_count.fetch_add(1, Ordering::Relaxed))
     }
@@ -288,6 +351,19 @@
     let _ = conn.write_response(503, &[("Request-Id", &id), ("Not-Executed", "1")], b"").await;
 }
 
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    // dropping the set closes all connections, like a crash
+    let mut conns = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let shared = shared.clone();
+        conns.spawn(async move {
+            let _open = OpenConnection::new(&shared);
+            serve_connection(RawConn::new(stream), shared.clone()).await;
+        });
+    }
+}
+
 async fn serve_connection(mut conn: RawConn, shared: Arc<Shared>) {
     // `RefuseEarly` applies if it is set when the first byte of a request arrives
     while conn.wait_for_request().await {
@@ -348,8 +424,10 @@
     };
     let index = {
         let mut state = shared.state.lock();
+        let software_version = state.software_version.clone();
         state.executed_requests.push(ExecutedRequest {
             request_id: id.clone(),
+            software_version,
             path: request.path.clone(),
             headers: request.headers.clone(),
             body: request.body.clone(),
@@ -390,7 +468,7 @@
                 shared.state.lock().executed_requests[index].abandoned = true;
             }
             match fault {
-                TargetFault::CutAfter(_) => None,
+                TargetFault::CutAfter(_) | TargetFault::CutUnresumedAfter(_) => None,
                 _ => streamed.ok().map(|()| conn),
             }
         }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -2,14 +2,22 @@
 
 use {
     egret_runtime::{Conn, now},
-    egret_standin::platform::{Batch, BatchConf, PlatformConf, SimulatedPlatform, WeightStore},
+    egret_standin::platform::{
+        BASE_MODEL, Batch, BatchConf, EngineConf, Metastore, PlatformConf, SimulatedPlatform,
+        Target, TargetConf, TargetFault, WeightStore,
+    },
     http::{Method, Request},
     http_body_util::Full,
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 #[tokio::test]
@@ -77,6 +85,7 @@
         control: Some(control),
         data_centres: 2,
         engines: 2,
+        upgraded_engines: 1,
         plain_targets: 1,
         adapter_slots: 3,
         load_ms: 50,
@@ -100,4 +109,84 @@
     let state: Value = serde_json::from_str(&state).unwrap();
     assert_eq!(state["targets"]["plain-1"]["runs"], json!(2));
     assert_eq!(state["targets"]["engine-2"]["adapters"], json!([]));
+    for (id, version) in [("engine-1", "v1"), ("engine-2", "v2"), ("plain-1", "v1")] {
+        assert_eq!(state["targets"][id]["software_version"], version);
+        assert_eq!(entry(&platform.store, id)["version"], version);
+    }
+}
+
+fn entry(store: &Metastore, id: &str) -> Value {
+    serde_json::from_str(&store.newest("keyed.servers", id).unwrap()).unwrap()
+}
+
+async fn start_engine(store: &Metastore) -> Target {
+    let engine = EngineConf {
+        model: BASE_MODEL.to_owned(),
+        adapter_slots: 3,
+        weight_store: Arc::new(WeightStore::new(Duration::from_millis(50), 8)),
+        events_per_stream: 6,
+        event_interval: Duration::from_millis(5),
+        batch: BatchConf::default(),
+        initial_adapters: vec!["a1".to_owned()],
+    };
+    let conf = TargetConf {
+        id: "e-1".to_owned(),
+        software_version: "v1".to_owned(),
+        service: "engines".to_owned(),
+        data_centre: "dc-1".to_owned(),
+        engine: Some(engine),
+    };
+    Target::start("127.0.0.1:0".parse().unwrap(), conf, store).await.unwrap()
+}
+
+// returns the body as far as it arrives
+async fn stream(engine: &Target, last_event_id: Option<u64>) -> String {
+    let mut raw = TcpStream::connect(engine.address()).await.unwrap();
+    let last = last_event_id.map_or_else(String::new, |id| format!("Last-Event-Id: {id}\r\n"));
+    let head = format!("GET /stream/x HTTP/1.1\r\nRequest-Id: r\r\nModel: base/a1\r\n{last}\r\n");
+    raw.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let mut chunk = [0; 1024];
+    while !answer.ends_with(b"0\r\n\r\n") {
+        let count = raw.read(&mut chunk).await.unwrap();
+        if count == 0 {
+            break;
+        }
+        answer.extend_from_slice(&chunk[..count]);
+    }
+    String::from_utf8(answer).unwrap()
+}
+
+#[tokio::test]
+async fn break_unresumed_streams_only() {
+    let store = Metastore::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let engine = start_engine(&store).await;
+    engine.set_fault(TargetFault::CutUnresumedAfter(3));
+    let cut = stream(&engine, None).await;
+    assert!(cut.contains("token-3") && !cut.contains("token-4"), "{cut}");
+    let resumed = stream(&engine, Some(3)).await;
+    assert!(!resumed.contains("token-3") && resumed.contains("token-4"), "{resumed}");
+    assert!(resumed.ends_with("0\r\n\r\n"), "{resumed}");
+    engine.set_fault(TargetFault::StallUnresumedAfter(3));
+    let stalled = tokio::time::timeout(Duration::from_millis(300), stream(&engine, None)).await;
+    assert!(stalled.is_err(), "{stalled:?}");
+    assert!(stream(&engine, Some(3)).await.ends_with("0\r\n\r\n"));
+}
+
+#[tokio::test]
+async fn restart_with_other_software_version() {
+    let store = Metastore::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let mut engine = start_engine(&store).await;
+    stream(&engine, None).await;
+    let before = entry(&store, "e-1");
+    engine.restart(&store, "v1.1").await.unwrap();
+    let after = entry(&store, "e-1");
+    assert_eq!((&before["version"], &after["version"]), (&json!("v1"), &json!("v1.1")));
+    assert!(after["born"].as_u64() > before["born"].as_u64());
+    assert_eq!(before["address"], after["address"]);
+    assert_eq!(after["models"][0]["adapters"], json!(["a1@1"]));
+    stream(&engine, None).await;
+    let versions: Vec<String> =
+        engine.executed_requests().into_iter().map(|run| run.software_version).collect();
+    assert_eq!(versions, ["v1", "v1.1"]);
 }
