--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -5,3 +5,4 @@
 mod requests;
 mod settings;
 mod support;
+mod versions;
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -76,6 +76,20 @@
         self.start_engine_with(id, slots, Duration::from_millis(15)).await
     }
 
+    /// Starts an engine of a software version, with `pause` between events and with `adapters`
+    /// loaded.
+    pub(crate) async fn start_engine_of_version(
+        &self,
+        id: &str,
+        software_version: &str,
+        adapters: &[&str],
+        pause: Duration,
+    ) -> Target {
+        let initial_adapters = adapters.iter().map(|name| (*name).to_owned()).collect();
+        let engine = EngineConf { initial_adapters, ..engine_conf(8, pause) };
+        self.start_target(id, software_version, "engines", Some(engine)).await
+    }
+
     async fn start_engine_with(&self, id: &str, slots: usize, pause: Duration) -> Target {
         self.start_target(id, "v1", "engines", Some(engine_conf(slots, pause))).await
     }
