--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -6,3 +6,4 @@
 mod settings;
 mod silence;
 mod support;
+mod versions;
