--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -310,8 +310,18 @@
     /// True when a process passes its health check.
     #[must_use]
     pub fn is_healthy(&self, address: SocketAddr) -> bool {
+        self.passes_check(address, "/healthz")
+    }
+
+    /// True when an entry or keeper passes its readiness check.
+    #[must_use]
+    pub fn is_ready(&self, address: SocketAddr) -> bool {
+        self.passes_check(address, "/readyz")
+    }
+
+    fn passes_check(&self, address: SocketAddr, path: &str) -> bool {
         let deadline = now().after_ms(CALL_TIMEOUT_MS);
-        let reply = self.runtime.block_on(self.client.get(address, "/healthz", deadline));
+        let reply = self.runtime.block_on(self.client.get(address, path, deadline));
         reply.is_ok_and(|r| r.status.is_success())
     }
 
--- a/crates/scenarios/tests/driver/operations.rs
+++ b/crates/scenarios/tests/driver/operations.rs
@@ -63,12 +63,18 @@
         "thawed".to_owned()
     }
 
+    /// Starts stopped processes again. Waits until an entry is ready for requests and a keeper
+    /// answers. A ready entry may still have to read its journal: see the condition `journal`.
     pub(super) fn restart(&mut self, case: &mut TestCase) -> String {
         for name in Self::process_names(case) {
             let (kind, number) = name.rsplit_once('-').expect("a name with a number");
             let index = number.parse::<usize>().expect("a number") - 1;
             match kind {
-                "entry" => self.deployment_mut().start_entry(index),
+                "entry" => {
+                    self.deployment_mut().start_entry(index);
+                    let address = self.process_address(&name);
+                    self.deployment().wait_until("the entry is ready", |d| d.is_ready(address));
+                }
                 "keeper" => self.deployment_mut().start_keeper(index),
                 other => panic!("{other} can't be restarted"),
             }
@@ -176,6 +182,16 @@
                     });
                 }
             }
+            // readiness does not cover the journal, since completions are served without it
+            "journal" => {
+                for name in &names {
+                    let address = self.process_address(name);
+                    self.deployment().wait_until("the entry has read its journal", |d| {
+                        let status = d.get_json(address, "/status").unwrap_or_default();
+                        status["journal_ready"] == true
+                    });
+                }
+            }
             "resident" => {
                 let model = full_model_name(&case.take_arg::<String>("model").unwrap());
                 self.deployment().wait_until("the model is resident", |d| is_resident(d, &model));
