Handle silence, errors and refusals of the second target as well (LOST)

A review of the change before found ways in which waiting for a silent target does worse than leaving it at once:

- two silent targets: a third one was not asked, 504 instead of 200
- a sealed answer of the second target that is no success was dropped
- a late error of the silent target ended the request although the second target still had it
- once the other targets had refused, none was asked again
- a repetition was taken out of the retry budget before the adapter had loaded, and contents on a target that broke after a silence were not recorded as possible crash causes

Change: the wait is a loop of its own (dispatch/silence.rs) over the silent target, the open second sends and the search for a further target. All open sends count towards the route's targets. A target that refused may be asked again; the budget is taken when a target has been found.

--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -41,15 +41,20 @@
     /// Takes one repeated send out of the budget. Returns false when the budget of this host, one
     /// of `hosts`, is spent.
     pub fn try_take(&mut self, now: Time, bounds: &RetryBounds, hosts: u64) -> bool {
+        let has_budget = self.has_budget(now, bounds, hosts);
+        if has_budget {
+            self.current_bucket(now, bounds).repeats += 1;
+        }
+        has_budget
+    }
+
+    /// True when a repeated send can be taken out of the budget of this host, one of `hosts`.
+    pub fn has_budget(&mut self, now: Time, bounds: &RetryBounds, hosts: u64) -> bool {
         self.current_bucket(now, bounds);
         let first_sends: u64 = self.buckets.iter().map(|bucket| bucket.first_sends).sum();
         let repeats: u64 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let allowed = first_sends * bounds.ratio_milli / 1000 + bounds.fixed_repeats / hosts.max(1);
-        if repeats >= allowed {
-            return false;
-        }
-        self.current_bucket(now, bounds).repeats += 1;
-        true
+        repeats < allowed
     }
 
     fn current_bucket(&mut self, now: Time, bounds: &RetryBounds) -> &mut Bucket {
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -44,8 +44,8 @@
     targets_tried: u32,
     refusals: u32,
     may_have_run: bool,
-    // a second send is open beside one to a silent target
-    is_second_open: bool,
+    // open sends beside that to a silent target
+    second_sends: u32,
 }
 
 /// Sends that may be refused before the caller gets a final answer: more of them add to the load
@@ -64,7 +64,7 @@
             targets_tried: 0,
             refusals: 0,
             may_have_run: false,
-            is_second_open: false,
+            second_sends: 0,
         }
     }
 
@@ -86,38 +86,40 @@
         self.may_have_run
     }
 
-    /// True when the request may be sent to another target while its target is silent.
+    /// True when the request may be sent to a further target while its target is silent.
     #[must_use]
     pub fn can_reroute(&self) -> bool {
         self.kind.is_repeatable()
-            && self.targets_tried + 1 < self.targets_max
+            && self.targets_tried + self.second_sends + 1 < self.targets_max
             && self.refusals <= REFUSALS_MAX
     }
 
-    /// Starts a second send beside the one to a silent target. The caller has already taken it out
-    /// of the retry budget.
+    /// Starts a send beside the one to a silent target. The caller has already taken it out of the
+    /// retry budget.
     pub fn start_second_send(&mut self) {
-        self.is_second_open = true;
+        self.second_sends += 1;
     }
 
-    /// Records that the second send ended without an answer that can be passed to the caller.
+    /// Records that a second send ended without an answer that can be passed to the caller.
     pub fn end_second_send(&mut self, end: SendEnd) {
-        self.is_second_open = false;
+        self.second_sends = self.second_sends.saturating_sub(1);
         self.record_end(end);
     }
 
-    /// Records that the silent target has answered. The second send, if one is open, is abandoned.
-    pub fn abandon_second_send(&mut self) {
-        if std::mem::take(&mut self.is_second_open) {
-            self.record_end(SendEnd::Lost);
-        }
+    /// Records that a second send has got the answer, and how the send to the silent target ended.
+    /// The other second sends are abandoned.
+    pub fn accept_second_send(&mut self, silent_end: SendEnd) {
+        self.second_sends = self.second_sends.saturating_sub(1);
+        self.abandon_second_sends();
+        self.record_end(silent_end);
     }
 
-    /// Records that the second send has got the answer. The send to the silent target, which may
-    /// have run the request, is abandoned.
-    pub fn abandon_silent_send(&mut self) {
-        self.is_second_open = false;
-        self.record_end(SendEnd::Lost);
+    /// Records that all second sends are abandoned, since the silent target has answered. Their
+    /// targets may have run the request.
+    pub fn abandon_second_sends(&mut self) {
+        for _ in 0..std::mem::take(&mut self.second_sends) {
+            self.record_end(SendEnd::Lost);
+        }
     }
 
     /// The answer when the request is not sent again.
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -216,15 +216,28 @@
     // the silent target answers first: the second send may have run
     let mut state = send(RouteKind::ResumableStream, 3);
     state.start_second_send();
-    state.abandon_second_send();
+    state.abandon_second_sends();
     assert!(state.may_have_run());
     assert!(state.can_reroute());
     state.start_second_send();
-    state.abandon_silent_send();
+    assert!(!state.can_reroute());
+    state.accept_second_send(SendEnd::Lost);
+    assert!(!state.can_reroute());
+    // all open sends count, and those beside the accepted one may have run as well
+    let mut state = send(RouteKind::Idempotent, 4);
+    state.start_second_send();
+    assert!(state.can_reroute());
+    state.start_second_send();
+    assert!(state.can_reroute());
+    state.accept_second_send(SendEnd::Refused);
+    assert!(state.may_have_run());
+    assert!(state.can_reroute());
+    state.start_second_send();
+    state.start_second_send();
     assert!(!state.can_reroute());
     // without a second send, there is nothing to abandon
     let mut state = send(RouteKind::Idempotent, 2);
-    state.abandon_second_send();
+    state.abandon_second_sends();
     assert!(!state.may_have_run());
     // a refused second send uses up no target, and proves nothing about the silent one
     state.start_second_send();
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod request;
 mod serve;
+mod silence;
 mod stream;
 
 pub(crate) use serve::serve;
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -7,6 +7,7 @@
         crash_suspects,
         placement::{self, Placement, select_target},
         request::{OutgoingRequest, SharedRequest},
+        silence::{Resumption, SilenceEnd},
         stream,
     },
     crate::{
@@ -68,28 +69,16 @@
     answer
 }
 
-/// What came of waiting for a silent target.
-pub(crate) enum SilenceEnd<T> {
-    /// The target went on, or failed.
-    Answered(T),
-    /// Another target has answered, and the silent one is abandoned.
-    Moved(Box<TargetAnswer>),
-}
-
-impl<T> SilenceEnd<T> {
-    fn moved(answer: TargetAnswer) -> Self {
-        Self::Moved(Box::new(answer))
-    }
-}
-
 /// Sends one request to one target after another.
 pub(crate) struct RequestSender {
-    edge: Arc<Edge>,
-    out: SharedRequest,
-    sends: RequestSends,
-    tried_targets: Vec<FastStr>,
+    pub(super) edge: Arc<Edge>,
+    pub(super) out: SharedRequest,
+    pub(super) sends: RequestSends,
+    pub(super) tried_targets: Vec<FastStr>,
+    // tried targets that proved that they did not run the request
+    pub(super) refused_targets: Vec<FastStr>,
     // start of the caller's wait for the next part of the answer
-    waiting_since: Time,
+    pub(super) waiting_since: Time,
 }
 
 impl RequestSender {
@@ -102,6 +91,7 @@
             out: out.clone(),
             sends,
             tried_targets: Vec::new(),
+            refused_targets: Vec::new(),
             waiting_since,
         }
     }
@@ -174,97 +164,22 @@
         if now() >= out.deadline {
             return attempt.await;
         }
-        match self.wait_or_move(&target, last_event, attempt, Result::is_err).await {
-            SilenceEnd::Answered(sent) => sent,
-            SilenceEnd::Moved(answer) => Ok(*answer),
-        }
-    }
-
-    /// Waits for `next`, the next result of the silent `target`, and meanwhile sends the request to
-    /// another target as well, where a stream resumes after the event numbered `last_event`. The
-    /// silent target may go on at any time, so it is given up only for an answer.
-    pub(crate) async fn wait_or_move<T>(
-        &mut self,
-        target: &Target,
-        last_event: Option<u64>,
-        next: impl Future<Output = T>,
-        is_failure: impl Fn(&T) -> bool,
-    ) -> SilenceEnd<T> {
-        record_health(&self.edge, target, HealthSignal::Failure);
-        let mut next = pin!(next);
-        let end = {
-            let mut elsewhere = pin!(self.answer_elsewhere(&target.id, last_event));
-            tokio::select! {
-                biased;
-                result = next.as_mut() => {
-                    let answer = if is_failure(&result) { elsewhere.await } else { None };
-                    answer.map_or(SilenceEnd::Answered(result), SilenceEnd::moved)
-                }
-                answer = elsewhere.as_mut() => match answer {
-                    Some(answer) => SilenceEnd::moved(answer),
-                    None => SilenceEnd::Answered(next.await),
-                },
-            }
+        let failed_end = |sent: &Result<TargetAnswer, SendEnd>| match sent {
+            Ok(answer) => answer.status.is_server_error().then_some(SendEnd::Failed),
+            Err(end) => Some(*end),
         };
-        match end {
-            SilenceEnd::Answered(_) => self.sends.abandon_second_send(),
-            SilenceEnd::Moved(_) => self.abandon_silent_target(target),
-        }
-        end
-    }
-
-    // the successful answer of another target than `silent`, if one gives it
-    async fn answer_elsewhere(
-        &mut self,
-        silent: &FastStr,
-        last_event: Option<u64>,
-    ) -> Option<TargetAnswer> {
-        let mut tried_targets = self.tried_targets.clone();
-        tried_targets.push(silent.clone());
-        while self.sends.can_reroute()
-            && now() < self.out.deadline
-            && placement::has_alternative(&self.edge, &self.out, &tried_targets)
-            && self.edge.try_take_retry(&self.out.selected.service.name)
-        {
-            let target = self.select_elsewhere(&mut tried_targets).await?;
-            let id = target.id.clone();
-            self.sends.start_second_send();
-            let connect_deadline = self.head_deadline();
-            let sent =
-                attempt::send(&self.edge, &self.out, target, last_event, connect_deadline).await;
-            let end = match sent {
-                Ok(answer) if answer.status.is_success() => return Some(answer),
-                Ok(answer) => {
-                    record_health(&self.edge, &answer.target, HealthSignal::Failure);
-                    SendEnd::Failed
-                }
-                Err(end) => end,
-            };
-            self.sends.end_second_send(end);
-            tried_targets.push(id);
-        }
-        None
-    }
-
-    async fn select_elsewhere(&self, tried_targets: &mut Vec<FastStr>) -> Option<Arc<Target>> {
-        loop {
-            let placed =
-                select_target(&self.edge, &self.out, tried_targets, self.waiting_since).await;
-            match placed {
-                Placement::Target(target) => return Some(target),
-                Placement::AdapterNotLoaded(engine)
-                    if now() < placement::load_deadline(&self.out, self.waiting_since) =>
-                {
-                    tried_targets.push(engine);
-                }
-                Placement::AdapterNotLoaded(_) | Placement::NoTarget => return None,
-            }
+        match self.wait_or_move(&target, Resumption::Head(last_event), attempt, failed_end).await {
+            SilenceEnd::Answered(sent) => sent,
+            SilenceEnd::Moved { answer, .. } => Ok(*answer),
         }
     }
 
     /// Records how an attempt ended and returns what to do next.
     pub(crate) fn record_end(&mut self, target: &FastStr, end: SendEnd) -> SendDecision {
         self.tried_targets.push(target.clone());
+        if matches!(end, SendEnd::Refused) {
+            self.refused_targets.push(target.clone());
+        }
         let service = &self.out.selected.service.name;
         self.sends.decide_after_send(now(), end, || self.edge.try_take_retry(service))
     }
@@ -279,14 +194,6 @@
         self.sends.can_reroute()
     }
 
-    fn abandon_silent_target(&mut self, target: &Target) {
-        self.tried_targets.push(target.id.clone());
-        self.sends.abandon_silent_send();
-        // the other kept connections to this target may be broken as well
-        self.edge.connections.close_kept(&target.id);
-        attempt::record_failure(&self.edge, &self.out, target, SendEnd::Lost, "silent");
-    }
-
     // a server error: another target may succeed
     fn should_retry(&self, target_answer: &TargetAnswer) -> bool {
         target_answer.status.is_server_error() && self.sends.can_reroute()
@@ -294,7 +201,7 @@
 
     // time from which a target counts as silent; a request that cannot move to another target
     // waits until its deadline
-    fn head_deadline(&self) -> Time {
+    pub(super) fn head_deadline(&self) -> Time {
         let route = &self.out.selected.route;
         if !self.sends.can_reroute() {
             return self.out.deadline;
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -5,7 +5,8 @@
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
         request::{OutgoingRequest, SharedRequest},
-        serve::{RequestSender, SilenceEnd, finish_unanswered, record_answer},
+        serve::{RequestSender, finish_unanswered, record_answer},
+        silence::{Resumption, SilenceEnd},
     },
     crate::{
         server::{Answer, BodyError},
@@ -167,14 +168,18 @@
         let target = silent.target.clone();
         let next = with_deadline(self.out.deadline, silent.body.frame());
         let is_complete = self.splitter.is_at_boundary();
-        let has_failed = |next: &NextFrame| match next {
-            Some(Some(Ok(_))) => false,
-            Some(None) => !is_complete,
-            Some(Some(Err(_))) | None => true,
+        let failed_end = |next: &NextFrame| match next {
+            Some(Some(Ok(_))) => None,
+            Some(None) if is_complete => None,
+            Some(_) | None => Some(SendEnd::Lost),
         };
-        match self.sender.wait_or_move(&target, last_event, next, has_failed).await {
+        let resumption = Resumption::Stream(last_event);
+        match self.sender.wait_or_move(&target, resumption, next, failed_end).await {
             SilenceEnd::Answered(next) => Some(next),
-            SilenceEnd::Moved(answer) => {
+            SilenceEnd::Moved { answer, failure } => {
+                if let Some(Some(Some(Err(_)))) = failure {
+                    crash_suspects::record_broken_connection(&self.edge, &self.out, &target);
+                }
                 self.resume_from(*answer, &target.id, "silent");
                 None
             }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -228,11 +228,16 @@
     pub(crate) fn try_take_retry(&self, service: &FastStr) -> bool {
         let bounds: RetryBounds = self.cfg.retries.bounds();
         let hosts = self.budget_host_count();
-        self.retry_windows.lock().entry(service.clone()).or_default().try_take(
-            now(),
-            &bounds,
-            hosts,
-        )
+        let mut windows = self.retry_windows.lock();
+        windows.entry(service.clone()).or_default().try_take(now(), &bounds, hosts)
+    }
+
+    /// True if the retry budget has a repeated send to `service` left.
+    pub(crate) fn has_retry_budget(&self, service: &FastStr) -> bool {
+        let bounds: RetryBounds = self.cfg.retries.bounds();
+        let hosts = self.budget_host_count();
+        let mut windows = self.retry_windows.lock();
+        windows.entry(service.clone()).or_default().has_budget(now(), &bounds, hosts)
     }
 }
 
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -101,6 +101,10 @@
     RefuseEarly,
     /// Requests run and are answered with status 500.
     Error,
+    /// Requests run and are answered with status 500 after this many milliseconds.
+    ErrorAfter(u64),
+    /// Requests run and are answered with status 404.
+    NotFound,
     /// Answers pause once for `ms` milliseconds and then go on: streams after this many events,
     /// streams after 0 events and other answers before their head.
     PauseAfter {
@@ -467,6 +471,13 @@
         (_, TargetFault::Error) => {
             conn.write_response(500, &headers, b"failed").await.ok().map(|()| conn)
         }
+        (_, TargetFault::ErrorAfter(ms)) => {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            conn.write_response(500, &headers, b"failed").await.ok().map(|()| conn)
+        }
+        (_, TargetFault::NotFound) => {
+            conn.write_response(404, &headers, b"not found").await.ok().map(|()| conn)
+        }
         (Some(engine), _) => {
             let sequence = sequence.as_ref().expect("an engine's request is in its batch");
             let stream =
