--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -2,7 +2,10 @@
 
 use {
     super::answer::{Answer, full_answer},
-    crate::{dispatch, state::Edge},
+    crate::{
+        dispatch,
+        state::{CallerConnection, Edge},
+    },
     bytes::Bytes,
     egret_runtime::events,
     http::{HeaderValue, Request, StatusCode, header},
@@ -98,6 +101,7 @@
 }
 
 async fn serve_caller(edge: Arc<Edge>, stream: TcpStream, peer: SocketAddr) {
+    let _open = CallerConnection::new(&edge);
     // Nagle's algorithm would delay small stream events to send them together
     if stream.set_nodelay(true).is_err() {
         return;
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -42,13 +42,19 @@
     // later requests could not be finished in time
     edge.close_connections();
     tokio::time::sleep(Duration::from_millis(IDLE_CLOSE_MS)).await;
+    // an answer is complete for this host before its last bytes are sent, and a connection ends
+    // after them
     let finished = async {
-        while edge.open_requests() > 0 {
+        while edge.open_requests() > 0 || edge.caller_connections() > 0 {
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         }
     };
     if with_deadline(stop_deadline, finished).await.is_none() {
-        events::STOP_TIMED_OUT.warn(format_args!("open={}", edge.open_requests()));
+        events::STOP_TIMED_OUT.warn(format_args!(
+            "open={} connections={}",
+            edge.open_requests(),
+            edge.caller_connections()
+        ));
     }
     Ok(())
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -118,6 +118,7 @@
     stopping: AtomicBool,
     closing: watch::Sender<bool>,
     open_count: AtomicUsize,
+    caller_connections: AtomicUsize,
 }
 
 impl Edge {
@@ -161,6 +162,7 @@
             stopping: AtomicBool::new(false),
             closing: watch::channel(false).0,
             open_count: AtomicUsize::new(0),
+            caller_connections: AtomicUsize::new(0),
             cfg,
         }
     }
@@ -209,6 +211,11 @@
         self.open_count.load(Ordering::Acquire)
     }
 
+    /// Number of open connections of callers.
+    pub(crate) fn caller_connections(&self) -> usize {
+        self.caller_connections.load(Ordering::Acquire)
+    }
+
     /// Number of hosts that may draw on a shared budget, including this one.
     pub(crate) fn budget_host_count(&self) -> u64 {
         self.peers.lock().budget_host_count() + 1
@@ -258,6 +265,23 @@
     }
 }
 
+/// Counts a connection of a caller as open until dropped.
+#[derive(Debug)]
+pub(crate) struct CallerConnection(Arc<Edge>);
+
+impl CallerConnection {
+    pub(crate) fn new(edge: &Arc<Edge>) -> Self {
+        edge.caller_connections.fetch_add(1, Ordering::AcqRel);
+        Self(edge.clone())
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.0.caller_connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Counts a request as running at a target until dropped.
 #[derive(Debug)]
 pub(crate) struct RunningRequest {
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -176,6 +176,29 @@
     assert!(status.success());
 }
 
+// an answer that its caller reads slowly was cut when its host stopped
+#[tokio::test]
+async fn stop_sends_whole_answers() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.start_plain_target("p-1").await;
+    // more than the buffers of a connection hold
+    let length = 7 * 1024 * 1024;
+    plain.set_fault(TargetFault::LargeAnswer(length));
+    let mut edge = d.start_ready_edge(1).await;
+    let mut conn = edge.connect().await;
+    let sent = conn.send(request(Method::POST, "/once/a", &[]), now().after_ms(5000)).await;
+    let head = sent.unwrap();
+    edge.signal(Signal::SIGTERM);
+    // longer than the time until a host without requests ends
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let body = egret_runtime::read_incoming(head.into_body(), 2 * length).await.unwrap();
+    assert_eq!(body.len(), length);
+    drop(conn);
+    let status = edge.process.wait_for_exit(Duration::from_secs(8)).expect("the process ends");
+    assert!(status.success());
+}
+
 // the last lines of a host were lost when it stopped
 #[tokio::test]
 async fn stop_writes_last_log_lines() {
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -103,6 +103,8 @@
     Error,
     /// Requests run and are answered with status 500 after this many milliseconds.
     ErrorAfter(u64),
+    /// Answers of plain services have bodies of this many bytes.
+    LargeAnswer(usize),
     /// Requests run and are answered with status 404.
     NotFound,
     /// Answers pause once for `ms` milliseconds and then go on: streams after this many events,
@@ -528,6 +530,9 @@
             conn.write_response(200, headers, b"a second answer").await.ok()?;
             Some(conn)
         }
+        TargetFault::LargeAnswer(bytes) => {
+            conn.write_response(200, headers, &vec![b'x'; bytes]).await.ok().map(|()| conn)
+        }
         _ => conn.write_response(200, headers, body.as_bytes()).await.ok().map(|()| conn),
     }
 }
