Resume a stream before the chunk in which an event is missing

A stream lost events: when a chunk held events 3 and 5 after event 2, the splitter counted event 3 as received, passed nothing on, and the stream was resumed after event 3.

The number of the last event changes only with events that are returned. splitter_resumes_before_chunk_with_gap failed before (last number 3 instead of 2) and passes now.

--- a/crates/core/src/event_splitter.rs
+++ b/crates/core/src/event_splitter.rs
@@ -51,19 +51,22 @@
     ///
     /// # Errors
     ///
-    /// Fails when the number of an event is not one above the number before it.
+    /// Fails when the number of an event is not one above the number before it. No event of these
+    /// bytes counts as received then.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OutOfOrder> {
         self.partial_event.extend_from_slice(bytes);
         let mut complete_len = 0;
+        let mut last_number = self.last_number;
         while let Some(end) = self.event_end(complete_len) {
             if let Some(found) = event_number(&self.partial_event[complete_len..end]) {
-                match self.last_number {
+                match last_number {
                     Some(last) if found != last + 1 => return Err(OutOfOrder { last, found }),
-                    _ => self.last_number = Some(found),
+                    _ => last_number = Some(found),
                 }
             }
             complete_len = end;
         }
+        self.last_number = last_number;
         Ok(self.partial_event.split_to(complete_len).freeze())
     }
 
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -563,6 +563,17 @@
     assert!(splitter.push(b"id: 2\ndata: x\n\n").is_err());
 }
 
+// events before a gap in the same chunk were neither passed on nor sent again
+#[test]
+fn splitter_resumes_before_chunk_with_gap() {
+    let mut splitter = EventSplitter::resuming_after(Some(2));
+    assert!(splitter.push(b"id: 3\ndata: x\n\nid: 5\ndata: x\n\n").is_err());
+    assert_eq!(splitter.last_number(), Some(2));
+    splitter.discard_partial();
+    let resumed = b"id: 3\ndata: x\n\n";
+    assert_eq!(splitter.push(resumed).unwrap(), &resumed[..]);
+}
+
 #[test]
 fn splitter_discards_partial_event() {
     let mut splitter = EventSplitter::default();
