Log the software version of targets and the stream that a request resumes

Log lines could not tell at which software version a stream began or went on: the version in a target's registry entry and the header Resumes of a caller were not read.

E1101, E1103 of streams, E1104 and E1016 name the version, E1113 both versions, and E1016 is also written when a target starts again under its id with another version. E1101, E1102, E1103 and E1106 of a request that resumes a stream have resumes= and resumed_after=. The latter is not called last_event=, since E1103 has a field of that name for the last event that was passed on. The new E1107 (debug) is written when the first events of a stream are passed on: a host that is killed leaves no other line about its open streams. No decision changes.

The test of the registry names the new field of Target; it is otherwise unchanged. cargo test -p egret-core -p egret-edge -p egret-platform -p egret-runtime -p egret-standin passes, as does clippy.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -46,6 +46,9 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: FastStr,
+    /// Version of the target's software, empty if unknown. Versions have no order.
+    #[serde(default)]
+    pub software_version: FastStr,
     /// Requests that the target runs at once.
     pub slots: u32,
     /// Whether the target accepts new work.
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -83,6 +83,7 @@
         service: FastStr::from_static_str("s"),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: FastStr::from_static_str("dc"),
+        software_version: FastStr::from_static_str("v1"),
         slots: 4,
         state,
         started_unix_ms,
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -167,8 +167,8 @@
     reason: &str,
 ) -> SendEnd {
     events::ATTEMPT_FAILED.info(format_args!(
-        "request={} target={} end={end:?} reason={reason}",
-        out.head.id, target.id
+        "request={} target={} version={} end={end:?} reason={reason}",
+        out.head.id, target.id, target.software_version
     ));
     edge.counts.sends_failed.get_or_create(&vec![("end", format!("{end:?}"))]).inc();
     end
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -12,9 +12,12 @@
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        fmt,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
     },
 };
 
@@ -121,6 +124,11 @@
         self.is_finished.store(true, Ordering::Relaxed);
     }
 
+    /// Fields of log lines that tell which stream the request resumes; empty if it resumes none.
+    pub(crate) fn resumption(&self) -> Resumption<'_> {
+        Resumption(&self.head)
+    }
+
     pub(crate) fn kind(&self) -> RouteKind {
         self.selected.route.kind
     }
@@ -135,15 +143,31 @@
     fn drop(&mut self) {
         if !*self.is_finished.get_mut() && !std::thread::panicking() {
             events::REQUEST_ABANDONED.info(format_args!(
-                "request={} route={} ms={}",
+                "request={} route={}{} ms={}",
                 self.head.id,
                 self.selected.route.name,
+                self.resumption(),
                 now().ms_since(self.arrived_at)
             ));
         }
     }
 }
 
+/// Fields of log lines that tell which stream a request resumes, with a space before each.
+pub(crate) struct Resumption<'a>(&'a RequestHead);
+
+impl fmt::Display for Resumption<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(id) = &self.0.resumed_request_id {
+            write!(f, " resumes={id}")?;
+        }
+        if let Some(event) = self.0.last_event_id {
+            write!(f, " resumed_after={event}")?;
+        }
+        Ok(())
+    }
+}
+
 // spread by the request's id, so that callers do not retry at the same time
 fn retry_after_ms(id: Option<&HeaderValue>) -> u64 {
     let bytes = id.map_or(&[][..], HeaderValue::as_bytes);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -331,20 +331,28 @@
     attempt::keep_connection(edge, out, &target, target_answer.conn, &target_answer.headers);
     let mut answer = full_answer(target_answer.status, body);
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
-    record_answer(edge, out, target_answer.status, &target.id);
+    record_answer(edge, out, target_answer.status, &target);
     Ok(answer)
 }
 
 /// Logs and counts an answer received from a target.
-pub(crate) fn record_answer(edge: &Edge, out: &OutgoingRequest, status: StatusCode, target: &str) {
+pub(crate) fn record_answer(
+    edge: &Edge,
+    out: &OutgoingRequest,
+    status: StatusCode,
+    target: &Target,
+) {
     out.mark_finished();
     events::REQUEST_DONE.info(format_args!(
-        "request={} route={} revision={} adapter={} status={} target={target} ms={}",
+        "request={} route={} revision={} adapter={} status={} target={} version={}{} ms={}",
         out.head.id,
         out.selected.route.name,
         out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
+        target.id,
+        target.software_version,
+        out.resumption(),
         now().ms_since(out.arrived_at)
     ));
     edge.counts.answers.get_or_create(&vec![("outcome", "done".to_owned())]).inc();
@@ -370,12 +378,13 @@
         FinalAnswer::Unknown | FinalAnswer::DeadlinePassed => events::REQUEST_UNKNOWN,
     };
     event.info(format_args!(
-        "request={} route={} revision={} adapter={} status={} reason={reason} ms={}",
+        "request={} route={} revision={} adapter={} status={} reason={reason}{} ms={}",
         out.head.id,
         out.selected.route.name,
         out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
+        out.resumption(),
         now().ms_since(out.arrived_at)
     ));
     edge.counts.answers.get_or_create(&vec![("outcome", outcome.to_owned())]).inc();
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -12,10 +12,9 @@
         state::{Edge, OpenRequest},
     },
     bytes::Bytes,
-    egret_core::{EventSplitter, SendDecision, SendEnd, Time},
+    egret_core::{EventSplitter, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
     egret_runtime::{events, now, read_incoming, with_deadline},
-    faststr::FastStr,
     futures::stream::unfold,
     http::Response,
     http_body::Frame,
@@ -89,7 +88,7 @@
     );
     let mut answer = crate::server::full_answer(target_answer.status, body);
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
-    record_answer(edge, out, target_answer.status, &target_answer.target.id);
+    record_answer(edge, out, target_answer.status, &target_answer.target);
     answer
 }
 
@@ -175,7 +174,7 @@
         match self.sender.wait_or_move(&target, last_event, next, has_failed).await {
             SilenceEnd::Answered(next) => Some(next),
             SilenceEnd::Moved(answer) => {
-                self.resume_from(*answer, &target.id, "silent");
+                self.resume_from(*answer, &target, "silent");
                 None
             }
         }
@@ -186,27 +185,42 @@
             self.has_sent_events = true;
             #[allow(clippy::cast_precision_loss)]
             self.edge.counts.first_part_ms.observe(now().ms_since(self.out.arrived_at) as f64);
+            if let Some(answer) = &self.target_answer {
+                self.log_first_event(&answer.target);
+            }
         }
     }
 
+    // a host that is killed leaves no other line about its open streams
+    fn log_first_event(&self, target: &Target) {
+        events::STREAM_BEGAN.debug(format_args!(
+            "request={} route={} adapter={} target={} version={}{}",
+            self.out.head.id,
+            self.out.selected.route.name,
+            self.out.head.adapter.as_deref().unwrap_or("-"),
+            target.id,
+            target.software_version,
+            self.out.resumption()
+        ));
+    }
+
     fn finish_complete(&mut self) {
         let Some(target_answer) = self.target_answer.take() else {
             return;
         };
         record_health(&self.edge, &target_answer.target, HealthSignal::Success);
         self.edge.suspects.lock().clear(self.out.fingerprint);
-        record_answer(&self.edge, &self.out, target_answer.status, &target_answer.target.id);
+        record_answer(&self.edge, &self.out, target_answer.status, &target_answer.target);
         let TargetAnswer { target, conn, headers, .. } = target_answer;
         attempt::keep_connection(&self.edge, &self.out, &target, conn, &headers);
     }
 
     // resumes on another engine after the last complete event, if the request may be repeated
     async fn handle_break(&mut self, problem: &str) -> Result<(), BodyError> {
-        let target =
-            self.target_answer.as_ref().map(|target_answer| target_answer.target.id.clone());
+        let target = self.target_answer.as_ref().map(|target_answer| target_answer.target.clone());
         let target = target.ok_or("stream has already ended")?;
         self.abandon_answer(problem);
-        match self.sender.record_end(&target, SendEnd::Lost) {
+        match self.sender.record_end(&target.id, SendEnd::Lost) {
             SendDecision::RetryElsewhere => self.resume_elsewhere(&target, problem).await,
             SendDecision::GiveUp(_) => Err(self.fail_stream(&target, problem, "not allowed")),
         }
@@ -226,7 +240,7 @@
         }
     }
 
-    async fn resume_elsewhere(&mut self, from: &FastStr, problem: &str) -> Result<(), BodyError> {
+    async fn resume_elsewhere(&mut self, from: &Target, problem: &str) -> Result<(), BodyError> {
         if self.has_sent_events {
             self.sender.reset_wait();
         }
@@ -239,11 +253,14 @@
         Ok(())
     }
 
-    fn resume_from(&mut self, target_answer: TargetAnswer, from: &FastStr, problem: &str) {
+    fn resume_from(&mut self, target_answer: TargetAnswer, from: &Target, problem: &str) {
         events::STREAM_MOVED.info(format_args!(
-            "request={} from={from} to={} reason={problem} last_event={:?}",
+            "request={} from={} from_version={} to={} to_version={} reason={problem} last_event={:?}",
             self.out.head.id,
+            from.id,
+            from.software_version,
             target_answer.target.id,
+            target_answer.target.software_version,
             self.splitter.last_number()
         ));
         self.splitter.discard_partial();
@@ -251,14 +268,18 @@
     }
 
     // `no_resumption` is the reason why the stream does not go on at another target
-    fn fail_stream(&self, target: &FastStr, problem: &str, no_resumption: &str) -> BodyError {
+    fn fail_stream(&self, target: &Target, problem: &str, no_resumption: &str) -> BodyError {
         self.out.mark_finished();
         events::REQUEST_UNKNOWN.info(format_args!(
-            "request={} route={} revision={} target={target} reason={problem} \
-             no_resumption={no_resumption} last_event={:?} ms={}",
+            "request={} route={} revision={} adapter={} target={} version={} reason={problem} \
+             no_resumption={no_resumption}{} last_event={:?} ms={}",
             self.out.head.id,
             self.out.selected.route.name,
             self.out.revision,
+            self.out.head.adapter.as_deref().unwrap_or("-"),
+            target.id,
+            target.software_version,
+            self.out.resumption(),
             self.splitter.last_number(),
             now().ms_since(self.out.arrived_at)
         ));
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -119,13 +119,17 @@
 }
 
 fn log_state_change(before: Option<&Target>, target: &Target) {
-    let previous_state = before.map(|t| t.state);
-    if previous_state == Some(target.state) {
+    let is_same = |before: &Target| {
+        before.state == target.state && before.software_version == target.software_version
+    };
+    if before.is_some_and(is_same) {
         return;
     }
     match target.state {
-        TargetState::Ready => events::TARGET_READY
-            .info(format_args!("target={} address={}", target.id, target.address)),
+        TargetState::Ready => events::TARGET_READY.info(format_args!(
+            "target={} address={} version={}",
+            target.id, target.address, target.software_version
+        )),
         TargetState::Leaving => events::TARGET_LEAVING.info(format_args!("target={}", target.id)),
     }
 }
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -118,6 +118,7 @@
     ATTEMPT_FAILED = 1104 "attempt failed";
     ANSWER_DROPPED = 1105 "answer that matches no open attempt dropped";
     REQUEST_ABANDONED = 1106 "caller left before its answer was complete";
+    STREAM_BEGAN = 1107 "first events of a stream passed on";
     JOURNAL_UNSETTLED = 1111 "journal entry could not be settled";
     ADAPTER_LOAD_REQUESTED = 1112 "load of an adapter requested by a peer";
     STREAM_MOVED = 1113 "stream goes on at another target";
