Keep a stream at the software version of a target that began it (ORDER)

Cause: placement knew no software versions. A stream moved within its answer went to any target, and a caller's attempt that resumes a stream was placed like a new request: nobody read Resumes, and no host knew what another one had begun. Class of fault: state that decides correctness is kept nowhere.

Change, in the order of a request: - When the first events of a resumable stream are about to be passed on, its origin (service and software version) is recorded under the id of the request that began it, and the stream is restricted to that version from then on. Until then it may move to any version. - While targets of several versions serve the route, the record is sent to two other hosts, and the events are held until it is written to the links (20 ms at most). When a second version appears, the records of running streams are sent at once. With one version nothing is sent. - A request with Last-Event-Id is restricted to the origin of its stream: from this host's records; else to the only version that can have begun it, if this host has known the targets for 30 s; else from the records of up to eight other hosts, or the only version that all answers name if one of them has known the targets that long. Else it is refused as not run (503), as it is when no target of its version accepts work. - first_start (the platform's bootstrap) says that no stream can be older than this process; it counts only for a host without a record in the host log, since the settings may still say so after a restart.

Ruled out as designs (docs/design/serving.md): asking the host that began the stream, a record of each stream in the platform's store, a version in headers of the answer.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 mod routing;
 mod send;
 mod slots;
+mod stream_origins;
 mod time;
 
 pub use admission::CallerLimits;
@@ -78,4 +79,8 @@
     Cancel, Effect, EngineLimits, EngineSlots, Grant, LoadOrder, LoadResult, OrderKind, Refusal,
     RequestGroup, RequestKey, SlotCounters, SlotSettings, Ticket, TicketEnd, TicketRequest,
 };
+pub use stream_origins::{
+    OriginReport, ResumePolicy, STREAM_LIFE_MAX_MS, StreamOrigin, StreamOriginRecord,
+    StreamOrigins, VersionSightings, decide_resumption,
+};
 pub use time::Time;
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -68,6 +68,13 @@
     pub shares: Vec<WeightedService>,
 }
 
+impl Route {
+    /// Names of the services that get the requests.
+    pub fn services(&self) -> impl Iterator<Item = &FastStr> {
+        self.shares.iter().map(|share| &share.service)
+    }
+}
+
 /// Properties shared by the engines of a service.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct EngineTraits {
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -4,7 +4,7 @@
     super::route::{CallerBounds, Route, Service, WeightedService},
     crate::hash::text_hash,
     faststr::FastStr,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -62,6 +62,15 @@
         &self.services
     }
 
+    /// Services that share a route with `service`, and `service` itself.
+    #[must_use]
+    pub fn services_beside(&self, service: &FastStr) -> IndexSet<FastStr> {
+        let routes = self.by_host.values().flatten();
+        let with_service = routes.filter(|route| route.services().any(|name| name == service));
+        let beside = with_service.flat_map(|route| route.services());
+        std::iter::once(service).chain(beside).cloned().collect()
+    }
+
     /// Selects the route with the longest matching prefix for a request for `path` at `host`. The
     /// hash of `request_id` selects the service on a route with several.
     #[must_use]
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -16,6 +16,9 @@
     pub host: FastStr,
     /// Data centre of this host; targets there are preferred.
     pub data_centre: FastStr,
+    /// True if the whole system starts for the first time, so that no stream has begun before.
+    #[serde(default)]
+    pub first_start: bool,
     /// Addresses to listen on.
     pub listen: Listen,
     /// The platform's store.
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod crash_suspects;
 mod placement;
 mod request;
+mod resumption;
 mod serve;
 mod stream;
 
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -20,6 +20,22 @@
 /// then finds the adapter loaded.
 const LOAD_WAIT_GOALS: u64 = 3;
 
+/// Targets among which one is chosen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Eligibility<'a> {
+    /// Targets that are left out.
+    pub(crate) tried: &'a [FastStr],
+    /// The only software version at which the request may run, if there is one.
+    pub(crate) software_version: Option<&'a FastStr>,
+}
+
+impl Eligibility<'_> {
+    fn includes(&self, target: &Target) -> bool {
+        self.software_version.is_none_or(|version| target.software_version == *version)
+            && !self.tried.contains(&target.id)
+    }
+}
+
 /// Result of choosing a target.
 #[derive(Clone, Debug)]
 pub(crate) enum Placement {
@@ -31,17 +47,17 @@
     NoTarget,
 }
 
-/// Chooses a target that is not in `tried` and, if needed, waits until the adapter is loaded
-/// there. The caller has been waiting since `waiting_since`.
+/// Chooses an eligible target and, if needed, waits until the adapter is loaded there. The caller has
+/// been waiting since `waiting_since`.
 pub(crate) async fn select_target(
     edge: &Arc<Edge>,
     out: &OutgoingRequest,
-    tried: &[FastStr],
+    eligibility: Eligibility<'_>,
     waiting_since: Time,
 ) -> Placement {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let version = adapter.and_then(|adapter| edge.newest_version(adapter));
-    let candidates = collect_candidates(edge, out, adapter, version, tried);
+    let candidates = collect_candidates(edge, out, adapter, version, eligibility);
     let chosen = match adapter {
         None => choose_target(&candidates, &out.head.id),
         Some(adapter) => {
@@ -91,7 +107,8 @@
         }
         // all requests that waited for this load continue at the same time, and the adapter may
         // have been loaded on other engines meanwhile
-        let current_candidates = self::collect_candidates(edge, out, Some(adapter), version, tried);
+        let current_candidates =
+            self::collect_candidates(edge, out, Some(adapter), version, eligibility);
         let id = match choose_engine_for_adapter(&current_candidates, adapter, true, false) {
             TargetChoice::Direct(candidate) => candidate.id.clone(),
             TargetChoice::AfterLoad(_) | TargetChoice::NoTarget => id,
@@ -114,11 +131,22 @@
     waiting_since.after_ms(wait_ms).min(out.deadline)
 }
 
-/// True if a target that is not in `tried` can serve the request, now or after a load.
-pub(crate) fn has_alternative(edge: &Edge, out: &OutgoingRequest, tried: &[FastStr]) -> bool {
+/// True if a target of the request's service with this software version accepts new work.
+pub(crate) fn has_ready_target(edge: &Edge, out: &OutgoingRequest, version: &FastStr) -> bool {
+    let fleet = edge.fleet.read();
+    let service = &out.selected.service.name;
+    fleet.all_ready().any(|t| t.service == *service && t.software_version == *version)
+}
+
+/// True if an eligible target can serve the request, now or after a load.
+pub(crate) fn has_alternative(
+    edge: &Edge,
+    out: &OutgoingRequest,
+    eligibility: Eligibility<'_>,
+) -> bool {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let version = adapter.and_then(|adapter| edge.newest_version(adapter));
-    let candidates = collect_candidates(edge, out, adapter, version, tried);
+    let candidates = collect_candidates(edge, out, adapter, version, eligibility);
     adapter.is_none() && !candidates.is_empty()
         || candidates.iter().any(|c| c.is_resident || c.can_load)
 }
@@ -151,7 +179,7 @@
     out: &OutgoingRequest,
     adapter: Option<&FastStr>,
     version: Option<u64>,
-    tried: &[FastStr],
+    eligibility: Eligibility<'_>,
 ) -> Vec<TargetCandidate> {
     let now = now();
     let service = &out.selected.service;
@@ -159,7 +187,7 @@
         .fleet
         .read()
         .all_ready()
-        .filter(|t| t.service == service.name && !tried.contains(&t.id))
+        .filter(|t| t.service == service.name && eligibility.includes(t))
         .cloned()
         .collect();
     let mut candidates = Vec::with_capacity(targets.len());
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -6,9 +6,10 @@
         state::Edge,
     },
     bytes::Bytes,
-    egret_core::{Fingerprint, RouteKind, RouteMatch, Time, fingerprint, mix_hashes},
+    egret_core::{Fingerprint, RouteKind, RouteMatch, StreamOrigin, Time, fingerprint, mix_hashes},
     egret_platform::{HeadError, RequestHead},
     egret_runtime::{events, now, with_deadline},
+    faststr::FastStr,
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
@@ -41,6 +42,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) selected: RouteMatch,
+    /// The only software version at which the request may run, if it resumes a stream.
+    pub(crate) software_version: Option<FastStr>,
     /// Revision of the routes by which the request was selected.
     pub(crate) revision: u64,
     pub(crate) fingerprint: Fingerprint,
@@ -111,6 +114,7 @@
             headers: parts.headers,
             body,
             selected,
+            software_version: None,
             revision: routing.revision,
             fingerprint,
             arrived_at: arrived,
@@ -119,6 +123,27 @@
         })
     }
 
+    /// Restricts the request to targets of the service and software version that began the stream
+    /// which it resumes. Returns false if its route does not lead to that service.
+    pub(crate) fn restrict_to(&mut self, edge: &Edge, origin: StreamOrigin) -> bool {
+        if origin.service != self.selected.service.name {
+            let is_on_route = self.selected.route.services().any(|name| *name == origin.service);
+            let service = edge.routing().services().get(&origin.service).cloned();
+            let Some(service) = service.filter(|_| is_on_route) else {
+                return false;
+            };
+            self.selected.service = service;
+        }
+        self.software_version = Some(origin.software_version);
+        true
+    }
+
+    /// Id of the request that brought the first event of the stream, this one or an earlier one.
+    pub(crate) fn stream_id(&self) -> &FastStr {
+        let resumed = self.head.resumed_request_id.as_ref();
+        resumed.filter(|_| self.head.last_event_id.is_some()).unwrap_or(&self.head.id)
+    }
+
     /// Records that the answer has ended, completely or not.
     pub(crate) fn mark_finished(&self) {
         self.is_finished.store(true, Ordering::Relaxed);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -5,9 +5,9 @@
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
-        placement::{self, Placement, select_target},
+        placement::{self, Eligibility, Placement, select_target},
         request::{OutgoingRequest, SharedRequest},
-        stream,
+        resumption, stream,
     },
     crate::{
         server::{Answer, full_answer, refusal},
@@ -37,14 +37,18 @@
 /// Serves a request and returns the answer to its caller.
 pub(crate) async fn serve(edge: &Arc<Edge>, req: Request<Incoming>, _peer: SocketAddr) -> Answer {
     let open = OpenRequest::new(edge);
-    let out = match OutgoingRequest::read_from_caller(edge, req).await {
-        Ok(out) => Arc::new(out),
+    let mut out = match OutgoingRequest::read_from_caller(edge, req).await {
+        Ok(out) => out,
         Err(answer) => return *answer,
     };
     let policy = edge.suspects.lock().run_policy(now(), out.fingerprint);
     if let RunPolicy::Refused(_) = policy {
         return finish_unanswered(edge, &out, FinalAnswer::NotRun, "its content crashed targets");
     }
+    if let Err(reason) = resumption::restrict_to_origin(edge, &mut out).await {
+        return finish_unanswered(edge, &out, FinalAnswer::NotRun, reason);
+    }
+    let out = Arc::new(out);
     edge.record_first_send(&out.selected.service.name);
     let mut sender = RequestSender::new(edge, &out);
     if out.kind().is_stream() {
@@ -88,6 +92,8 @@
     out: SharedRequest,
     sends: RequestSends,
     tried_targets: Vec<FastStr>,
+    // the only software version at which the stream goes on
+    software_version: Option<FastStr>,
     // start of the caller's wait for the next part of the answer
     waiting_since: Time,
 }
@@ -102,6 +108,7 @@
             out: out.clone(),
             sends,
             tried_targets: Vec::new(),
+            software_version: out.software_version.clone(),
             waiting_since,
         }
     }
@@ -119,8 +126,7 @@
             if now() >= self.out.deadline {
                 return Err((self.sends.final_answer(now()), "its time is over"));
             }
-            let placed =
-                select_target(&self.edge, &self.out, &self.tried_targets, self.waiting_since).await;
+            let placed = self.select_target(&self.tried_targets).await;
             let target = match placed {
                 Placement::Target(target) => target,
                 // the engine or its owner is unreachable or busy; another engine is tried
@@ -137,7 +143,7 @@
                     ));
                 }
                 Placement::NoTarget => {
-                    return Err((self.sends.final_answer(now()), "no target takes it"));
+                    return Err((self.sends.final_answer(now()), self.no_target_reason()));
                 }
             };
             let id = target.id.clone();
@@ -159,6 +165,29 @@
         }
     }
 
+    async fn select_target(&self, tried: &[FastStr]) -> Placement {
+        let eligibility = self.eligibility(tried);
+        select_target(&self.edge, &self.out, eligibility, self.waiting_since).await
+    }
+
+    fn eligibility<'a>(&'a self, tried: &'a [FastStr]) -> Eligibility<'a> {
+        Eligibility { tried, software_version: self.software_version.as_ref() }
+    }
+
+    fn no_target_reason(&self) -> &'static str {
+        match &self.software_version {
+            Some(version) if !placement::has_ready_target(&self.edge, &self.out, version) => {
+                "no target of its software version"
+            }
+            _ => "no target takes it",
+        }
+    }
+
+    /// Restricts all further sends to targets of this software version.
+    pub(crate) fn restrict_to_version(&mut self, version: FastStr) {
+        self.software_version = Some(version);
+    }
+
     async fn send(
         &mut self,
         target: Arc<Target>,
@@ -223,7 +252,7 @@
         tried_targets.push(silent.clone());
         while self.sends.can_reroute()
             && now() < self.out.deadline
-            && placement::has_alternative(&self.edge, &self.out, &tried_targets)
+            && self.has_alternative(&tried_targets)
             && self.edge.try_take_retry(&self.out.selected.service.name)
         {
             let target = self.select_elsewhere(&mut tried_targets).await?;
@@ -246,11 +275,13 @@
         None
     }
 
+    fn has_alternative(&self, tried_targets: &[FastStr]) -> bool {
+        placement::has_alternative(&self.edge, &self.out, self.eligibility(tried_targets))
+    }
+
     async fn select_elsewhere(&self, tried_targets: &mut Vec<FastStr>) -> Option<Arc<Target>> {
         loop {
-            let placed =
-                select_target(&self.edge, &self.out, tried_targets, self.waiting_since).await;
-            match placed {
+            match self.select_target(tried_targets).await {
                 Placement::Target(target) => return Some(target),
                 Placement::AdapterNotLoaded(engine)
                     if now() < placement::load_deadline(&self.out, self.waiting_since) =>
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -5,6 +5,7 @@
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
         request::{OutgoingRequest, SharedRequest},
+        resumption,
         serve::{RequestSender, SilenceEnd, finish_unanswered, record_answer},
     },
     crate::{
@@ -14,7 +15,7 @@
     bytes::Bytes,
     egret_core::{EventSplitter, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
-    egret_runtime::{events, now, read_incoming, with_deadline},
+    egret_runtime::{EventId, events, now, read_incoming, with_deadline},
     futures::stream::unfold,
     http::Response,
     http_body::Frame,
@@ -126,7 +127,7 @@
                     match self.splitter.push(&data) {
                         Ok(complete) if complete.is_empty() => continue,
                         Ok(complete) => {
-                            self.record_first_event();
+                            self.record_first_event().await;
                             return Some(Ok(complete));
                         }
                         Err(e) => self.handle_break(&e.to_string()).await,
@@ -180,28 +181,34 @@
         }
     }
 
-    fn record_first_event(&mut self) {
-        if !self.has_sent_events {
-            self.has_sent_events = true;
-            #[allow(clippy::cast_precision_loss)]
-            self.edge.counts.first_part_ms.observe(now().ms_since(self.out.arrived_at) as f64);
-            if let Some(answer) = &self.target_answer {
-                self.log_first_event(&answer.target);
-            }
+    // Called before the first events are passed on. From then on the stream stays at the software
+    // version that wrote them.
+    async fn record_first_event(&mut self) {
+        if self.has_sent_events {
+            return;
         }
-    }
-
-    // a host that is killed leaves no other line about its open streams
-    fn log_first_event(&self, target: &Target) {
-        events::STREAM_BEGAN.debug(format_args!(
-            "request={} route={} adapter={} target={} version={}{}",
-            self.out.head.id,
-            self.out.selected.route.name,
-            self.out.head.adapter.as_deref().unwrap_or("-"),
-            target.id,
-            target.software_version,
-            self.out.resumption()
-        ));
+        self.has_sent_events = true;
+        #[allow(clippy::cast_precision_loss)]
+        self.edge.counts.first_part_ms.observe(now().ms_since(self.out.arrived_at) as f64);
+        let Some(target) = self.target_answer.as_ref().map(|answer| answer.target.clone()) else {
+            return;
+        };
+        self.sender.restrict_to_version(target.software_version.clone());
+        let has_several_versions = resumption::record_origin(&self.edge, &self.out, &target).await;
+        // a host that is killed leaves no other line about its open streams
+        let log = if has_several_versions { EventId::info } else { EventId::debug };
+        log(
+            events::STREAM_BEGAN,
+            format_args!(
+                "request={} route={} adapter={} target={} version={}{}",
+                self.out.head.id,
+                self.out.selected.route.name,
+                self.out.head.adapter.as_deref().unwrap_or("-"),
+                target.id,
+                target.software_version,
+                self.out.resumption()
+            ),
+        );
     }
 
     fn finish_complete(&mut self) {
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -6,7 +6,10 @@
 //! the first host of each data centre gets updates and forwards them there.
 
 use {
-    super::peer_table::{Peer, Peers, time_from_age},
+    super::{
+        peer_table::{Peer, Peers, time_from_age},
+        stream_origins,
+    },
     crate::{
         state::{Edge, ReadPosition},
         watch,
@@ -68,6 +71,17 @@
     true
 }
 
+/// True if a live host has read further in the registry than this one and has another state.
+pub(crate) fn is_behind(edge: &Edge) -> bool {
+    let own_digest = digest(edge);
+    let position = edge.fleet.read().position();
+    let peers = edge.peers.lock();
+    let is_ahead = |(host, peer): (&FastStr, &Peer)| {
+        peer.registry_offset > position && peer.digest != own_digest && peers.is_live(host)
+    };
+    peers.all().iter().any(is_ahead)
+}
+
 /// Position of this host in a stream of the store, compared with hosts that have read it recently.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReadStatus {
@@ -232,6 +246,7 @@
         update.targets.len()
     ));
     edge.fleet.write().apply_listing(now(), message.registry_offset, update.targets);
+    stream_origins::observe_versions(edge);
     edge.state_changed.notify_one();
     send_updates(edge);
 }
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::gossip,
+    super::{gossip, stream_origins},
     crate::{
         orders::{self, AdapterRequest},
         state::Edge,
@@ -69,6 +69,11 @@
                 ));
                 Some(if loaded { Body::Ok(Hello::default()) } else { refusal_message() })
             }
+            Body::StreamOrigins(message) => {
+                stream_origins::merge_origins(&edge, message);
+                None
+            }
+            Body::FindStreamOrigin(message) => Some(stream_origins::answer_find(&edge, message)),
             // message types of other programs
             _ => Some(refusal_message()),
         }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -6,11 +6,15 @@
 mod heartbeat;
 mod messages;
 mod peer_table;
+mod stream_origins;
 
 pub(crate) use {
-    gossip::{ReadStatus, confirm_current, host_rank, is_reader, read_status, send_updates},
+    gossip::{
+        ReadStatus, confirm_current, host_rank, is_behind, is_reader, read_status, send_updates,
+    },
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
+    stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
 
 use {crate::state::Edge, std::sync::Arc};
--- /dev/null
+++ b/crates/edge/src/peers/stream_origins.rs
@@ -0,0 +1,264 @@
+//! Origins of streams at all hosts: a caller may resume a stream at another host than the one that
+//! began it, which may be gone.
+//!
+//! While targets of several software versions serve, each origin is sent to two other hosts before
+//! the first event of its stream is passed on. While there is only one version, nothing is sent.
+
+use {
+    crate::state::Edge,
+    egret_core::{OriginReport, StreamOrigin, StreamOriginRecord, Target, Time, rendezvous_weight},
+    egret_runtime::{
+        Body, FindStreamOriginMsg, Link, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg,
+        now,
+    },
+    faststr::FastStr,
+    futures::{StreamExt, future::join_all, stream::FuturesUnordered},
+    indexmap::IndexMap,
+    std::{cmp::Reverse, slice, sync::Arc, time::Duration},
+};
+
+/// Number of other hosts that get the origin of a stream.
+const COPIES: usize = 2;
+
+/// Number of hosts that are asked because they may have a copy: one more than there are copies,
+/// since the host that sent them skipped itself.
+const ASKED_FOR_COPIES: usize = COPIES + 1;
+
+/// Highest number of hosts that are asked.
+const ASKED_MAX: usize = 8;
+
+/// Longest wait for the answers of the hosts asked. A caller that is refused comes back after at
+/// least this time.
+const ANSWER_TIMEOUT_MS: u64 = 150;
+
+/// Longest delay of the first events of a stream until its origin is written to the links.
+const WRITE_TIMEOUT_MS: u64 = 20;
+
+/// Longest wait for a first link in the startup period of this host.
+const LINK_WAIT_MS: u64 = 500;
+
+/// Pause between checks for a link.
+const LINK_CHECK_INTERVAL_MS: u64 = 25;
+
+// another host with an open link
+struct LinkedHost {
+    name: FastStr,
+    link: Arc<Link>,
+    is_local: bool,
+}
+
+/// Records the software versions of the targets known now. When a service gets a second one, the
+/// origins of its streams are sent to other hosts.
+pub(crate) fn observe_versions(edge: &Edge) {
+    if *edge.registry_read_at.lock() == Time::ZERO {
+        return;
+    }
+    let version_of =
+        |target: &Arc<Target>| (target.service.clone(), target.software_version.clone());
+    let present: Vec<(FastStr, FastStr)> = edge.fleet.read().all().map(version_of).collect();
+    let changed = edge.version_sightings.lock().observe(now(), present);
+    for service in changed {
+        let services = edge.routing().services_beside(&service);
+        if has_several_versions(edge, &services) {
+            let records = edge.stream_origins.lock().own_records(now(), &services);
+            for (link, message) in copies(edge, &records) {
+                link.notify(message);
+            }
+        }
+    }
+}
+
+// true if streams of `services` may have begun at several software versions.
+fn has_several_versions<'a>(edge: &Edge, services: impl IntoIterator<Item = &'a FastStr>) -> bool {
+    edge.version_sightings.lock().versions(now(), services).len() > 1
+}
+
+/// Records a stream whose first events are about to be passed on, on a route to `services`. If
+/// targets of several software versions serve them, the record is sent to other hosts, and this
+/// returns true once it is written: this host may be killed right after the events.
+pub(crate) async fn record_stream_origin<'a>(
+    edge: &Edge,
+    services: impl IntoIterator<Item = &'a FastStr>,
+    record: StreamOriginRecord,
+) -> bool {
+    edge.stream_origins.lock().record(now(), record.clone());
+    if !has_several_versions(edge, services) {
+        return false;
+    }
+    let deadline = now().after_ms(WRITE_TIMEOUT_MS);
+    let copies = copies(edge, slice::from_ref(&record));
+    let sends = copies.into_iter().map(|(link, message)| async move {
+        link.notify_written(message, deadline).await;
+    });
+    join_all(sends).await;
+    true
+}
+
+// the messages with `records` for the hosts that get copies of them
+fn copies(edge: &Edge, records: &[StreamOriginRecord]) -> Vec<(Arc<Link>, Body)> {
+    let hosts = linked_hosts(edge);
+    let mut by_host: IndexMap<usize, Vec<StreamOriginMsg>> = IndexMap::new();
+    for record in records {
+        for index in ranked_for(&hosts, &record.request_id).into_iter().take(COPIES) {
+            by_host.entry(index).or_default().push(origin_message(record));
+        }
+    }
+    let message = |(index, origins): (usize, Vec<StreamOriginMsg>)| {
+        (hosts[index].link.clone(), Body::StreamOrigins(StreamOriginsMsg { origins }))
+    };
+    by_host.into_iter().map(message).collect()
+}
+
+fn linked_hosts(edge: &Edge) -> Vec<LinkedHost> {
+    let known: Vec<(FastStr, bool)> = {
+        let peers = edge.peers.lock();
+        let is_local = |data_centre: &FastStr| *data_centre == edge.cfg.data_centre;
+        let all = peers.all().iter();
+        all.map(|(host, peer)| (host.clone(), is_local(&peer.record.data_centre))).collect()
+    };
+    let linked = known.into_iter().filter_map(|(name, is_local)| {
+        let link = edge.links.get(&name)?;
+        Some(LinkedHost { name, link, is_local })
+    });
+    linked.collect()
+}
+
+// indices of `hosts` in the order in which they get the origin of the stream `request_id`
+fn ranked_for(hosts: &[LinkedHost], request_id: &str) -> Vec<usize> {
+    let mut ranked: Vec<usize> = (0..hosts.len()).collect();
+    ranked.sort_by_cached_key(|index| Reverse(rendezvous_weight(request_id, &hosts[*index].name)));
+    ranked
+}
+
+/// Applies origins that another host has sent.
+pub(crate) fn merge_origins(edge: &Edge, message: StreamOriginsMsg) {
+    let mut origins = edge.stream_origins.lock();
+    for origin in message.origins {
+        let record = StreamOriginRecord {
+            request_id: FastStr::from_string(origin.request_id),
+            origin: StreamOrigin {
+                service: FastStr::from_string(origin.service),
+                software_version: FastStr::from_string(origin.software_version),
+            },
+            expires_at: now().after_ms(origin.remaining_ms),
+        };
+        origins.merge(now(), record);
+    }
+}
+
+/// What this host knows about the stream that request `request_id` began on a route to `services`.
+pub(crate) fn origin_report<'a>(
+    edge: &Edge,
+    request_id: Option<&FastStr>,
+    services: impl IntoIterator<Item = &'a FastStr>,
+) -> OriginReport {
+    let record = request_id.and_then(|id| edge.stream_origins.lock().find(now(), id));
+    let sightings = edge.version_sightings.lock();
+    OriginReport {
+        origin: record.map(|record| record.origin),
+        versions: sightings.versions(now(), services),
+        is_complete: sightings.is_complete(now()),
+    }
+}
+
+/// Answers another host that asks for the origin of a stream.
+pub(crate) fn answer_find(edge: &Edge, message: FindStreamOriginMsg) -> Body {
+    let request_id = Some(FastStr::from_string(message.request_id)).filter(|id| !id.is_empty());
+    let services: Vec<FastStr> = message.services.into_iter().map(FastStr::from_string).collect();
+    let record = request_id.as_ref().and_then(|id| edge.stream_origins.lock().find(now(), id));
+    let report = origin_report(edge, None, &services);
+    Body::StreamOriginReport(StreamOriginReportMsg {
+        origin: record.as_ref().map(origin_message),
+        versions: report.versions.iter().map(ToString::to_string).collect(),
+        is_complete: report.is_complete,
+    })
+}
+
+/// Asks other hosts about the stream that request `request_id` began on a route to `services`, until
+/// one of them knows its origin or all have answered. A host that has just started waits for its
+/// first link.
+pub(crate) async fn ask_for_origin(
+    edge: &Edge,
+    request_id: Option<&FastStr>,
+    services: &[FastStr],
+) -> Vec<OriginReport> {
+    let is_starting = now() < edge.startup_ends_at;
+    let wait_until = if is_starting { now().after_ms(LINK_WAIT_MS) } else { now() };
+    loop {
+        let reports = ask_linked_hosts(edge, request_id, services).await;
+        if !reports.is_empty() || now() >= wait_until || is_only_host(edge) {
+            return reports;
+        }
+        tokio::time::sleep(Duration::from_millis(LINK_CHECK_INTERVAL_MS)).await;
+    }
+}
+
+fn is_only_host(edge: &Edge) -> bool {
+    let has_read_hosts = edge.host_log_position.lock().caught_up_at > Time::ZERO;
+    has_read_hosts && edge.peers.lock().all().is_empty()
+}
+
+async fn ask_linked_hosts(
+    edge: &Edge,
+    request_id: Option<&FastStr>,
+    services: &[FastStr],
+) -> Vec<OriginReport> {
+    let question = FindStreamOriginMsg {
+        request_id: request_id.map(ToString::to_string).unwrap_or_default(),
+        services: services.iter().map(ToString::to_string).collect(),
+    };
+    let deadline = now().after_ms(ANSWER_TIMEOUT_MS);
+    let hosts = hosts_to_ask(linked_hosts(edge), request_id);
+    let calls = hosts.iter().map(|host| {
+        let question = Body::FindStreamOrigin(question.clone());
+        async move { host.link.call(question, deadline).await }
+    });
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    let mut reports = Vec::new();
+    while let Some(answer) = calls.next().await {
+        let Ok(Body::StreamOriginReport(message)) = answer else {
+            continue;
+        };
+        let report = report_from_message(message);
+        let is_known = report.origin.is_some();
+        reports.push(report);
+        if is_known {
+            break;
+        }
+    }
+    reports
+}
+
+// first the hosts that have a copy of the origin, then those of this data centre, then the others
+fn hosts_to_ask(hosts: Vec<LinkedHost>, request_id: Option<&FastStr>) -> Vec<LinkedHost> {
+    let ranked = ranked_for(&hosts, request_id.map_or("", FastStr::as_str));
+    let mut order = vec![0; hosts.len()];
+    for (rank, index) in ranked.into_iter().enumerate() {
+        order[index] = rank;
+    }
+    let mut hosts: Vec<(usize, LinkedHost)> = order.into_iter().zip(hosts).collect();
+    hosts.sort_by_key(|(rank, host)| {
+        (*rank >= ASKED_FOR_COPIES, *rank >= ASKED_FOR_COPIES && !host.is_local, *rank)
+    });
+    hosts.into_iter().map(|(_, host)| host).take(ASKED_MAX).collect()
+}
+
+fn report_from_message(message: StreamOriginReportMsg) -> OriginReport {
+    OriginReport {
+        origin: message.origin.map(|origin| StreamOrigin {
+            service: FastStr::from_string(origin.service),
+            software_version: FastStr::from_string(origin.software_version),
+        }),
+        versions: message.versions.into_iter().map(FastStr::from_string).collect(),
+        is_complete: message.is_complete,
+    }
+}
+
+fn origin_message(record: &StreamOriginRecord) -> StreamOriginMsg {
+    StreamOriginMsg {
+        request_id: record.request_id.to_string(),
+        service: record.origin.service.to_string(),
+        software_version: record.origin.software_version.to_string(),
+        remaining_ms: now().ms_until(record.expires_at),
+    }
+}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,7 +4,8 @@
     crate::{conf::Settings, orders::EngineReconcilers, peers::Peers, pool::ConnectionPool},
     egret_core::{
         BrokenConnections, ColdLoadLimit, CrashSuspects, CrossDataCentreRequests, EngineClaim,
-        EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, Time,
+        EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, StreamOrigins,
+        Time, VersionSightings,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -19,6 +20,9 @@
     tokio::sync::{Notify, watch},
 };
 
+/// Time after the start of the process within which links to the other hosts are opened.
+const STARTUP_MS: u64 = 3000;
+
 type Labels = Vec<(&'static str, String)>;
 
 /// Metrics of the edge host.
@@ -27,6 +31,7 @@
     pub(crate) answers: Family<Labels, Counter>,
     pub(crate) sends_failed: Family<Labels, Counter>,
     pub(crate) orders: Family<Labels, Counter>,
+    pub(crate) resumptions: Family<Labels, Counter>,
     pub(crate) first_part_ms: Histogram,
     pub(crate) load_stalls_ms: Histogram,
 }
@@ -37,6 +42,10 @@
             answers: metrics.counters("egret_answers", "Final answers by outcome"),
             sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
             orders: metrics.counters("egret_orders", "Orders to engines by answer"),
+            resumptions: metrics.counters(
+                "egret_resumptions",
+                "Requests that resume a stream, by what is known of its software version",
+            ),
             first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
             load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
         }
@@ -103,6 +112,10 @@
     pub(crate) retry_windows: Mutex<IndexMap<FastStr, RetryWindow>>,
     pub(crate) suspects: Mutex<CrashSuspects>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
+    pub(crate) stream_origins: Mutex<StreamOrigins>,
+    pub(crate) version_sightings: Mutex<VersionSightings>,
+    /// Time by which links to the other hosts are open.
+    pub(crate) startup_ends_at: Time,
     pub(crate) store: StoreClient,
     pub(crate) operator_position: Mutex<ReadPosition>,
     // position in the host log; claims are appended on the condition that the log ends there
@@ -150,6 +163,9 @@
             retry_windows: Mutex::default(),
             suspects: Mutex::default(),
             broken_connections: Mutex::default(),
+            stream_origins: Mutex::default(),
+            version_sightings: Mutex::default(),
+            startup_ends_at: now().after_ms(STARTUP_MS),
             store: StoreClient::new(cfg.store.address),
             operator_position: Mutex::default(),
             host_log_position: Mutex::default(),
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -72,6 +72,9 @@
         match page {
             Ok(page) => {
                 backoff.record_success();
+                if !has_snapshot {
+                    record_first_start(&edge, &page);
+                }
                 has_snapshot = true;
                 apply_page(&edge, &page, started);
                 if !edge.is_announced.load(Ordering::Acquire) {
@@ -86,6 +89,15 @@
     }
 }
 
+// The settings may still say so when a process starts again, which its record in the host log tells
+fn record_first_start(edge: &Edge, page: &Page) {
+    let own_key = host_key(&edge.cfg.host);
+    let has_run_before = page.records.iter().any(|record| record.key == own_key);
+    if edge.cfg.first_start && !has_run_before {
+        edge.version_sightings.lock().record_first_start();
+    }
+}
+
 fn apply_page(edge: &Edge, page: &Page, started: Time) {
     for record in &page.records {
         if let Some(host) = record.key.strip_prefix(HOST_PREFIX) {
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -50,6 +50,7 @@
                 apply_page(&edge, &page, is_listing);
                 read_at = now();
                 *edge.registry_read_at.lock() = read_at;
+                peers::observe_versions(&edge);
                 edge.state_changed.notify_one();
                 peers::send_updates(&edge);
                 tokio::time::sleep(Duration::from_millis(READ_INTERVAL_MS)).await;
@@ -71,8 +72,9 @@
     }
 }
 
-// removes state that is kept for targets that no longer exist
+// removes targets that no longer exist, and state that is kept for them
 fn remove_gone_targets(edge: &Edge) {
+    peers::observe_versions(edge);
     edge.fleet.write().remove_expired(now());
     let known: IndexSet<FastStr> = edge.fleet.read().all().map(|t| t.id.clone()).collect();
     edge.connections.remove_expired(|target| known.contains(target));
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -109,7 +109,7 @@
                 .unwrap()
         };
         let settings = format!(
-            "host = \"host-{host}\"\ndata_centre = \"dc-1\"\n\
+            "host = \"host-{host}\"\ndata_centre = \"dc-1\"\nfirst_start = true\n\
              [listen]\ncallers = \"{}\"\nready = \"{}\"\nlinks = \"{}\"\nmetrics = \"{}\"\n\
              [store]\naddress = \"{}\"\nlapse_ms = 4000\n\
              [orders]\nfencing = \"checked\"\nlease_ms = 300\nceiling_window_s = 5\n\
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -57,11 +57,25 @@
     next_id: AtomicU64,
 }
 
+#[derive(Debug)]
+struct QueuedFrame {
+    bytes: Bytes,
+    // notified once the frame is written
+    written: Option<oneshot::Sender<()>>,
+}
+
+impl QueuedFrame {
+    fn new(id: u64, body: Body) -> Self {
+        let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
+        Self { bytes, written: None }
+    }
+}
+
 /// An open link to a peer. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Link {
     state: Arc<LinkState>,
-    tx: mpsc::Sender<Bytes>,
+    tx: mpsc::Sender<QueuedFrame>,
     tasks: [JoinHandle<()>; 2],
 }
 
@@ -116,8 +130,7 @@
         if self.is_closed() {
             return Err(LinkError::Broken);
         }
-        let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
-        self.tx.try_send(bytes).map_err(|_| LinkError::Broken)?;
+        self.tx.try_send(QueuedFrame::new(id, body)).map_err(|_| LinkError::Broken)?;
         let answer = with_deadline(deadline, answer_rx).await.ok_or(LinkError::TimedOut)?;
         drop(guard);
         answer.map_err(|_| LinkError::Broken)
@@ -132,8 +145,18 @@
     #[must_use]
     pub fn try_notify(&self, body: Body) -> bool {
         let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
-        let bytes = Bytes::from(Frame { id, body: Some(body) }.encode_to_vec());
-        self.tx.try_send(bytes).is_ok()
+        self.tx.try_send(QueuedFrame::new(id, body)).is_ok()
+    }
+
+    /// Sends a one-way message and waits until it is written to the connection, so that it reaches
+    /// the peer even if this process is killed then. Returns false if it is not written by
+    /// `deadline`; it may be written later.
+    pub async fn notify_written(&self, body: Body, deadline: Time) -> bool {
+        let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
+        let (written_tx, written_rx) = oneshot::channel();
+        let frame = QueuedFrame { written: Some(written_tx), ..QueuedFrame::new(id, body) };
+        let is_queued = self.tx.try_send(frame).is_ok();
+        is_queued && matches!(with_deadline(deadline, written_rx).await, Some(Ok(())))
     }
 
     /// Closes the connection, for instance because the peer does not answer.
@@ -172,13 +195,17 @@
 
 async fn write_frames(
     mut sink: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    mut rx: mpsc::Receiver<Bytes>,
+    mut rx: mpsc::Receiver<QueuedFrame>,
     state: Arc<LinkState>,
 ) {
-    while let Some(bytes) = rx.recv().await {
-        if sink.send(bytes).await.is_err() {
+    while let Some(frame) = rx.recv().await {
+        if sink.send(frame.bytes).await.is_err() {
             break;
         }
+        if let Some(written) = frame.written {
+            // a sender that no longer waits needs no notice
+            let _ = written.send(());
+        }
     }
     state.close();
 }
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -13,7 +13,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Content of the frame.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+    )]
     pub body: Option<Body>,
 }
 
@@ -68,6 +71,15 @@
     /// Snapshot of what an edge host has read from the platform.
     #[prost(message, tag = "17")]
     PlatformSnapshot(PlatformSnapshotMsg),
+    /// Origins of streams that the sender passes on.
+    #[prost(message, tag = "18")]
+    StreamOrigins(StreamOriginsMsg),
+    /// Requests what a host knows about the stream that a request resumes.
+    #[prost(message, tag = "19")]
+    FindStreamOrigin(FindStreamOriginMsg),
+    /// Answer to that request.
+    #[prost(message, tag = "20")]
+    StreamOriginReport(StreamOriginReportMsg),
 }
 
 /// Identifies the sender of a link's messages.
@@ -515,3 +527,53 @@
     #[prost(bool, tag = "6")]
     pub reported_missing: bool,
 }
+
+/// Origin of a stream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StreamOriginMsg {
+    /// Id of the request that brought the first event.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Service of the target that began the stream.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Software version of that target.
+    #[prost(string, tag = "3")]
+    pub software_version: String,
+    /// Milliseconds after which the stream is no longer resumed.
+    #[prost(uint64, tag = "4")]
+    pub remaining_ms: u64,
+}
+
+/// Origins of streams.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StreamOriginsMsg {
+    /// The origins.
+    #[prost(message, repeated, tag = "1")]
+    pub origins: Vec<StreamOriginMsg>,
+}
+
+/// Requests what a host knows about the stream that a request resumes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct FindStreamOriginMsg {
+    /// Id of the request that brought the first event, empty if the caller does not name it.
+    #[prost(string, tag = "1")]
+    pub request_id: String,
+    /// Services at which the stream may have begun.
+    #[prost(string, repeated, tag = "2")]
+    pub services: Vec<String>,
+}
+
+/// What a host knows about the stream that a request resumes.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct StreamOriginReportMsg {
+    /// Origin of the stream, if the host knows it.
+    #[prost(message, optional, tag = "1")]
+    pub origin: Option<StreamOriginMsg>,
+    /// Software versions at which the stream may have begun.
+    #[prost(string, repeated, tag = "2")]
+    pub versions: Vec<String>,
+    /// True if the host has known all targets for the longest life of a stream.
+    #[prost(bool, tag = "3")]
+    pub is_complete: bool,
+}
