--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -6,15 +6,19 @@
         state::Edge,
     },
     bytes::Bytes,
-    egret_core::{Fingerprint, RouteKind, RouteMatch, Time, fingerprint, mix_hashes},
+    egret_core::{Fingerprint, RouteKind, RouteMatch, StreamOrigin, Time, fingerprint, mix_hashes},
     egret_platform::{HeadError, RequestHead},
     egret_runtime::{events, now, with_deadline},
+    faststr::FastStr,
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        fmt,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
     },
 };
 
@@ -38,6 +42,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) selected: RouteMatch,
+    /// The only software version at which the request may run, if it resumes a stream.
+    pub(crate) software_version: Option<FastStr>,
     /// Revision of the routes by which the request was selected.
     pub(crate) revision: u64,
     pub(crate) fingerprint: Fingerprint,
@@ -108,6 +114,7 @@
             headers: parts.headers,
             body,
             selected,
+            software_version: None,
             revision: routing.revision,
             fingerprint,
             arrived_at: arrived,
@@ -116,11 +123,37 @@
         })
     }
 
+    /// Restricts the request to targets of the service and software version that began the stream
+    /// which it resumes. Returns false if its route does not lead to that service.
+    pub(crate) fn restrict_to(&mut self, edge: &Edge, origin: StreamOrigin) -> bool {
+        if origin.service != self.selected.service.name {
+            let is_on_route = self.selected.route.services().any(|name| *name == origin.service);
+            let service = edge.routing().services().get(&origin.service).cloned();
+            let Some(service) = service.filter(|_| is_on_route) else {
+                return false;
+            };
+            self.selected.service = service;
+        }
+        self.software_version = Some(origin.software_version);
+        true
+    }
+
+    /// Id of the request that brought the first event of the stream, this one or an earlier one.
+    pub(crate) fn stream_id(&self) -> &FastStr {
+        let resumed = self.head.resumed_request_id.as_ref();
+        resumed.filter(|_| self.head.last_event_id.is_some()).unwrap_or(&self.head.id)
+    }
+
     /// Records that the answer has ended, completely or not.
     pub(crate) fn mark_finished(&self) {
         self.is_finished.store(true, Ordering::Relaxed);
     }
 
+    /// Fields of log lines that tell which stream the request resumes; empty if it resumes none.
+    pub(crate) fn resumption(&self) -> Resumption<'_> {
+        Resumption(&self.head)
+    }
+
     pub(crate) fn kind(&self) -> RouteKind {
         self.selected.route.kind
     }
@@ -135,15 +168,31 @@
     fn drop(&mut self) {
         if !*self.is_finished.get_mut() && !std::thread::panicking() {
             events::REQUEST_ABANDONED.info(format_args!(
-                "request={} route={} ms={}",
+                "request={} route={}{} ms={}",
                 self.head.id,
                 self.selected.route.name,
+                self.resumption(),
                 now().ms_since(self.arrived_at)
             ));
         }
     }
 }
 
+/// Fields of log lines that tell which stream a request resumes, with a space before each.
+pub(crate) struct Resumption<'a>(&'a RequestHead);
+
+impl fmt::Display for Resumption<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(id) = &self.0.resumed_request_id {
+            write!(f, " resumes={id}")?;
+        }
+        if let Some(event) = self.0.last_event_id {
+            write!(f, " resumed_after={event}")?;
+        }
+        Ok(())
+    }
+}
+
 // spread by the request's id, so that callers do not retry at the same time
 fn retry_after_ms(id: Option<&HeaderValue>) -> u64 {
     let bytes = id.map_or(&[][..], HeaderValue::as_bytes);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -5,9 +5,10 @@
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
-        placement::{self, Placement, select_target},
+        placement::{self, Eligibility, Placement, select_target},
         request::{OutgoingRequest, SharedRequest},
-        silence::{Resumption, SilenceEnd},
+        resumption,
+        silence::{ResumePoint, SilenceEnd},
         stream,
     },
     crate::{
@@ -38,14 +39,18 @@
 /// Serves a request and returns the answer to its caller.
 pub(crate) async fn serve(edge: &Arc<Edge>, req: Request<Incoming>, _peer: SocketAddr) -> Answer {
     let open = OpenRequest::new(edge);
-    let out = match OutgoingRequest::read_from_caller(edge, req).await {
-        Ok(out) => Arc::new(out),
+    let mut out = match OutgoingRequest::read_from_caller(edge, req).await {
+        Ok(out) => out,
         Err(answer) => return *answer,
     };
     let policy = edge.suspects.lock().run_policy(now(), out.fingerprint);
     if let RunPolicy::Refused(_) = policy {
         return finish_unanswered(edge, &out, FinalAnswer::NotRun, "its content crashed targets");
     }
+    if let Err(reason) = resumption::restrict_to_origin(edge, &mut out).await {
+        return finish_unanswered(edge, &out, FinalAnswer::NotRun, reason);
+    }
+    let out = Arc::new(out);
     edge.record_first_send(&out.selected.service.name);
     let mut sender = RequestSender::new(edge, &out);
     if out.kind().is_stream() {
@@ -77,6 +82,8 @@
     pub(super) tried_targets: Vec<FastStr>,
     // tried targets that proved that they did not run the request
     pub(super) refused_targets: Vec<FastStr>,
+    // the only software version at which the stream goes on
+    pub(super) software_version: Option<FastStr>,
     // start of the caller's wait for the next part of the answer
     pub(super) waiting_since: Time,
 }
@@ -92,6 +99,7 @@
             sends,
             tried_targets: Vec::new(),
             refused_targets: Vec::new(),
+            software_version: out.software_version.clone(),
             waiting_since,
         }
     }
@@ -109,8 +117,7 @@
             if now() >= self.out.deadline {
                 return Err((self.sends.final_answer(now()), "its time is over"));
             }
-            let placed =
-                select_target(&self.edge, &self.out, &self.tried_targets, self.waiting_since).await;
+            let placed = self.select_target(&self.tried_targets).await;
             let target = match placed {
                 Placement::Target(target) => target,
                 // the engine or its owner is unreachable or busy; another engine is tried
@@ -127,7 +134,7 @@
                     ));
                 }
                 Placement::NoTarget => {
-                    return Err((self.sends.final_answer(now()), "no target takes it"));
+                    return Err((self.sends.final_answer(now()), self.no_target_reason()));
                 }
             };
             let id = target.id.clone();
@@ -149,6 +156,29 @@
         }
     }
 
+    async fn select_target(&self, tried: &[FastStr]) -> Placement {
+        let eligibility = self.eligibility(tried);
+        select_target(&self.edge, &self.out, eligibility, self.waiting_since).await
+    }
+
+    pub(super) fn eligibility<'a>(&'a self, tried: &'a [FastStr]) -> Eligibility<'a> {
+        Eligibility { tried, software_version: self.software_version.as_ref() }
+    }
+
+    fn no_target_reason(&self) -> &'static str {
+        match &self.software_version {
+            Some(version) if !placement::has_ready_target(&self.edge, &self.out, version) => {
+                "no target of its software version"
+            }
+            _ => "no target takes it",
+        }
+    }
+
+    /// Restricts all further sends to targets of this software version.
+    pub(crate) fn restrict_to_version(&mut self, version: FastStr) {
+        self.software_version = Some(version);
+    }
+
     async fn send(
         &mut self,
         target: Arc<Target>,
@@ -168,7 +198,7 @@
             Ok(answer) => answer.status.is_server_error().then_some(SendEnd::Failed),
             Err(end) => Some(*end),
         };
-        match self.wait_or_move(&target, Resumption::Head(last_event), attempt, failed_end).await {
+        match self.wait_or_move(&target, ResumePoint::Head(last_event), attempt, failed_end).await {
             SilenceEnd::Answered(sent) => sent,
             SilenceEnd::Moved { answer, .. } => Ok(*answer),
         }
@@ -238,20 +268,28 @@
     attempt::keep_connection(edge, out, &target, target_answer.conn, &target_answer.headers);
     let mut answer = full_answer(target_answer.status, body);
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
-    record_answer(edge, out, target_answer.status, &target.id);
+    record_answer(edge, out, target_answer.status, &target);
     Ok(answer)
 }
 
 /// Logs and counts an answer received from a target.
-pub(crate) fn record_answer(edge: &Edge, out: &OutgoingRequest, status: StatusCode, target: &str) {
+pub(crate) fn record_answer(
+    edge: &Edge,
+    out: &OutgoingRequest,
+    status: StatusCode,
+    target: &Target,
+) {
     out.mark_finished();
     events::REQUEST_DONE.info(format_args!(
-        "request={} route={} revision={} adapter={} status={} target={target} ms={}",
+        "request={} route={} revision={} adapter={} status={} target={} version={}{} ms={}",
         out.head.id,
         out.selected.route.name,
         out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
+        target.id,
+        target.software_version,
+        out.resumption(),
         now().ms_since(out.arrived_at)
     ));
     edge.counts.answers.get_or_create(&vec![("outcome", "done".to_owned())]).inc();
@@ -277,12 +315,13 @@
         FinalAnswer::Unknown | FinalAnswer::DeadlinePassed => events::REQUEST_UNKNOWN,
     };
     event.info(format_args!(
-        "request={} route={} revision={} adapter={} status={} reason={reason} ms={}",
+        "request={} route={} revision={} adapter={} status={} reason={reason}{} ms={}",
         out.head.id,
         out.selected.route.name,
         out.revision,
         out.head.adapter.as_deref().unwrap_or("-"),
         status.as_u16(),
+        out.resumption(),
         now().ms_since(out.arrived_at)
     ));
     edge.counts.answers.get_or_create(&vec![("outcome", outcome.to_owned())]).inc();
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
-        placement::{self, Placement, select_target},
+        placement::{self, Eligibility, Placement, select_target},
         request::SharedRequest,
         serve::RequestSender,
     },
@@ -24,14 +24,14 @@
 
 /// What a target that takes the request over has to answer.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Resumption {
+pub(crate) enum ResumePoint {
     /// The caller has no answer yet. A stream begins after this event, if the caller named one.
     Head(Option<u64>),
     /// The answer has begun, and the stream goes on after this event.
     Stream(Option<u64>),
 }
 
-impl Resumption {
+impl ResumePoint {
     fn last_event(self) -> Option<u64> {
         match self {
             Self::Head(last_event) | Self::Stream(last_event) => last_event,
@@ -69,7 +69,7 @@
     pub(crate) async fn wait_or_move<T>(
         &mut self,
         target: &Target,
-        resumption: Resumption,
+        resume_point: ResumePoint,
         next: impl Future<Output = T>,
         failed_end: impl Fn(&T) -> Option<SendEnd>,
     ) -> SilenceEnd<T> {
@@ -105,12 +105,12 @@
                 }
                 Some((id, sent)) = second_sends.next(), if !second_sends.is_empty() => {
                     let end = match sent {
-                        Ok(answer) if resumption.accepts(&answer) => {
+                        Ok(answer) if resume_point.accepts(&answer) => {
                             return self.finish_moved(target, answer, failure);
                         }
                         Ok(answer) => {
                             record_health(&self.edge, &answer.target, HealthSignal::Failure);
-                            fallback = matches!(resumption, Resumption::Head(_)).then_some(answer);
+                            fallback = matches!(resume_point, ResumePoint::Head(_)).then_some(answer);
                             SendEnd::Failed
                         }
                         Err(end) => end,
@@ -133,7 +133,7 @@
                         // another target is looked for once this one is silent as well
                         search_at = self.head_deadline();
                         tried_targets.push(other.id.clone());
-                        second_sends.push(self.send_second(other, resumption, search_at));
+                        second_sends.push(self.send_second(other, resume_point, search_at));
                     }
                 }
                 () = wait_until(search_at), if search.is_none() => {
@@ -152,24 +152,25 @@
     fn may_search(&self, tried_targets: &[FastStr]) -> bool {
         self.sends.can_reroute()
             && now() < self.out.deadline
-            && placement::has_alternative(&self.edge, &self.out, tried_targets)
+            && placement::has_alternative(&self.edge, &self.out, self.eligibility(tried_targets))
             && self.edge.has_retry_budget(&self.out.selected.service.name)
     }
 
     fn search(&self, excluded: Vec<FastStr>) -> Search {
-        find_target(self.edge.clone(), self.out.clone(), excluded, self.waiting_since).boxed()
+        let (edge, out) = (self.edge.clone(), self.out.clone());
+        find_target(edge, out, self.software_version.clone(), excluded, self.waiting_since).boxed()
     }
 
     fn send_second(
         &self,
         target: Arc<Target>,
-        resumption: Resumption,
+        resume_point: ResumePoint,
         connect_deadline: Time,
     ) -> impl Future<Output = (FastStr, Result<TargetAnswer, SendEnd>)> + Send + use<> {
         let (edge, out) = (self.edge.clone(), self.out.clone());
         async move {
             let id = target.id.clone();
-            let last_event = resumption.last_event();
+            let last_event = resume_point.last_event();
             (id, attempt::send(&edge, &out, target, last_event, connect_deadline).await)
         }
     }
@@ -196,12 +197,15 @@
 async fn find_target(
     edge: Arc<Edge>,
     out: SharedRequest,
+    software_version: Option<FastStr>,
     mut excluded: Vec<FastStr>,
     waiting_since: Time,
 ) -> (Option<Arc<Target>>, Vec<FastStr>) {
     let mut not_loaded = Vec::new();
     loop {
-        match select_target(&edge, &out, &excluded, waiting_since).await {
+        let eligibility =
+            Eligibility { tried: &excluded, software_version: software_version.as_ref() };
+        match select_target(&edge, &out, eligibility, waiting_since).await {
             Placement::Target(target) => return (Some(target), not_loaded),
             // the engine or its owner is unreachable or busy; another engine is tried
             Placement::AdapterNotLoaded(engine)
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -5,18 +5,18 @@
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
         request::{OutgoingRequest, SharedRequest},
+        resumption,
         serve::{RequestSender, finish_unanswered, record_answer},
-        silence::{Resumption, SilenceEnd},
+        silence::{ResumePoint, SilenceEnd},
     },
     crate::{
         server::{Answer, BodyError},
         state::{Edge, OpenRequest},
     },
     bytes::Bytes,
-    egret_core::{EventSplitter, SendDecision, SendEnd, Time},
+    egret_core::{EventSplitter, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
-    egret_runtime::{events, now, read_incoming, with_deadline},
-    faststr::FastStr,
+    egret_runtime::{EventId, events, now, read_incoming, with_deadline},
     futures::stream::unfold,
     http::Response,
     http_body::Frame,
@@ -90,7 +90,7 @@
     );
     let mut answer = crate::server::full_answer(target_answer.status, body);
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
-    record_answer(edge, out, target_answer.status, &target_answer.target.id);
+    record_answer(edge, out, target_answer.status, &target_answer.target);
     answer
 }
 
@@ -128,7 +128,7 @@
                     match self.splitter.push(&data) {
                         Ok(complete) if complete.is_empty() => continue,
                         Ok(complete) => {
-                            self.record_first_event();
+                            self.record_first_event().await;
                             return Some(Ok(complete));
                         }
                         Err(e) => self.handle_break(&e.to_string()).await,
@@ -173,25 +173,47 @@
             Some(None) if is_complete => None,
             Some(_) | None => Some(SendEnd::Lost),
         };
-        let resumption = Resumption::Stream(last_event);
-        match self.sender.wait_or_move(&target, resumption, next, failed_end).await {
+        let resume_point = ResumePoint::Stream(last_event);
+        match self.sender.wait_or_move(&target, resume_point, next, failed_end).await {
             SilenceEnd::Answered(next) => Some(next),
             SilenceEnd::Moved { answer, failure } => {
                 if let Some(Some(Some(Err(_)))) = failure {
                     crash_suspects::record_broken_connection(&self.edge, &self.out, &target);
                 }
-                self.resume_from(*answer, &target.id, "silent");
+                self.resume_from(*answer, &target, "silent");
                 None
             }
         }
     }
 
-    fn record_first_event(&mut self) {
-        if !self.has_sent_events {
-            self.has_sent_events = true;
-            #[allow(clippy::cast_precision_loss)]
-            self.edge.counts.first_part_ms.observe(now().ms_since(self.out.arrived_at) as f64);
+    // Called before the first events are passed on. From then on the stream stays at the software
+    // version that wrote them.
+    async fn record_first_event(&mut self) {
+        if self.has_sent_events {
+            return;
         }
+        self.has_sent_events = true;
+        #[allow(clippy::cast_precision_loss)]
+        self.edge.counts.first_part_ms.observe(now().ms_since(self.out.arrived_at) as f64);
+        let Some(target) = self.target_answer.as_ref().map(|answer| answer.target.clone()) else {
+            return;
+        };
+        self.sender.restrict_to_version(target.software_version.clone());
+        let has_several_versions = resumption::record_origin(&self.edge, &self.out, &target).await;
+        // a host that is killed leaves no other line about its open streams
+        let log = if has_several_versions { EventId::info } else { EventId::debug };
+        log(
+            events::STREAM_BEGAN,
+            format_args!(
+                "request={} route={} adapter={} target={} version={}{}",
+                self.out.head.id,
+                self.out.selected.route.name,
+                self.out.head.adapter.as_deref().unwrap_or("-"),
+                target.id,
+                target.software_version,
+                self.out.resumption()
+            ),
+        );
     }
 
     fn finish_complete(&mut self) {
@@ -200,18 +222,17 @@
         };
         record_health(&self.edge, &target_answer.target, HealthSignal::Success);
         self.edge.suspects.lock().clear(self.out.fingerprint);
-        record_answer(&self.edge, &self.out, target_answer.status, &target_answer.target.id);
+        record_answer(&self.edge, &self.out, target_answer.status, &target_answer.target);
         let TargetAnswer { target, conn, headers, .. } = target_answer;
         attempt::keep_connection(&self.edge, &self.out, &target, conn, &headers);
     }
 
     // resumes on another engine after the last complete event, if the request may be repeated
     async fn handle_break(&mut self, problem: &str) -> Result<(), BodyError> {
-        let target =
-            self.target_answer.as_ref().map(|target_answer| target_answer.target.id.clone());
+        let target = self.target_answer.as_ref().map(|target_answer| target_answer.target.clone());
         let target = target.ok_or("stream has already ended")?;
         self.abandon_answer(problem);
-        match self.sender.record_end(&target, SendEnd::Lost) {
+        match self.sender.record_end(&target.id, SendEnd::Lost) {
             SendDecision::RetryElsewhere => self.resume_elsewhere(&target, problem).await,
             SendDecision::GiveUp(_) => Err(self.fail_stream(&target, problem, "not allowed")),
         }
@@ -231,7 +252,7 @@
         }
     }
 
-    async fn resume_elsewhere(&mut self, from: &FastStr, problem: &str) -> Result<(), BodyError> {
+    async fn resume_elsewhere(&mut self, from: &Target, problem: &str) -> Result<(), BodyError> {
         if self.has_sent_events {
             self.sender.reset_wait();
         }
@@ -244,11 +265,14 @@
         Ok(())
     }
 
-    fn resume_from(&mut self, target_answer: TargetAnswer, from: &FastStr, problem: &str) {
+    fn resume_from(&mut self, target_answer: TargetAnswer, from: &Target, problem: &str) {
         events::STREAM_MOVED.info(format_args!(
-            "request={} from={from} to={} reason={problem} last_event={:?}",
+            "request={} from={} from_version={} to={} to_version={} reason={problem} last_event={:?}",
             self.out.head.id,
+            from.id,
+            from.software_version,
             target_answer.target.id,
+            target_answer.target.software_version,
             self.splitter.last_number()
         ));
         self.splitter.discard_partial();
@@ -256,14 +280,18 @@
     }
 
     // `no_resumption` is the reason why the stream does not go on at another target
-    fn fail_stream(&self, target: &FastStr, problem: &str, no_resumption: &str) -> BodyError {
+    fn fail_stream(&self, target: &Target, problem: &str, no_resumption: &str) -> BodyError {
         self.out.mark_finished();
         events::REQUEST_UNKNOWN.info(format_args!(
-            "request={} route={} revision={} target={target} reason={problem} \
-             no_resumption={no_resumption} last_event={:?} ms={}",
+            "request={} route={} revision={} adapter={} target={} version={} reason={problem} \
+             no_resumption={no_resumption}{} last_event={:?} ms={}",
             self.out.head.id,
             self.out.selected.route.name,
             self.out.revision,
+            self.out.head.adapter.as_deref().unwrap_or("-"),
+            target.id,
+            target.software_version,
+            self.out.resumption(),
             self.splitter.last_number(),
             now().ms_since(self.out.arrived_at)
         ));
