A restarted host waits for its part of the fixed repeats

A process forgets what its predecessor has repeated in the same window, and used the host's part of the fixed repeats again.

A process has that part a window after its start, unless it is the first start of the host. retry_window_bound_over_restarts counted 96 repeats before, where 54 are allowed, and passes now.

Not mended: repeats in proportion to requests.

--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -14,12 +14,16 @@
     pub ratio_milli: u64,
     /// Repeated sends allowed per window in addition, over all hosts.
     pub fixed_repeats: u64,
+    /// Time from which this host may use its part of the fixed repeats. An earlier process of the
+    /// host may have used it in the same window, so it is a window after the start of this one.
+    pub fixed_from: Time,
 }
 
 /// First and repeated sends of one host to one service in the sliding window.
 ///
 /// Each host may repeat in proportion to its own requests, plus an even part of the fixed repeats.
-/// The sum over all hosts thus stays within the bounds, whatever they know of each other.
+/// The sum over all hosts thus stays within the bounds, whatever they know of each other and of
+/// their earlier processes.
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
     buckets: VecDeque<Bucket>,
@@ -53,7 +57,9 @@
         self.current_bucket(now, bounds);
         let first_sends: u64 = self.buckets.iter().map(|bucket| bucket.first_sends).sum();
         let repeats: u64 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
-        let allowed = first_sends * bounds.ratio_milli / 1000 + bounds.fixed_repeats / hosts.max(1);
+        let fixed_part =
+            if now < bounds.fixed_from { 0 } else { bounds.fixed_repeats / hosts.max(1) };
+        let allowed = first_sends * bounds.ratio_milli / 1000 + fixed_part;
         repeats < allowed
     }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -110,6 +110,8 @@
     pub(crate) connecting: Mutex<IndexSet<FastStr>>,
     pub(crate) connections: ConnectionPool,
     pub(crate) retry_windows: Mutex<IndexMap<FastStr, RetryWindow>>,
+    // time from which this host may use its part of the fixed repeats
+    fixed_repeats_from: Mutex<Time>,
     pub(crate) suspects: Mutex<CrashSuspects>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
@@ -162,6 +164,7 @@
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_windows: Mutex::default(),
+            fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_s * 1000)),
             suspects: Mutex::default(),
             broken_connections: Mutex::default(),
             stream_origins: Mutex::default(),
@@ -239,7 +242,7 @@
 
     /// Counts the first send of a request to `service`.
     pub(crate) fn record_first_send(&self, service: &FastStr) {
-        let bounds = self.cfg.retries.bounds();
+        let bounds = self.retry_bounds();
         self.retry_windows
             .lock()
             .entry(service.clone())
@@ -249,7 +252,7 @@
 
     /// Takes one repeated send to `service` from the retry budget. Returns false if none is left.
     pub(crate) fn try_take_retry(&self, service: &FastStr) -> bool {
-        let bounds: RetryBounds = self.cfg.retries.bounds();
+        let bounds = self.retry_bounds();
         let hosts = self.budget_host_count();
         let mut windows = self.retry_windows.lock();
         windows.entry(service.clone()).or_default().try_take(now(), &bounds, hosts)
@@ -257,11 +260,21 @@
 
     /// True if the retry budget has a repeated send to `service` left.
     pub(crate) fn has_retry_budget(&self, service: &FastStr) -> bool {
-        let bounds: RetryBounds = self.cfg.retries.bounds();
+        let bounds = self.retry_bounds();
         let hosts = self.budget_host_count();
         let mut windows = self.retry_windows.lock();
         windows.entry(service.clone()).or_default().has_budget(now(), &bounds, hosts)
     }
+
+    /// Records that no earlier process of this host has served requests.
+    pub(crate) fn record_first_start(&self) {
+        self.version_sightings.lock().record_first_start();
+        *self.fixed_repeats_from.lock() = Time::ZERO;
+    }
+
+    fn retry_bounds(&self) -> RetryBounds {
+        self.cfg.retries.bounds(*self.fixed_repeats_from.lock())
+    }
 }
 
 /// Counts a request as open until dropped.
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -94,7 +94,7 @@
     let own_key = host_key(&edge.cfg.host);
     let has_run_before = page.records.iter().any(|record| record.key == own_key);
     if edge.cfg.first_start && !has_run_before {
-        edge.version_sightings.lock().record_first_start();
+        edge.record_first_start();
     }
 }
 
