--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -8,9 +8,9 @@
     crate::event::events,
     bytes::Bytes,
     egret_core::{Time, hex_digest},
-    futures::{SinkExt, StreamExt, future::BoxFuture, poll},
+    futures::{SinkExt, StreamExt, future::BoxFuture},
     prost::Message,
-    std::{net::SocketAddr, sync::Arc, task::Poll},
+    std::{net::SocketAddr, sync::Arc},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -29,8 +29,8 @@
 pub(super) type LinkHandler =
     Arc<dyn Fn(Arc<Hello>, Body) -> BoxFuture<'static, Option<Body>> + Send + Sync>;
 
-/// Serves links on `address`. Each request that needs a wait is answered by its own task; when a
-/// connection ends, its tasks are cancelled.
+/// Serves links on `address`. Each request is answered by its own task; when a connection ends,
+/// its tasks are cancelled.
 ///
 /// # Errors
 ///
@@ -82,22 +82,12 @@
             events::LINK_BROKEN.warn(format_args!("peer={} invalid frame", hello.host));
             break;
         };
-        let mut answer = handler(hello.clone(), body);
-        // a message that needs no wait takes effect although the connection ends right after it
-        match poll!(&mut answer) {
-            Poll::Ready(Some(body)) => {
+        let (tx, answer) = (tx.clone(), handler(hello.clone(), body));
+        tasks.spawn(async move {
+            if let Some(body) = answer.await {
                 let _ = tx.send(Frame { id, body: Some(body) }).await;
             }
-            Poll::Ready(None) => {}
-            Poll::Pending => {
-                let tx = tx.clone();
-                tasks.spawn(async move {
-                    if let Some(body) = answer.await {
-                        let _ = tx.send(Frame { id, body: Some(body) }).await;
-                    }
-                });
-            }
-        }
+        });
         while tasks.try_join_next().is_some() {}
     }
     writer.abort();
--- a/crates/runtime/tests/links.rs
+++ b/crates/runtime/tests/links.rs
@@ -1,13 +1,15 @@
 //! Links: wrong secrets, invalid frames, peers that stop answering.
 
 use {
-    egret_runtime::{Body, Hello, Link, LinkError, LinkPool, StatusMsg, now, serve_links},
+    egret_runtime::{Body, Frame, Hello, Link, LinkError, LinkPool, StatusMsg, now, serve_links},
     faststr::FastStr,
+    prost::Message,
     std::{
+        io::Write,
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
     },
     tokio::{
@@ -145,3 +147,51 @@
     pool.close_if_unresponsive(&host, now().after_ms(5000)).await;
     assert!(pool.get(&host).is_some());
 }
+
+// messages of a process that was killed right after it had sent them were lost, because their
+// handlers were cancelled with the connection before they ran
+#[tokio::test]
+async fn link_message_before_end_takes_effect() {
+    const LINKS: usize = 50;
+    let received = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let handler = {
+        let received = received.clone();
+        Arc::new(move |_: Arc<Hello>, _: Body| {
+            let received = received.clone();
+            Box::pin(async move {
+                received.fetch_add(1, Ordering::Relaxed);
+                None
+            }) as _
+        })
+    };
+    tokio::spawn(serve_links(address, "right".to_owned(), handler));
+    while TcpStream::connect(address).await.is_err() {
+        tokio::task::yield_now().await;
+    }
+    let frames = [Body::Hello(hello("right")), status()].map(|body| {
+        let bytes = Frame { id: 1, body: Some(body) }.encode_to_vec();
+        [&u32::try_from(bytes.len()).unwrap().to_be_bytes()[..], &bytes].concat()
+    });
+    for _ in 0..LINKS {
+        // the connection has ended before the server reads from it
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        stream.write_all(&frames.concat()).unwrap();
+    }
+    let deadline = now().after_ms(5000);
+    while received.load(Ordering::Relaxed) < LINKS && now() < deadline {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert_eq!(received.load(Ordering::Relaxed), LINKS);
+}
+
+#[tokio::test]
+async fn link_waits_until_message_is_written() {
+    let address = start_server().await;
+    let link = Link::connect(address, &hello("right"), now().after_ms(5000)).await.unwrap();
+    assert!(link.notify_written(status(), now().after_ms(5000)).await);
+    link.close();
+    assert!(!link.notify_written(status(), now().after_ms(5000)).await);
+}
