Keep the software versions of targets in the host log

After a restart of all hosts nobody had seen which software versions had served before, so callers' streams were refused for 30 s even where there had been a single version.

Change: one record in the host log (key versions) has for each service the versions that are registered, and those that have left with the time. The host that reads the store for the others writes it, on the condition of the log's end, when a version appears or leaves or the record is missing; first 4 s after its start, so that claims of engines come first. Only a host that knows all versions writes it. A host that starts takes it over; versions that have left count for 10 s longer, for the difference of clocks.

A host that has only taken the record over still asks the other hosts: the store may have brought back an older copy, and their answers are merged with it. A host with other hosts in its list of which none is live also asks before it relies on its own view, since it may have been stalled.

Ruled out: deriving the versions from the registry alone after a restart.

first_start is evaluated at the first read of the host log only, not when the log is read anew later.

New counter egret_streams_without_target.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -81,6 +81,6 @@
 };
 pub use stream_origins::{
     OriginReport, ResumePolicy, STREAM_LIFE_MAX_MS, StreamOrigin, StreamOriginRecord,
-    StreamOrigins, VersionSightings, decide_resumption,
+    StreamOrigins, VersionRecord, VersionSightings, decide_resumption,
 };
 pub use time::Time;
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -8,12 +8,20 @@
     crate::Time,
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
+    serde::{Deserialize, Serialize},
 };
 
 /// Longest time from the first event of a stream to the last request that resumes it. It exceeds
 /// the longest timeout of a route with streams.
 pub const STREAM_LIFE_MAX_MS: u64 = 30_000;
 
+/// Largest difference between the clocks of two hosts.
+const CLOCK_DIFFERENCE_MAX_MS: u64 = 10_000;
+
+/// Largest difference between the times at which two hosts see that the last target of a version is
+/// gone.
+const SIGHTING_DIFFERENCE_MAX_MS: u64 = 2_000;
+
 /// Origins kept; the oldest are dropped beyond that.
 const ORIGINS_MAX: usize = 16_384;
 
@@ -132,20 +140,22 @@
 pub struct VersionSightings {
     // by service and version: time until which a stream that began there may be resumed
     by_service: IndexMap<FastStr, IndexMap<FastStr, Time>>,
-    // from then on, no version is missing at which a stream may have begun
-    complete_from: Time,
+    // from then on, this process has known the targets for the longest life of a stream
+    observed_from: Time,
+    // true if a record of earlier processes has told what this one cannot have observed
+    has_adopted: bool,
 }
 
 impl Default for VersionSightings {
     fn default() -> Self {
-        Self { by_service: IndexMap::new(), complete_from: Time::NEVER }
+        Self { by_service: IndexMap::new(), observed_from: Time::NEVER, has_adopted: false }
     }
 }
 
 impl VersionSightings {
     /// Records that no stream began before this process started.
     pub fn record_first_start(&mut self) {
-        self.complete_from = Time::ZERO;
+        self.observed_from = Time::ZERO;
     }
 
     /// Records the services and software versions of all targets known now. Returns the services
@@ -156,7 +166,7 @@
         present: impl IntoIterator<Item = (FastStr, FastStr)>,
     ) -> IndexSet<FastStr> {
         let relevant_until = now.after_ms(STREAM_LIFE_MAX_MS);
-        self.complete_from = self.complete_from.min(relevant_until);
+        self.observed_from = self.observed_from.min(relevant_until);
         let mut changed = IndexSet::new();
         for (service, version) in present {
             let versions = self.by_service.entry(service.clone()).or_default();
@@ -184,10 +194,111 @@
         relevant.map(|(version, _)| version.clone()).collect()
     }
 
-    /// True if this host has known the targets for the longest life of a stream.
+    /// The record of the versions known now, of which `present` are registered.
+    #[must_use]
+    pub fn to_record(
+        &self,
+        now: Time,
+        unix_ms: u64,
+        present: &IndexSet<(FastStr, FastStr)>,
+    ) -> VersionRecord {
+        let mut by_service: IndexMap<FastStr, IndexMap<FastStr, RecordedVersion>> = IndexMap::new();
+        for (service, versions) in &self.by_service {
+            for (version, until) in versions.iter().filter(|(_, until)| now < **until) {
+                let state = if present.contains(&(service.clone(), version.clone())) {
+                    RecordedVersion::Present
+                } else {
+                    let remaining_ms = now.ms_until(*until);
+                    RecordedVersion::GoneSince(
+                        (unix_ms + remaining_ms).saturating_sub(STREAM_LIFE_MAX_MS),
+                    )
+                };
+                by_service.entry(service.clone()).or_default().insert(version.clone(), state);
+            }
+        }
+        VersionRecord { by_service }
+    }
+
+    /// Takes over a record that a host with complete knowledge wrote before this process started,
+    /// possibly with another clock.
+    pub fn adopt(&mut self, now: Time, unix_ms: u64, record: &VersionRecord) {
+        for (service, version, state) in record.all() {
+            let remaining_ms = match state {
+                RecordedVersion::Present => STREAM_LIFE_MAX_MS,
+                RecordedVersion::GoneSince(gone_unix_ms) => {
+                    let end = gone_unix_ms + STREAM_LIFE_MAX_MS + CLOCK_DIFFERENCE_MAX_MS;
+                    end.saturating_sub(unix_ms).min(STREAM_LIFE_MAX_MS + CLOCK_DIFFERENCE_MAX_MS)
+                }
+            };
+            let relevant_until = now.after_ms(remaining_ms);
+            let versions = self.by_service.entry(service.clone()).or_default();
+            let until = versions.entry(version.clone()).or_insert(relevant_until);
+            *until = relevant_until.max(*until);
+        }
+        self.has_adopted = true;
+    }
+
+    /// True if this host knows all versions at which a stream may have begun.
     #[must_use]
     pub fn is_complete(&self, now: Time) -> bool {
-        now >= self.complete_from
+        self.has_adopted || self.is_observed(now)
+    }
+
+    /// True if this host has seen all versions itself at which a stream may have begun. The record
+    /// of earlier processes may be outdated, since the store can lose its newest state.
+    #[must_use]
+    pub fn is_observed(&self, now: Time) -> bool {
+        now >= self.observed_from
+    }
+}
+
+/// Software versions by service as the hosts keep them in the host log, for hosts that start when
+/// no other one runs. Only a host that knows all versions at which a stream may have begun writes
+/// the record.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    by_service: IndexMap<FastStr, IndexMap<FastStr, RecordedVersion>>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+enum RecordedVersion {
+    /// Targets of this version are registered.
+    Present,
+    /// No target of this version is registered since this Unix time, in milliseconds.
+    GoneSince(u64),
+}
+
+impl VersionRecord {
+    /// True if a host that starts from this record treats no version otherwise than from `newer`.
+    #[must_use]
+    pub fn covers(&self, newer: &Self) -> bool {
+        let is_covered = |service: &FastStr, version: &FastStr, state: RecordedVersion| match (
+            self.state(service, version),
+            state,
+        ) {
+            (Some(RecordedVersion::Present), RecordedVersion::Present) => true,
+            (Some(RecordedVersion::GoneSince(old)), RecordedVersion::GoneSince(new)) => {
+                new <= old + SIGHTING_DIFFERENCE_MAX_MS
+            }
+            (Some(RecordedVersion::Present), RecordedVersion::GoneSince(_))
+            | (Some(RecordedVersion::GoneSince(_)), RecordedVersion::Present)
+            | (None, _) => false,
+        };
+        let is_outdated = |service: &FastStr, version: &FastStr, state: RecordedVersion| {
+            state == RecordedVersion::Present && newer.state(service, version).is_none()
+        };
+        newer.all().all(|(service, version, state)| is_covered(service, version, state))
+            && !self.all().any(|(service, version, state)| is_outdated(service, version, state))
+    }
+
+    fn state(&self, service: &FastStr, version: &FastStr) -> Option<RecordedVersion> {
+        self.by_service.get(service)?.get(version).copied()
+    }
+
+    fn all(&self) -> impl Iterator<Item = (&FastStr, &FastStr, RecordedVersion)> {
+        self.by_service.iter().flat_map(|(service, versions)| {
+            versions.iter().map(move |(version, state)| (service, version, *state))
+        })
     }
 }
 
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -213,3 +213,47 @@
         .tests(2000)
         .quickcheck(holds as fn(Vec<(u16, u8)>) -> bool);
 }
+
+#[test]
+fn record_taken_over_after_restart() {
+    const UNIX_MS: u64 = 1_000_000;
+    let services = names(&["s"]);
+    let mut before = VersionSightings::default();
+    before.record_first_start();
+    before.observe(at(0), targets(&[("s", "v1"), ("s", "v2")]));
+    before.observe(at(1000), targets(&[("s", "v2")]));
+    let present: IndexSet<(FastStr, FastStr)> = targets(&[("s", "v2")]).into_iter().collect();
+    let record = before.to_record(at(2000), UNIX_MS, &present);
+    // the clock of the boot starts again, and another host's time of day differs by some seconds
+    let mut after = VersionSightings::default();
+    after.adopt(at(10), UNIX_MS + 3000, &record);
+    assert!(after.is_complete(at(10)) && !after.is_observed(at(10)));
+    assert_eq!(after.versions(at(10), &services), names(&["v1", "v2"]));
+    // v1 was last seen 5 s before, and clocks may differ by 10 s
+    let v1_end = 10 + STREAM_LIFE_MAX_MS - 5000 + 10_000;
+    after.observe(at(v1_end - 1), targets(&[("s", "v2")]));
+    assert_eq!(after.versions(at(v1_end - 1), &services), names(&["v1", "v2"]));
+    assert_eq!(after.versions(at(v1_end), &services), names(&["v2"]));
+}
+
+#[test]
+fn record_outdated_by_change_of_versions() {
+    let record = |now_ms, seen: &[(&str, &str)], present: &[(&str, &str)]| {
+        let mut sightings = VersionSightings::default();
+        sightings.observe(at(0), targets(seen));
+        let present = targets(present).into_iter().collect();
+        sightings.to_record(at(now_ms), 1_000_000 + now_ms, &present)
+    };
+    let v1 = [("s", "v1")];
+    let both = [("s", "v1"), ("s", "v2")];
+    assert!(record(0, &v1, &v1).covers(&record(900, &v1, &v1)));
+    // a new version, and one that has left
+    assert!(!record(0, &v1, &v1).covers(&record(0, &both, &both)));
+    assert!(!record(0, &both, &both).covers(&record(0, &both, &v1)));
+    assert!(!record(0, &both, &both).covers(&record(0, &v1, &v1)));
+    // nothing changes when a version that had left is forgotten
+    assert!(record(0, &both, &v1).covers(&record(0, &both, &v1)));
+    assert!(record(0, &both, &v1).covers(&record(0, &v1, &v1)));
+    // it came back
+    assert!(!record(0, &both, &v1).covers(&record(0, &both, &both)));
+}
--- a/crates/edge/src/dispatch/resumption.rs
+++ b/crates/edge/src/dispatch/resumption.rs
@@ -48,15 +48,19 @@
         count(edge, "known_here");
         return own_policy;
     }
-    if own_policy != ResumePolicy::Unknown && !peers::is_behind(edge) {
+    let has_observed = edge.version_sightings.lock().is_observed(now());
+    if own_policy != ResumePolicy::Unknown && has_observed && !peers::may_be_behind(edge) {
         count(edge, "single_version");
         return own_policy;
     }
-    let mut reports = vec![own];
     // without the id, other hosts cannot know more than that there is a single version
-    if request_id.is_some() || reports[0].versions.len() < 2 {
-        reports.extend(peers::ask_for_origin(edge, request_id, &services).await);
-    }
+    let mut reports = if request_id.is_some() || own.versions.len() < 2 {
+        peers::ask_for_origin(edge, request_id, &services).await
+    } else {
+        Vec::new()
+    };
+    // what this host has read meanwhile counts
+    reports.push(peers::origin_report(edge, request_id, &services));
     let policy = decide_resumption(service, &reports);
     count(edge, source(&policy, &reports));
     policy
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -134,7 +134,7 @@
                     ));
                 }
                 Placement::NoTarget => {
-                    return Err((self.sends.final_answer(now()), self.no_target_reason()));
+                    return Err((self.sends.final_answer(now()), self.record_no_target()));
                 }
             };
             let id = target.id.clone();
@@ -165,9 +165,11 @@
         Eligibility { tried, software_version: self.software_version.as_ref() }
     }
 
-    fn no_target_reason(&self) -> &'static str {
+    // returns the reason why no target was chosen
+    fn record_no_target(&self) -> &'static str {
         match &self.software_version {
             Some(version) if !placement::has_ready_target(&self.edge, &self.out, version) => {
+                self.edge.counts.streams_without_target.inc();
                 "no target of its software version"
             }
             _ => "no target takes it",
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -71,15 +71,17 @@
     true
 }
 
-/// True if a live host has read further in the registry than this one and has another state.
-pub(crate) fn is_behind(edge: &Edge) -> bool {
+/// True if other hosts may know targets that this one does not: a live host has read further in the
+/// registry and has another state, or no host is live, as after a stall of this process.
+pub(crate) fn may_be_behind(edge: &Edge) -> bool {
     let own_digest = digest(edge);
     let position = edge.fleet.read().position();
     let peers = edge.peers.lock();
-    let is_ahead = |(host, peer): (&FastStr, &Peer)| {
-        peer.registry_offset > position && peer.digest != own_digest && peers.is_live(host)
-    };
-    peers.all().iter().any(is_ahead)
+    let mut live = peers.all().iter().filter(|(host, _)| peers.is_live(host)).peekable();
+    if live.peek().is_none() {
+        return !peers.all().is_empty();
+    }
+    live.any(|(_, peer)| peer.registry_offset > position && peer.digest != own_digest)
 }
 
 /// Position of this host in a stream of the store, compared with hosts that have read it recently.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -5,7 +5,7 @@
     egret_core::{
         BrokenConnections, ColdLoadLimit, CrashSuspects, CrossDataCentreRequests, EngineClaim,
         EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, StreamOrigins,
-        Time, VersionSightings,
+        Time, VersionRecord, VersionSightings,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -32,6 +32,7 @@
     pub(crate) sends_failed: Family<Labels, Counter>,
     pub(crate) orders: Family<Labels, Counter>,
     pub(crate) resumptions: Family<Labels, Counter>,
+    pub(crate) streams_without_target: Counter,
     pub(crate) first_part_ms: Histogram,
     pub(crate) load_stalls_ms: Histogram,
 }
@@ -46,6 +47,10 @@
                 "egret_resumptions",
                 "Requests that resume a stream, by what is known of its software version",
             ),
+            streams_without_target: metrics.counter(
+                "egret_streams_without_target",
+                "Streams that found no target of their software version",
+            ),
             first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
             load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
         }
@@ -116,6 +121,8 @@
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
     pub(crate) version_sightings: Mutex<VersionSightings>,
+    /// The record of software versions in the host log, as last read.
+    pub(crate) version_record: Mutex<Option<VersionRecord>>,
     /// Time by which links to the other hosts are open.
     pub(crate) startup_ends_at: Time,
     pub(crate) store: StoreClient,
@@ -169,6 +176,7 @@
             broken_connections: Mutex::default(),
             stream_origins: Mutex::default(),
             version_sightings: Mutex::default(),
+            version_record: Mutex::default(),
             startup_ends_at: now().after_ms(STARTUP_MS),
             store: StoreClient::new(cfg.store.address),
             operator_position: Mutex::default(),
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -2,7 +2,10 @@
 //! claims to it.
 
 use {
-    super::backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, StreamBackoff, call_deadline},
+    super::{
+        backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, StreamBackoff, call_deadline},
+        version_record,
+    },
     crate::{
         peers::{self, HostRecord, ReadStatus},
         state::Edge,
@@ -22,6 +25,9 @@
 const HOST_PREFIX: &str = "host/";
 const ENGINE_PREFIX: &str = "engine/";
 
+/// Key of the record of software versions.
+pub(super) const VERSIONS_KEY: &str = "versions";
+
 /// Time after the start for which a host reads the stream itself, since hosts that could read it
 /// on its behalf are not known yet.
 const STARTUP_READ_MS: u64 = 3000;
@@ -38,6 +44,7 @@
     let mut backoff = StreamBackoff::new("own", edge.incarnation);
     let startup_end = now().after_ms(STARTUP_READ_MS);
     let mut has_snapshot = false;
+    let mut is_first_read = true;
     loop {
         let position = *edge.host_log_position.lock();
         let mut wait_ms = READER_POLL_MS;
@@ -72,7 +79,7 @@
         match page {
             Ok(page) => {
                 backoff.record_success();
-                if !has_snapshot {
+                if std::mem::take(&mut is_first_read) {
                     record_first_start(&edge, &page);
                 }
                 has_snapshot = true;
@@ -89,7 +96,7 @@
     }
 }
 
-// The settings may still say so when a process starts again, which its record in the host log tells
+// the settings may still say so when a process starts again; its record in the host log tells that
 fn record_first_start(edge: &Edge, page: &Page) {
     let own_key = host_key(&edge.cfg.host);
     let has_run_before = page.records.iter().any(|record| record.key == own_key);
@@ -109,6 +116,8 @@
         } else if let Some(engine) = record.key.strip_prefix(ENGINE_PREFIX) {
             let value: Option<EngineClaim> = parse_value(record);
             edge.engine_owners.lock().apply_record(now(), engine, record.offset, value);
+        } else if record.key == VERSIONS_KEY {
+            version_record::apply(edge, parse_value(record));
         }
     }
     if page.next_offset >= page.end_offset {
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -4,6 +4,7 @@
 mod host_log;
 mod operator;
 mod targets;
+mod version_record;
 
 pub(crate) use {
     host_log::{append_if_unchanged, engine_key},
@@ -18,4 +19,5 @@
     tokio::spawn(operator::follow(edge.clone()));
     tokio::spawn(targets::follow(edge.clone()));
     tokio::spawn(host_log::follow(edge.clone()));
+    tokio::spawn(version_record::maintain(edge.clone()));
 }
--- /dev/null
+++ b/crates/edge/src/watch/version_record.rs
@@ -0,0 +1,74 @@
+//! Keeps the software versions of targets in the host log: hosts that start when no other one runs
+//! learn from it at which versions a stream may have begun.
+
+use {
+    super::host_log::{VERSIONS_KEY, append_if_unchanged},
+    crate::{peers, state::Edge},
+    bytes::Bytes,
+    egret_core::{VersionRecord, backoff_ms},
+    egret_runtime::{now, unix_ms},
+    faststr::FastStr,
+    indexmap::IndexSet,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Interval of checks whether the record is up to date. Changes in quick succession are written
+/// together.
+const CHECK_INTERVAL_MS: u64 = 1000;
+
+/// First pause after a failed append, in addition to the interval.
+const BACKOFF_MS: u64 = 500;
+
+/// Highest number of doublings of that pause.
+const DOUBLINGS_MAX: u32 = 4;
+
+/// Writes the record when it is missing or outdated. One host does it for all.
+pub(super) async fn maintain(edge: Arc<Edge>) {
+    // hosts that start together know each other by then, and the claims of engines come first
+    tokio::time::sleep(Duration::from_millis(now().ms_until(edge.startup_ends_at))).await;
+    let mut failures = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+        if !peers::is_reader(&edge) {
+            continue;
+        }
+        let Some(record) = outdated_record(&edge) else {
+            continue;
+        };
+        let value = serde_json::to_vec(&record).expect("version record serializes to JSON");
+        let records = [(FastStr::from_static_str(VERSIONS_KEY), Bytes::from(value))];
+        if append_if_unchanged(&edge, &records).await {
+            failures = 0;
+        } else {
+            failures += 1;
+            let pause = backoff_ms(BACKOFF_MS, failures.min(DOUBLINGS_MAX), edge.incarnation);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+}
+
+// the record to be written, if the one in the host log is missing or outdated
+fn outdated_record(edge: &Edge) -> Option<VersionRecord> {
+    let present: IndexSet<(FastStr, FastStr)> = {
+        let fleet = edge.fleet.read();
+        fleet.all().map(|t| (t.service.clone(), t.software_version.clone())).collect()
+    };
+    let record = {
+        let sightings = edge.version_sightings.lock();
+        sightings.is_complete(now()).then(|| sightings.to_record(now(), unix_ms(), &present))
+    }?;
+    let is_current = edge.version_record.lock().as_ref().is_some_and(|old| old.covers(&record));
+    (!is_current).then_some(record)
+}
+
+/// Applies the record, or its removal. A host that has not observed the targets for long
+/// enough takes it over.
+pub(super) fn apply(edge: &Edge, record: Option<VersionRecord>) {
+    if let Some(record) = &record {
+        let mut sightings = edge.version_sightings.lock();
+        if !sightings.is_observed(now()) {
+            sightings.adopt(now(), unix_ms(), record);
+        }
+    }
+    *edge.version_record.lock() = record;
+}
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod hosts;
 mod load;
 mod requests;
+mod resumption;
 mod settings;
 mod silence;
 mod support;
--- a/crates/scenarios/examples/edge.rs
+++ b/crates/scenarios/examples/edge.rs
@@ -94,7 +94,7 @@
 ) -> io::Result<(Process, SocketAddr)> {
     let address = |offset: u16| SocketAddr::from(([127, 0, 2, number], FIRST_PORT + offset));
     let settings = format!(
-        "host = \"edge-{number}\"\ndata_centre = \"dc-{}\"\n\
+        "host = \"edge-{number}\"\ndata_centre = \"dc-{}\"\nfirst_start = true\n\
          [listen]\ncallers = \"{}\"\nready = \"{}\"\nlinks = \"{}\"\nmetrics = \"{}\"\n\
          [store]\naddress = \"{}\"\n\
          [orders]\nfencing = \"checked\"\nlease_ms = 3000\nceiling_window_s = 5\n\
