A keeper asks again until it knows whether an engine crashed; a crash counts once

Cause: crash_suspects failed ("at most two engines lost: false") for two reasons. First, a real fault of the keeper. After a broken connection it probed the engine once. A crashing engine may still accept the connection and break it ("operation was canceled"); the keeper took that for no result and told the entry of no crash. The content then crashed a third engine, counts [1, 0, 1, 1]; the crash of the second was recorded a second later. Second, a fault of the engine stand-in: its steps went on until its runtime had shut down, and each counted the crash again: counts [2, 0, 1, 0], two engines lost. The stand-in ends its steps at the crash and counts it once. Its switch break_ms accepts and breaks connections after a crash; the new scenario crash_seen_late uses it. The check of the counts is unchanged: a count that can't be read has failed it since. Ruled out: counts that could not be read (each was read in all five failures); a broadcast that came too late (the answers before the check were right); the same engine crashed twice (with the shutdown of the stand-in delayed by 12 ms, a trial, one run of an engine was counted three times).

--- a/crates/keeper/src/engines/mod.rs
+++ b/crates/keeper/src/engines/mod.rs
@@ -8,5 +8,5 @@
 pub(crate) use {
     effects::run_effects,
     owned_engine::{OwnedEngine, TicketDecision},
-    probe::{probe, probe_after_current, probe_all},
+    probe::{check_for_crash, probe, probe_all},
 };
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        engines::{probe_after_current, run_effects},
+        engines::{check_for_crash, run_effects},
         peers,
         state::Keeper,
     },
@@ -108,7 +108,7 @@
 async fn release_broken(keeper: &Arc<Keeper>, hello: &Hello, msg: &ReleaseMsg) -> Body {
     release_ticket(keeper, hello, msg);
     if let Some(engine) = keeper.engine(&msg.engine) {
-        probe_after_current(keeper.clone(), engine).await;
+        check_for_crash(keeper, &engine).await;
     }
     Body::Suspects(SuspectsMsg { suspects: peers::suspect_messages(keeper) })
 }
--- a/crates/scenarios/tests/live.rs
+++ b/crates/scenarios/tests/live.rs
@@ -70,6 +70,11 @@
     run_scenario("crash_suspects");
 }
 
+#[test]
+fn crash_seen_late() {
+    run_scenario("crash_seen_late");
+}
+
 #[test]
 fn loads_fail() {
     run_scenario("loads_fail");
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -80,7 +80,7 @@
 
 /// Runs steps until the engine crashes.
 pub(super) async fn run_steps(engine: Arc<Engine>) {
-    loop {
+    while !engine.has_crashed() {
         let Some(duration) = begin_step(&engine) else {
             let idle = Duration::from_millis(20);
             let _ = tokio::time::timeout(idle, engine.work_added.notified()).await;
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -10,6 +10,9 @@
     pub(super) crash: bool,
     /// Crash when a prompt that contains this text has produced its first token.
     pub(super) crash_on: Option<String>,
+    /// Time after a crash during which connections are accepted and broken, in milliseconds. It is
+    /// part of the time until the next start.
+    pub(super) break_ms: u64,
     /// Requests on connections that are open now get no answer; new connections work.
     pub(super) silence_open: bool,
     /// No steps run.
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -17,7 +17,14 @@
     indexmap::{IndexMap, IndexSet},
     parking_lot::Mutex,
     serde_json::json,
-    std::{collections::VecDeque, sync::Arc, time::Instant},
+    std::{
+        collections::VecDeque,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Instant,
+    },
     tokio::sync::Notify,
     volo::net::Address,
     volo_http::{request::Request, response::Response},
@@ -55,6 +62,7 @@
     /// Start time in Unix milliseconds, which distinguishes restarts of the engine.
     epoch: u64,
     crash: Arc<Notify>,
+    crashed: AtomicBool,
     weight_store_client: HttpClient,
     resident_adapters: Mutex<IndexSet<String>>,
     batch: Mutex<Batch>,
@@ -73,7 +81,9 @@
         stats: Mutex::default(),
         fence: Mutex::new(0),
     });
-    serve_with_restarts(args.listen, args.restart_ms, move |crash| {
+    let crashed = durable.clone();
+    let break_ms = move || crashed.faults.lock().break_ms;
+    serve_with_restarts(args.listen, args.restart_ms, break_ms, move |crash| {
         let engine = Arc::new(Engine::new(durable.clone(), crash));
         tokio::spawn(batch::run_steps(engine.clone()));
         move |peer, req| {
@@ -89,6 +99,7 @@
             durable,
             epoch: unix_ms(),
             crash,
+            crashed: AtomicBool::new(false),
             weight_store_client: HttpClient::pooled(),
             resident_adapters: Mutex::default(),
             batch: Mutex::default(),
@@ -144,9 +155,16 @@
         *peers.entry(peer.to_string()).or_insert(false)
     }
 
+    /// Ends this run of the engine. It counts as one crash however late the server shuts down.
     fn crash(&self) {
-        self.durable.stats.lock().crashes += 1;
-        self.crash.notify_one();
+        if !self.crashed.swap(true, Ordering::AcqRel) {
+            self.durable.stats.lock().crashes += 1;
+            self.crash.notify_one();
+        }
+    }
+
+    fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Acquire)
     }
 
     fn stats(&self) -> Response {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -6,7 +6,11 @@
     http::StatusCode,
     serde::de::DeserializeOwned,
     serde_json::{Value, json},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{runtime::Runtime, sync::Notify},
     volo::net::Address,
     volo_http::{body::Body, request::Request, response::Response},
@@ -14,6 +18,9 @@
 
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
+/// Interval at which a crashed server looks for connections to break.
+const BREAK_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Serves until SIGTERM, on the runtime's default number of threads.
 pub(crate) fn serve<H>(address: SocketAddr, handler: H) -> std::io::Result<()>
 where
@@ -24,10 +31,12 @@
 }
 
 /// Serves until SIGTERM and simulates crashes. Each (re)start calls `start` with a notifier that
-/// triggers a crash: all connections break, and none is accepted for `restart_ms`.
+/// triggers a crash: all connections break, and no request is read for `restart_ms`. Connections are
+/// accepted and broken for the first `break_ms` milliseconds of that time, refused afterwards.
 pub(crate) fn serve_with_restarts<H>(
     address: SocketAddr,
     restart_ms: u64,
+    break_ms: impl Fn() -> u64,
     start: impl Fn(Arc<Notify>) -> H,
 ) -> std::io::Result<()>
 where
@@ -47,7 +56,24 @@
         if let Some(result) = served {
             return result;
         }
-        std::thread::sleep(Duration::from_millis(restart_ms));
+        let restarts_at = Instant::now() + Duration::from_millis(restart_ms);
+        break_connections(address, Duration::from_millis(break_ms().min(restart_ms)));
+        std::thread::sleep(restarts_at.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Accepts connections and closes them unanswered, for `duration`.
+fn break_connections(address: SocketAddr, duration: Duration) {
+    let ends_at = Instant::now() + duration;
+    let mut listener = None;
+    while Instant::now() < ends_at {
+        if listener.is_none() {
+            // binding fails until the crashed server has closed its listener
+            listener =
+                TcpListener::bind(address).and_then(|l| l.set_nonblocking(true).map(|()| l)).ok();
+        }
+        while listener.as_ref().is_some_and(|l| l.accept().is_ok()) {}
+        std::thread::sleep(BREAK_POLL_INTERVAL);
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -47,13 +47,18 @@
 /// Runs the service until SIGTERM. The recorded effects outlive crashes.
 pub(crate) fn run(args: &ServiceArgs) -> std::io::Result<()> {
     let service = Arc::new(Service { work_ms: args.work_ms, ..Service::default() });
-    serve_with_restarts(args.listen, args.restart_ms, move |crash: Arc<Notify>| {
-        let service = service.clone();
-        move |_, req| {
-            let (service, crash) = (service.clone(), crash.clone());
-            Box::pin(async move { service.handle_request(req, &crash).await })
-        }
-    })
+    serve_with_restarts(
+        args.listen,
+        args.restart_ms,
+        || 0,
+        move |crash: Arc<Notify>| {
+            let service = service.clone();
+            move |_, req| {
+                let (service, crash) = (service.clone(), crash.clone());
+                Box::pin(async move { service.handle_request(req, &crash).await })
+            }
+        },
+    )
 }
 
 impl Service {
