Heed what targets say of themselves in answers

A target that leaves gets no new request from this host until it starts again, and a paused one none until its time is over. Kept per host: other hosts hear it from their own answers or the registry. Orders to engines and reports are not held back.

leave_out_target_whose_answer_says_so and pause_requests_to_full_target fail without the change (10 requests at the leaving target; 200 in place of 503) and pass with it.

--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -24,6 +24,7 @@
     updated_at: Time,
     consecutive_refusals: u32,
     down_until: Time,
+    paused_until: Time,
 }
 
 impl Health {
@@ -53,10 +54,15 @@
         self.down_until = now.after_ms(down_ms);
     }
 
-    /// True while the target is left out because it refuses connections.
+    /// Records that the target wants no requests until `until`.
+    pub fn record_pause(&mut self, until: Time) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// True while the target is left out because it refuses connections or wants no requests.
     #[must_use]
     pub fn is_down(&self, now: Time) -> bool {
-        now < self.down_until
+        now < self.down_until.max(self.paused_until)
     }
 
     /// Failures among the latest answers, in thousandths.
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -296,6 +296,16 @@
     );
 }
 
+#[test]
+fn health_pause_outlasts_success() {
+    let mut health = Health::default();
+    health.record_pause(at(2000));
+    health.record_pause(at(1500));
+    health.record_success(at(1000));
+    assert!(health.is_down(at(1999)));
+    assert!(!health.is_down(at(2000)));
+}
+
 #[test]
 fn retry_window_bound_over_all_hosts() {
     // Random sends of four hosts; the bound is checked over every window of its length.
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -7,7 +7,9 @@
         state::{Edge, RunningRequest},
     },
     egret_core::{SendEnd, Target, Time},
-    egret_platform::{AnswerCheck, ForwardParams, forward_headers, verify_answer},
+    egret_platform::{
+        AnswerCheck, ForwardParams, TargetNotice, forward_headers, target_notice, verify_answer,
+    },
     egret_runtime::{Conn, HttpError, events, now},
     http::{HeaderMap, Request, StatusCode},
     http_body_util::Full,
@@ -70,6 +72,7 @@
         }
     };
     let (head, body) = answer.into_parts();
+    record_notice(edge, &target, target_notice(head.status, &head.headers));
     match verify_answer(head.status, &head.headers, &out.head.id) {
         AnswerCheck::Verified => {}
         AnswerCheck::Refused => {
@@ -147,6 +150,24 @@
     Unreachable,
 }
 
+// the registry may tell the same later, or not while the store is away
+fn record_notice(edge: &Edge, target: &Target, notice: TargetNotice) {
+    if notice == TargetNotice::default() {
+        return;
+    }
+    let mut activity = edge.target_activity.lock();
+    let entry = activity.entry(target.id.clone()).or_default();
+    if let Some(pause_ms) = notice.pause_ms {
+        entry.health.record_pause(now().after_ms(pause_ms));
+    }
+    let is_news = notice.is_leaving && entry.leaving_start != Some(target.started_unix_ms);
+    if is_news {
+        entry.leaving_start = Some(target.started_unix_ms);
+        drop(activity);
+        events::TARGET_LEAVING.info(format_args!("target={} told by=answer", target.id));
+    }
+}
+
 /// Updates the health of `target`.
 pub(crate) fn record_health(edge: &Edge, target: &Target, signal: HealthSignal) {
     let mut activity = edge.target_activity.lock();
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -192,17 +192,18 @@
         .collect();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
-        let (running, failing_milli, down) = {
+        let (running, failing_milli, is_left_out) = {
             let activity = edge.target_activity.lock();
             activity.get(&target.id).map_or((0, 0, false), |entry| {
                 (
                     u64::from(entry.running),
                     entry.health.failure_rate_milli(now),
-                    entry.health.is_down(now),
+                    entry.health.is_down(now)
+                        || entry.leaving_start == Some(target.started_unix_ms),
                 )
             })
         };
-        if down {
+        if is_left_out {
             continue;
         }
         let running = {
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -258,6 +258,44 @@
     assert!(d.log(1).contains("stream goes on at another target"));
 }
 
+// a target that asked for a pause got further requests
+#[tokio::test]
+async fn pause_requests_to_full_target() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let edge = d.start_ready_edge(1).await;
+    for target in [&a, &b] {
+        target.set_fault(TargetFault::FullFor(2000));
+    }
+    let call = || edge.call(request(Method::GET, "/safe/a", &[]));
+    assert_eq!(call().await.unwrap().status, 503);
+    assert_eq!((a.refused_requests(), b.refused_requests()), (1, 1));
+    for target in [&a, &b] {
+        target.set_fault(TargetFault::None);
+    }
+    for _ in 0..5 {
+        assert_eq!(call().await.unwrap().status, 503);
+    }
+    assert!(a.executed_requests().is_empty() && b.executed_requests().is_empty());
+    edge.call_until(200, || request(Method::GET, "/safe/a", &[])).await;
+}
+
+// a target that said in its answers that it leaves got further requests
+#[tokio::test]
+async fn leave_out_target_whose_answer_says_so() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let edge = d.start_ready_edge(1).await;
+    a.set_fault(TargetFault::Leaving);
+    for _ in 0..10 {
+        assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+    }
+    assert!(a.executed_requests().len() <= 1);
+    assert!(b.executed_requests().len() >= 9);
+}
+
 #[tokio::test]
 async fn break_off_unresumable_stream() {
     let d = Deployment::new().await;
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -71,6 +71,11 @@
     None,
     /// Requests are refused with a `Not-Executed` header, the proof that they have not run.
     Full,
+    /// Requests are refused like those of `Full`, and the target wants none for this many
+    /// milliseconds.
+    FullFor(u64),
+    /// Answers say that the target leaves.
+    Leaving,
     /// Requests run, and the connection is reset instead of an answer.
     LoseAnswer,
     /// Requests run and get no answer.
@@ -149,6 +154,7 @@
     // number of starts, written as the time of the latest one
     starts: u64,
     pub(super) fault: TargetFault,
+    refused_requests: u64,
     pub(super) executed_requests: Vec<ExecutedRequest>,
     pub(super) adapters: IndexMap<String, AdapterState>,
     // adapters and versions that were loaded before, of which the engine keeps copies
@@ -290,6 +296,12 @@
         self.shared.state.lock().executed_requests.clone()
     }
 
+    /// Number of requests refused with a time for which the target wants none.
+    #[must_use]
+    pub fn refused_requests(&self) -> u64 {
+        self.shared.state.lock().refused_requests
+    }
+
     /// Adapters that are loaded or loading.
     #[must_use]
     pub fn adapters(&self) -> Vec<String> {
@@ -426,6 +438,13 @@
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
     }
+    if let TargetFault::FullFor(ms) = fault {
+        let retry_after = format!("{}.{:03}", ms / 1000, ms % 1000);
+        let headers =
+            [("Request-Id", id.as_str()), ("Not-Executed", "1"), ("Retry-After", &retry_after)];
+        shared.state.lock().refused_requests += 1;
+        return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
+    }
     if let Some(status) = engine::missing_adapter_status(shared, request) {
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         return conn.write_response(status, &headers, b"").await.ok().map(|()| conn);
@@ -453,6 +472,9 @@
     let echoed_id =
         if fault == TargetFault::WrongRequestId { "another".to_owned() } else { id.clone() };
     let mut headers = vec![("Request-Id", echoed_id.as_str())];
+    if fault == TargetFault::Leaving {
+        headers.push(("Server-Leaving", "1"));
+    }
     if fault != TargetFault::Unsealed {
         headers.push(("Server-Seal", seal.as_str()));
     }
