Write the files of scenarios at once (configuration)

configuration failed once at its race of two operators. With the exit codes printed it failed again in one of eight runs beside four busy processes: egretctl of one operator ended with 2, 'missing field platform', since the test driver was writing the same settings file anew for the other one and had just truncated it. A fault of the driver, not of egretctl.

Files are written under another name and renamed. The check is as before and prints exit codes and output when it fails.

--- a/crates/scenarios/src/layout.rs
+++ b/crates/scenarios/src/layout.rs
@@ -312,8 +312,11 @@
     /// When the file can't be written.
     #[must_use]
     pub fn write_file(folder: &Path, name: &str, text: &str) -> String {
+        // renamed into place, since another thread may write the same file while a process reads it
+        let part = folder.join(format!("{name}.{:?}", std::thread::current().id()));
         let path = folder.join(name);
-        std::fs::write(&path, text).expect("the temporary folder can be written");
+        let written = std::fs::write(&part, text).and_then(|()| std::fs::rename(&part, &path));
+        written.expect("the temporary folder can be written");
         path.display().to_string()
     }
 }
--- a/crates/scenarios/tests/driver/operations.rs
+++ b/crates/scenarios/tests/driver/operations.rs
@@ -126,8 +126,10 @@
         self.accepted_revision = self.accepted_revision.max(newest);
         // an operator that reads the revision after the other's change was accepted plans against
         // the new revision, so both changes can be accepted
-        let is_expected = codes == [0, 3] || codes == [0, 0];
-        format!("one accepted, the other accepted later or told that it lost: {is_expected}")
+        if codes == [0, 3] || codes == [0, 0] {
+            return "one accepted, the other accepted later or told that it lost: true".to_owned();
+        }
+        format!("one accepted, the other accepted later or told that it lost: false, {results:?}")
     }
 
     /// Lists hosts as leaving in the host list. Engines are added to it as hosts of role `target`.
