--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -150,7 +150,7 @@
     Unreachable,
 }
 
-// the registry may tell the same later, or not while the store is away
+// records what a target says of itself; the registry tells it later, and not while the store is away
 fn record_notice(edge: &Edge, target: &Target, notice: TargetNotice) {
     if notice == TargetNotice::default() {
         return;
@@ -160,11 +160,10 @@
     if let Some(pause_ms) = notice.pause_ms {
         entry.health.record_pause(now().after_ms(pause_ms));
     }
-    let is_news = notice.is_leaving && entry.leaving_start != Some(target.started_unix_ms);
-    if is_news {
+    if notice.is_leaving && entry.leaving_start != Some(target.started_unix_ms) {
         entry.leaving_start = Some(target.started_unix_ms);
         drop(activity);
-        events::TARGET_LEAVING.info(format_args!("target={} told by=answer", target.id));
+        events::TARGET_LEAVING.info(format_args!("target={} source=answer", target.id));
     }
 }
 
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -80,7 +80,7 @@
         let mut second_sends = FuturesUnordered::new();
         let mut search: Option<Search> = None;
         let mut search_at = now();
-        // these may take the request later
+        // targets that may take the request later
         let mut refused_targets = self.refused_targets.clone();
         let mut tried_targets = self.tried_targets.clone();
         tried_targets.retain(|tried| !refused_targets.contains(tried));
