Log and count the routes that hosts send to each other

Change: E1020 names its source, E1025 each copy of the routes sent to a peer, the metric egret_update_bytes counts updates by direction and content, and a read that ends in the middle of its answer says how many bytes it got. No change of logic.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -174,6 +174,14 @@
         let Ok(json) = serde_json::to_vec(&update) else {
             continue;
         };
+        edge.counts.record_update_bytes("sent", update.routing.is_some(), json.len());
+        if update.routing.is_some() {
+            events::ROUTES_SENT.info(format_args!(
+                "peer={host} revision={} peer_revision={revision} bytes={}",
+                routing.revision,
+                json.len()
+            ));
+        }
         let age_ms = now().ms_since(read_at);
         let revision = routing.revision;
         let message = PlatformSnapshotMsg {
@@ -225,8 +233,9 @@
             return;
         }
     };
+    edge.counts.record_update_bytes("received", update.routing.is_some(), message.json.len());
     if let Some(routing) = update.routing {
-        watch::apply_routing(edge, routing);
+        watch::apply_routing(edge, routing, host);
     }
     for (adapter, version) in &update.versions {
         watch::apply_version(edge, adapter, *version);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -33,6 +33,7 @@
     pub(crate) orders: Family<Labels, Counter>,
     pub(crate) resumptions: Family<Labels, Counter>,
     pub(crate) streams_without_target: Counter,
+    update_bytes: Family<Labels, Counter>,
     pub(crate) first_part_ms: Histogram,
     pub(crate) load_stalls_ms: Histogram,
 }
@@ -51,12 +52,30 @@
                 "egret_streams_without_target",
                 "Streams that found no target of their software version",
             ),
+            update_bytes: metrics.counters(
+                "egret_update_bytes",
+                "Bytes of updates exchanged with other hosts, by direction and content",
+            ),
             first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
             load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
         }
     }
 }
 
+impl Counts {
+    /// Counts an update of `bytes` bytes, `direction` is `sent` or `received`.
+    pub(crate) fn record_update_bytes(
+        &self,
+        direction: &'static str,
+        has_routes: bool,
+        bytes: usize,
+    ) {
+        let content = if has_routes { "routes" } else { "targets" };
+        let labels = vec![("direction", direction.to_owned()), ("content", content.to_owned())];
+        self.update_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+}
+
 /// This host's requests at one target, and the target's health as their answers show it.
 #[derive(Debug, Default)]
 pub(crate) struct TargetActivity {
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -72,7 +72,7 @@
 
 fn apply_record(edge: &Edge, record: &Record) {
     match parse_directive(record) {
-        Ok(Some(Directive::Routing(routing))) => apply_routing(edge, *routing),
+        Ok(Some(Directive::Routing(routing))) => apply_routing(edge, *routing, "store"),
         Ok(Some(Directive::Version { adapter, version })) => apply_version(edge, &adapter, version),
         Ok(None) => {}
         Err(e) => events::LOG_RECORD_UNKNOWN
@@ -90,8 +90,8 @@
     }
 }
 
-/// Puts `routing` in force if its revision is newer than the one in force.
-pub(crate) fn apply_routing(edge: &Edge, routing: Routing) {
+/// Puts `routing`, received from `source`, in force if its revision is newer than the one in force.
+pub(crate) fn apply_routing(edge: &Edge, routing: Routing, source: &str) {
     let revision = routing.revision;
     let mut current = edge.routing.write();
     if revision <= current.revision {
@@ -100,5 +100,6 @@
     let before = current.revision;
     *current = Arc::new(routing);
     drop(current);
-    events::CONFIG_APPLIED.info(format_args!("revision={revision} before={before}"));
+    events::CONFIG_APPLIED
+        .info(format_args!("revision={revision} before={before} source={source}"));
 }
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -110,6 +110,7 @@
     SETTINGS_RELOADED = 1022 "settings read again";
     SETTINGS_REFUSED = 1023 "changed settings rejected, previous settings stay in force";
     PEER_SNAPSHOT_APPLIED = 1024 "targets updated from a peer that has read the platform more recently";
+    ROUTES_SENT = 1025 "routes sent to a peer with an older revision";
     LINK_REFUSED = 1030 "link to a peer refused";
     LINK_BROKEN = 1031 "link to a peer failed";
     REQUEST_DONE = 1101 "request answered";
--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -40,6 +40,9 @@
     /// The deadline passed: the peer may have seen the request.
     #[error("no answer before the deadline")]
     TimedOut,
+    /// The deadline passed in the middle of the body of the answer, after this many bytes of it.
+    #[error("answer incomplete at the deadline, {0} bytes received")]
+    Incomplete(usize),
 }
 
 /// An open connection. Dropping it closes it.
@@ -114,9 +117,11 @@
         deadline: Time,
     ) -> Result<Reply, HttpError> {
         let (head, body) = self.send(request, deadline).await?.into_parts();
-        let body = with_deadline(deadline, read_incoming(body, REPLY_BYTES_MAX)).await;
-        let body = body.ok_or(HttpError::TimedOut)??;
-        Ok(Reply { status: head.status, headers: head.headers, body })
+        let mut received = BytesMut::new();
+        let read = read_into(&mut received, body, REPLY_BYTES_MAX);
+        let read = with_deadline(deadline, read).await;
+        read.ok_or(HttpError::Incomplete(received.len()))??;
+        Ok(Reply { status: head.status, headers: head.headers, body: received.freeze() })
     }
 }
 
@@ -125,8 +130,17 @@
 /// # Errors
 ///
 /// When the body is longer or the connection breaks.
-pub async fn read_incoming(mut body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
+pub async fn read_incoming(body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
     let mut bytes = BytesMut::new();
+    read_into(&mut bytes, body, limit).await?;
+    Ok(bytes.freeze())
+}
+
+async fn read_into(
+    bytes: &mut BytesMut,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<(), HttpError> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| HttpError::Broken(e.to_string()))?;
         let Ok(data) = frame.into_data() else {
@@ -137,7 +151,7 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(())
 }
 
 /// Pool of connections to one address, for calls whose answers are read completely. A connection
