Failing tests: routes for hosts with slow links

One plays a host whose routes stay old and counts the copies that it gets; one reads a configuration through a relay that needs longer than the timeout of a read.

--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod load;
 mod requests;
 mod resumption;
+mod routes;
 mod settings;
 mod silence;
 mod support;
--- /dev/null
+++ b/crates/edge/tests/edge/routes.rs
@@ -0,0 +1,155 @@
+//! Routes that are many, and how they reach hosts whose links are slow.
+
+use {
+    crate::support::{Deployment, config, request, wait_until},
+    egret_runtime::{Body, Hello, HostHeartbeatMsg, Link, now, serve_links},
+    egret_standin::platform::ROUTE_HOST,
+    http::Method,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+/// Interval of the heartbeats of a host that the test plays.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// A configuration with `count` routes more.
+fn large_config(revision: u64, count: usize) -> serde_json::Value {
+    let mut value = config(revision, 8000);
+    let routes = value["routes"].as_array_mut().unwrap();
+    let mut route = routes[0].clone();
+    for number in 0..count {
+        route["name"] = json!(format!("r-{number:06}"));
+        route["path_prefix"] = json!(format!("/many/{number:06}/"));
+        routes.push(route.clone());
+    }
+    value
+}
+
+// A host with old routes, as one with a slow link has them for a while, got a whole copy from each
+// of the others every 400 ms, and its link carried nothing else.
+#[tokio::test]
+async fn host_with_old_routes_is_not_flooded() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _target = d.start_plain_target("p-1").await;
+    let edges =
+        [d.start_ready_edge(1).await, d.start_ready_edge(2).await, d.start_ready_edge(3).await];
+    let received = Arc::new(AtomicUsize::new(0));
+    let address = start_counting_host(received.clone()).await;
+    let record = json!({ "address": address, "data_centre": "dc-1", "incarnation": 1 });
+    d.store.write("keyed.egretshore", "host/host-9", Some(&record.to_string()));
+    for edge in &edges {
+        send_old_heartbeats(SocketAddr::new(edge.caller_address.ip(), 7002)).await;
+    }
+    let large = large_config(20, 2000).to_string();
+    d.store.write("keyed.op", "config", Some(&large));
+    for host in 1..=3 {
+        wait_until("in force", || d.log(host).contains("applied revision=20")).await;
+    }
+    // the registry changes all the while
+    let started = Instant::now();
+    let mut targets = Vec::new();
+    while started.elapsed() < Duration::from_secs(3) {
+        targets.push(d.start_plain_target(&format!("p-{}", targets.len() + 2)).await);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let copies = received.load(Ordering::Relaxed) / large.len();
+    assert!(copies <= 2, "{copies} copies of the routes in {:?}", started.elapsed());
+}
+
+// serves links as a host that counts the bytes of updates
+async fn start_counting_host(received: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let handler = move |_: Arc<Hello>, body: Body| {
+        let answer = match body {
+            Body::PlatformSnapshot(update) => {
+                received.fetch_add(update.json.len(), Ordering::Relaxed);
+                None
+            }
+            Body::HostHeartbeat(_) => None,
+            _ => Some(Body::Ok(Hello::default())),
+        };
+        Box::pin(async move { answer }) as _
+    };
+    tokio::spawn(serve_links(address, String::new(), Arc::new(handler)));
+    address
+}
+
+// heartbeats of a host whose routes stay old
+async fn send_old_heartbeats(address: SocketAddr) {
+    let hello = Hello { host: "host-9".to_owned(), incarnation: 1, secret: String::new() };
+    let link = Link::connect(address, &hello, now().after_ms(2000)).await.unwrap();
+    tokio::spawn(async move {
+        loop {
+            let heartbeat = HostHeartbeatMsg {
+                host: "host-9".to_owned(),
+                revision: 7,
+                registry_age_ms: 60_000,
+                ..HostHeartbeatMsg::default()
+            };
+            link.notify(Body::HostHeartbeat(heartbeat));
+            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+}
+
+// A read of the store that took longer than its timeout was begun again from its start for ever.
+#[tokio::test]
+async fn read_routes_over_slow_link() {
+    const BYTES_PER_S: usize = 400_000;
+    let mut d = Deployment::new().await;
+    d.configure(7);
+    let _target = d.start_plain_target("p-1").await;
+    d.store_address = start_slow_relay(d.store.address(), BYTES_PER_S).await;
+    let edge = d.start_ready_edge(1).await;
+    let large = large_config(20, 4000).to_string();
+    let transfer = Duration::from_secs((large.len() / BYTES_PER_S + 1) as u64);
+    assert!(transfer > Duration::from_secs(2));
+    let written_at = Instant::now();
+    d.store.write("keyed.op", "config", Some(&large));
+    wait_until("in force", || d.log(1).contains("applied revision=20")).await;
+    assert!(written_at.elapsed() < transfer * 2, "took {:?}", written_at.elapsed());
+    let added = edge.call(request(Method::GET, "/many/003999/x", &[("host", ROUTE_HOST)])).await;
+    assert_eq!(added.unwrap().status, 200);
+}
+
+// passes on each connection, answers no faster than `bytes_per_s`
+async fn start_slow_relay(to: SocketAddr, bytes_per_s: usize) -> SocketAddr {
+    const CHUNK_BYTES: usize = 4096;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            let server = TcpStream::connect(to).await.unwrap();
+            let (mut caller_read, mut caller_write) = caller.into_split();
+            let (mut server_read, mut server_write) = server.into_split();
+            tokio::spawn(async move {
+                let _ = tokio::io::copy(&mut caller_read, &mut server_write).await;
+            });
+            tokio::spawn(async move {
+                let mut buf = [0; CHUNK_BYTES];
+                while let Ok(n @ 1..) = server_read.read(&mut buf).await {
+                    tokio::time::sleep(Duration::from_secs_f64(n as f64 / bytes_per_s as f64))
+                        .await;
+                    if caller_write.write_all(&buf[..n]).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -34,6 +34,8 @@
     pub(crate) store: Arc<Metastore>,
     /// Where hosts write their logs: `stderr` at once, or `stdout` by a thread, as on the platform.
     pub(crate) log_output: &'static str,
+    /// Address at which hosts reach the store.
+    pub(crate) store_address: SocketAddr,
     number: u64,
     folder: TempDir,
 }
@@ -56,7 +58,8 @@
     pub(crate) fn with_store(store: Arc<Metastore>) -> Self {
         let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
         let folder = tempfile::tempdir().unwrap();
-        Self { store, log_output: "stderr", number, folder }
+        let store_address = store.address();
+        Self { store, log_output: "stderr", store_address, number, folder }
     }
 
     /// Writes revision `revision` with all routes.
@@ -137,7 +140,7 @@
             address(7001),
             address(7002),
             address(7003),
-            self.store.address(),
+            self.store_address,
             self.log_output,
         );
         let file = self.folder.path().join(format!("host-{host}.toml"));
