Fetch routes from one peer as a change, instead of sending whole copies to all

Cause: each host sent all routes (over a megabyte) to each peer whose last heartbeat named an older revision, every 400 ms, and so did each host that had just applied an update. A link of 25 Mbit/s got more than it carries; copies queued up, the link's probe failed behind them and closed it in the middle of a copy, and the host's own read of the store competed with them. Class of fault: state sent again by several senders before a transfer can have ended. Change: updates carry versions and targets only. A host that learns of a newer revision fetches it from one peer at a time as a change from its own, or reads the store after a failed fetch. A host that gets updates while it is behind goes on waiting for them. Ruled out: positions that move on without routes, an unreachable store (one stream failed only). A change of two routes among 2,000 is under 2,000 bytes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -72,7 +72,8 @@
 pub use retry::{RetryBudget, backoff_ms};
 pub use retry_window::{RetryBounds, RetryWindow};
 pub use routing::{
-    CallerBounds, EngineTraits, Route, RouteKind, RouteMatch, Routing, Service, WeightedService,
+    CallerBounds, EngineTraits, Route, RouteKind, RouteMatch, Routing, RoutingChange, Service,
+    WeightedService,
 };
 pub use send::{FinalAnswer, RequestSends, SendDecision, SendEnd};
 pub use slots::{
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -38,18 +38,36 @@
         routes: Vec<Route>,
         services: Vec<Service>,
         bounds: CallerBounds,
+    ) -> Self {
+        let routes = routes.into_iter().map(Arc::new);
+        Self::from_shared(revision, routes, services.into_iter().map(Arc::new), bounds)
+    }
+
+    pub(super) fn from_shared(
+        revision: u64,
+        routes: impl IntoIterator<Item = Arc<Route>>,
+        services: impl IntoIterator<Item = Arc<Service>>,
+        bounds: CallerBounds,
     ) -> Self {
         let mut by_host: IndexMap<FastStr, Vec<Arc<Route>>> = IndexMap::new();
         for route in routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+            by_host.entry(route.host.clone()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            // the name decides between equal prefixes, so that all hosts select the same route
+            routes.sort_by(|a, b| {
+                b.prefix.len().cmp(&a.prefix.len()).then_with(|| a.name.cmp(&b.name))
+            });
         }
-        let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
+        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Self { revision, by_host, services, bounds }
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_host.values().flatten()
+    }
+
     /// True once a revision has been received.
     #[must_use]
     pub fn is_known(&self) -> bool {
@@ -65,8 +83,8 @@
     /// Services that share a route with `service`, and `service` itself.
     #[must_use]
     pub fn services_beside(&self, service: &FastStr) -> IndexSet<FastStr> {
-        let routes = self.by_host.values().flatten();
-        let with_service = routes.filter(|route| route.services().any(|name| name == service));
+        let with_service =
+            self.routes().filter(|route| route.services().any(|name| name == service));
         let beside = with_service.flat_map(|route| route.services());
         std::iter::once(service).chain(beside).cloned().collect()
     }
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -4,8 +4,8 @@
     egret_core::{
         BrokenConnections, CallerBounds, CrossDataCentreRequests, EngineClaim, EngineOwners,
         EventSplitter, Fencing, FinalAnswer, Fingerprint, Fleet, Health, LocalCopies, RequestSends,
-        RetryBounds, RetryWindow, Route, RouteKind, Routing, SendDecision, SendEnd, Service,
-        Target, TargetCandidate, TargetChoice, TargetState, Time, WeightedService,
+        RetryBounds, RetryWindow, Route, RouteKind, Routing, RoutingChange, SendDecision, SendEnd,
+        Service, Target, TargetCandidate, TargetChoice, TargetState, Time, WeightedService,
         choose_engine_for_adapter, choose_target,
     },
     faststr::FastStr,
@@ -77,6 +77,43 @@
     assert!((140..260).contains(&sent_to_t), "{sent_to_t} of 2000 requests for a weight of 10 %");
 }
 
+#[test]
+fn routing_change_gives_later_revision() {
+    #[expect(clippy::needless_pass_by_value, reason = "as quickcheck calls it")]
+    fn holds(before: Vec<(u8, u8)>, after: Vec<(u8, u8)>) -> bool {
+        let revision = |number: u64, routes: &[(u8, u8)]| {
+            let unique: IndexMap<String, Route> = routes
+                .iter()
+                .map(|(name, service)| {
+                    let (name, service) =
+                        (format!("r-{}", name % 16), format!("s-{}", service % 3));
+                    let prefix =
+                        format!("/{}/", "x".repeat(name.len() * usize::from(service == "s-1")));
+                    (name.clone(), route(&name, &prefix, &[(&service, 1)]))
+                })
+                .collect();
+            let services = vec![service("s-0"), service("s-1"), service("s-2")];
+            let routes = unique.into_values().collect();
+            Routing::new(number, routes, services, CallerBounds::default())
+        };
+        let (base, next) = (revision(3, &before), revision(5, &after));
+        let change = RoutingChange::between(&base, &next);
+        let whole = RoutingChange::between(&Routing::default(), &next);
+        let json = |routing: &Routing| {
+            let mut routes: Vec<_> = routing.routes().cloned().collect();
+            routes.sort_by(|a, b| a.name.cmp(&b.name));
+            serde_json::to_string(&(routing.revision, routes, routing.services())).unwrap()
+        };
+        change.clone().apply_to(&revision(4, &before)).is_none()
+            && json(&change.apply_to(&base).unwrap()) == json(&next)
+            && json(&whole.apply_to(&base).unwrap()) == json(&next)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(200)
+        .quickcheck(holds as fn(Vec<(u8, u8)>, Vec<(u8, u8)>) -> bool);
+}
+
 fn target(id: &str, state: TargetState, started_unix_ms: u64) -> Target {
     Target {
         id: FastStr::new(id),
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -3,18 +3,19 @@
 //! One host reads the store often. The others compare their state with its digest, which
 //! heartbeats carry, and read the store themselves only if no host with a recent read has the same
 //! digest. A host that the store rejects stays current in the same way. Between data centres only
-//! the first host of each data centre gets updates and forwards them there.
+//! the first host of each data centre gets updates and forwards them there. Routes are not part of
+//! the updates; a host fetches them when an update or a heartbeat names a newer revision.
 
 use {
     super::{
         peer_table::{Peer, Peers, time_from_age},
-        stream_origins,
+        routes, stream_origins,
     },
     crate::{
         state::{Edge, ReadPosition},
         watch,
     },
-    egret_core::{Routing, Target, rendezvous_weight},
+    egret_core::{Target, rendezvous_weight},
     egret_runtime::{Body, PlatformSnapshotMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -33,8 +34,6 @@
 
 #[derive(Serialize, Deserialize)]
 struct StoreUpdate {
-    // left out if the receiver already has this revision
-    routing: Option<Routing>,
     versions: IndexMap<FastStr, u64>,
     targets: Vec<Target>,
 }
@@ -144,7 +143,7 @@
     let position = edge.fleet.read().position();
     // taken before the state that it describes, which can only be newer
     let operator_end = edge.operator_position.lock().next_offset;
-    let behind: Vec<(FastStr, u64)> = {
+    let behind: Vec<FastStr> = {
         let mut peers = edge.peers.lock();
         let receivers = update_receivers(edge, &peers);
         let behind = peers.all_mut().filter(|(host, peer)| {
@@ -155,37 +154,24 @@
         behind
             .map(|(host, peer)| {
                 peer.last_update_at = now();
-                (host.clone(), peer.revision)
+                host.clone()
             })
             .collect()
     };
-    for (host, revision) in behind {
-        let routing = edge.routing();
-        let update = StoreUpdate {
-            routing: (routing.revision > revision).then(|| (*routing).clone()),
-            versions: edge.versions.read().clone(),
-            targets: edge
-                .fleet
-                .read()
-                .all_listed()
-                .map(|target| without_adapters(target))
-                .collect(),
-        };
-        let Ok(json) = serde_json::to_vec(&update) else {
-            continue;
-        };
-        edge.counts.record_update_bytes("sent", update.routing.is_some(), json.len());
-        if update.routing.is_some() {
-            events::ROUTES_SENT.info(format_args!(
-                "peer={host} revision={} peer_revision={revision} bytes={}",
-                routing.revision,
-                json.len()
-            ));
-        }
-        let age_ms = now().ms_since(read_at);
-        let revision = routing.revision;
+    if behind.is_empty() {
+        return;
+    }
+    let revision = edge.routing().revision;
+    let update = StoreUpdate {
+        versions: edge.versions.read().clone(),
+        targets: edge.fleet.read().all_listed().map(|target| without_adapters(target)).collect(),
+    };
+    let json = serde_json::to_vec(&update).expect("targets serialize to JSON");
+    let age_ms = now().ms_since(read_at);
+    for host in behind {
+        edge.counts.record_update_bytes("sent", false, json.len());
         let message = PlatformSnapshotMsg {
-            json,
+            json: json.clone(),
             age_ms,
             registry_offset: position,
             operator_offset: operator_end,
@@ -198,21 +184,32 @@
 // the hosts of this data centre, and the first live host of each other data centre
 fn update_receivers(edge: &Edge, peers: &Peers) -> IndexSet<FastStr> {
     let mut receivers = IndexSet::new();
-    let mut first_hosts: IndexMap<FastStr, (u64, FastStr)> = IndexMap::new();
+    let mut first_hosts: IndexMap<&FastStr, (u64, &FastStr)> = IndexMap::new();
     for (host, peer) in peers.all() {
         let data_centre = &peer.record.data_centre;
         if *data_centre == edge.cfg.data_centre {
             receivers.insert(host.clone());
         } else if peers.is_live(host) {
-            let ranked = (rendezvous_weight("reader", host), host.clone());
-            let best = first_hosts.entry(data_centre.clone()).or_insert_with(|| ranked.clone());
-            *best = ranked.max(best.clone());
+            let ranked = (rendezvous_weight("reader", host), host);
+            let best = first_hosts.entry(data_centre).or_insert(ranked);
+            *best = ranked.max(*best);
         }
     }
-    receivers.extend(first_hosts.into_values().map(|(_, host)| host));
+    receivers.extend(first_hosts.into_values().map(|(_, host)| host.clone()));
     receivers
 }
 
+/// True if this host is the first live one of its data centre, which exchanges state with the other
+/// data centres.
+pub(super) fn is_first_of_data_centre(edge: &Edge) -> bool {
+    let peers = edge.peers.lock();
+    let own_score = rendezvous_weight("reader", &edge.cfg.host);
+    let mut local = peers.all().iter().filter(|(host, peer)| {
+        peer.record.data_centre == edge.cfg.data_centre && peers.is_live(host)
+    });
+    local.all(|(host, _)| rendezvous_weight("reader", host) < own_score)
+}
+
 // loaded adapters change often, and the owners of the engines report them in heartbeats
 fn without_adapters(target: &Target) -> Target {
     let mut target = target.clone();
@@ -222,8 +219,8 @@
     target
 }
 
-/// Applies an update from another host: routes and versions that are newer, and targets if that
-/// host has read further in the registry. The order is not decided by age, since a message may be
+/// Applies an update from another host: versions that are newer, and targets if that host has
+/// read further in the registry. The order is not decided by age, since a message may be
 /// delayed.
 pub(crate) fn apply_update(edge: &Edge, host: &str, message: &PlatformSnapshotMsg) {
     let update: StoreUpdate = match serde_json::from_slice(&message.json) {
@@ -233,15 +230,13 @@
             return;
         }
     };
-    edge.counts.record_update_bytes("received", update.routing.is_some(), message.json.len());
-    if let Some(routing) = update.routing {
-        watch::apply_routing(edge, routing, host);
-    }
+    edge.counts.record_update_bytes("received", false, message.json.len());
     for (adapter, version) in &update.versions {
         watch::apply_version(edge, adapter, *version);
     }
+    routes::observe_revision(edge, host, message.revision);
     if edge.routing().revision >= message.revision {
-        // routes are left out for a host that already has them
+        // without its routes, this host has not applied all records before that offset
         edge.operator_position.lock().advance(message.operator_offset, false);
     }
     if message.registry_offset <= edge.fleet.read().position() {
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::{gossip, stream_origins},
+    super::{gossip, routes, stream_origins},
     crate::{
         orders::{self, AdapterRequest},
         state::Edge,
@@ -32,11 +32,14 @@
     Box::pin(async move {
         match body {
             Body::HostHeartbeat(heartbeat) => {
+                let revision = heartbeat.revision;
                 let reported = edge.peers.lock().apply_heartbeat(heartbeat);
                 let mut copies = edge.local_copies.lock();
                 for (engine, adapters) in &reported {
                     copies.record_resident(engine, adapters.iter());
                 }
+                drop(copies);
+                routes::observe_revision(&edge, &hello.host, revision);
                 None
             }
             Body::Suspects(message) => {
@@ -73,6 +76,7 @@
                 stream_origins::merge_origins(&edge, message);
                 None
             }
+            Body::FetchRoutes(message) => Some(routes::answer_fetch(&edge, &hello.host, &message)),
             Body::FindStreamOrigin(message) => Some(stream_origins::answer_find(&edge, message)),
             // message types of other programs
             _ => Some(refusal_message()),
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod heartbeat;
 mod messages;
 mod peer_table;
+mod routes;
 mod stream_origins;
 
 pub(crate) use {
@@ -14,6 +15,7 @@
     },
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
+    routes::RoutesExchange,
     stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
 
@@ -23,4 +25,5 @@
 pub(crate) fn start(edge: &Arc<Edge>) {
     tokio::spawn(messages::serve(edge.clone()));
     tokio::spawn(heartbeat::send_heartbeats(edge.clone()));
+    tokio::spawn(routes::fetch_newer(edge.clone()));
 }
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -199,6 +199,13 @@
         reported
     }
 
+    /// Records that `host` has a revision of the routes in force.
+    pub(crate) fn observe_revision(&mut self, host: &str, revision: u64) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.revision = peer.revision.max(revision);
+        }
+    }
+
     /// Clears the load of `host`, which accepts no links.
     pub(crate) fn record_unreachable(&mut self, host: &str) {
         if let Some(peer) = self.all.get_mut(host) {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,7 +1,12 @@
 //! Shared state of an edge host. Each part has its own lock, and no two locks are held at once.
 
 use {
-    crate::{conf::Settings, orders::EngineReconcilers, peers::Peers, pool::ConnectionPool},
+    crate::{
+        conf::Settings,
+        orders::EngineReconcilers,
+        peers::{Peers, RoutesExchange},
+        pool::ConnectionPool,
+    },
     egret_core::{
         BrokenConnections, ColdLoadLimit, CrashSuspects, CrossDataCentreRequests, EngineClaim,
         EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, StreamOrigins,
@@ -122,6 +127,7 @@
     pub(crate) routing: RwLock<Arc<Routing>>,
     // newest version by adapter
     pub(crate) versions: RwLock<IndexMap<FastStr, u64>>,
+    pub(crate) routes_exchange: RoutesExchange,
     pub(crate) fleet: RwLock<Fleet>,
     // time at which the registry was last read to its end; zero before the first read
     pub(crate) registry_read_at: Mutex<Time>,
@@ -176,6 +182,7 @@
             incarnation,
             routing: RwLock::default(),
             versions: RwLock::default(),
+            routes_exchange: RoutesExchange::default(),
             fleet: RwLock::default(),
             registry_read_at: Mutex::new(Time::ZERO),
             target_activity: Mutex::default(),
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -6,7 +6,7 @@
         peers::{self, ReadStatus},
         state::Edge,
     },
-    egret_core::Routing,
+    egret_core::{Routing, RoutingChange, Time},
     egret_platform::{Directive, Record, StoreError, Topic, parse_directive},
     egret_runtime::{events, now},
     faststr::FastStr,
@@ -21,7 +21,8 @@
 pub(crate) async fn follow(edge: Arc<Edge>) {
     let mut backoff = StreamBackoff::new("operator", edge.incarnation);
     let mut has_snapshot = false;
-    let mut behind_since = None;
+    // time since when this host is behind without an update, and its position then
+    let mut behind_since: Option<(u64, Time)> = None;
     loop {
         let position = *edge.operator_position.lock();
         let mut wait_ms = READER_POLL_MS;
@@ -33,7 +34,8 @@
                     continue;
                 }
                 ReadStatus::Behind
-                    if now() < behind_since.get_or_insert(now()).after_ms(UPDATE_WAIT_MS) =>
+                    if edge.routes_exchange.is_fetching()
+                        || awaits_update(&mut behind_since, position.next_offset) =>
                 {
                     tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS / 4)).await;
                     continue;
@@ -70,9 +72,23 @@
     }
 }
 
+// true until no update has moved this host's position for too long
+fn awaits_update(behind_since: &mut Option<(u64, Time)>, next_offset: u64) -> bool {
+    let (offset, since) = behind_since.get_or_insert((next_offset, now()));
+    if *offset != next_offset {
+        (*offset, *since) = (next_offset, now());
+    }
+    now() < since.after_ms(UPDATE_WAIT_MS)
+}
+
 fn apply_record(edge: &Edge, record: &Record) {
     match parse_directive(record) {
-        Ok(Some(Directive::Routing(routing))) => apply_routing(edge, *routing, "store"),
+        Ok(Some(Directive::Routing(routing))) => {
+            // shares the unchanged routes with the revision in force, since some are kept
+            let current = edge.routing();
+            let change = RoutingChange::between(&current, &routing);
+            apply_routing(edge, change.apply_to(&current).unwrap_or(*routing), "store");
+        }
         Ok(Some(Directive::Version { adapter, version })) => apply_version(edge, &adapter, version),
         Ok(None) => {}
         Err(e) => events::LOG_RECORD_UNKNOWN
@@ -97,9 +113,10 @@
     if revision <= current.revision {
         return;
     }
-    let before = current.revision;
-    *current = Arc::new(routing);
+    let previous = std::mem::replace(&mut *current, Arc::new(routing));
     drop(current);
+    let before = previous.revision;
+    edge.routes_exchange.keep_earlier(previous);
     events::CONFIG_APPLIED
         .info(format_args!("revision={revision} before={before} source={source}"));
 }
--- a/crates/edge/tests/edge/routes.rs
+++ b/crates/edge/tests/edge/routes.rs
@@ -68,6 +68,43 @@
     assert!(copies <= 2, "{copies} copies of the routes in {:?}", started.elapsed());
 }
 
+#[tokio::test]
+async fn routes_passed_on_as_changes() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _target = d.start_plain_target("p-1").await;
+    let edges = [d.start_ready_edge(1).await, d.start_ready_edge(2).await];
+    let settling = Instant::now();
+    wait_until("hosts know each other", || settling.elapsed() > Duration::from_secs(2)).await;
+    let large = large_config(20, 2000);
+    d.store.write("keyed.op", "config", Some(&large.to_string()));
+    for host in [1, 2] {
+        wait_until("in force", || d.log(host).contains("applied revision=20")).await;
+    }
+    // one route is added, one is removed, and a limit changes
+    let mut changed = large_config(21, 2001);
+    changed["routes"].as_array_mut().unwrap().remove(4);
+    changed["limits"]["idle_timeout_ms"] = json!(16_000);
+    d.store.write("keyed.op", "config", Some(&changed.to_string()));
+    for host in [1, 2] {
+        wait_until("in force", || d.log(host).contains("applied revision=21")).await;
+    }
+    let logs = d.log(1) + &d.log(2);
+    println!("{}", logs.lines().filter(|l| l.contains("revision=")).collect::<Vec<_>>().join("\n"));
+    let sent = logs.lines().find(|line| line.contains("revision=21 peer_revision=20")).unwrap();
+    let bytes: usize =
+        sent.split("bytes=").nth(1).unwrap().split('"').next().unwrap().parse().unwrap();
+    assert!(bytes < 2000, "{bytes} bytes for a small change");
+    for edge in &edges {
+        for (path, status) in
+            [("/many/002000/x", 200), ("/many/001999/x", 200), ("/many/000000/x", 404)]
+        {
+            let answer = edge.call(request(Method::GET, path, &[])).await.unwrap();
+            assert_eq!(answer.status, status, "{path}");
+        }
+    }
+}
+
 // serves links as a host that counts the bytes of updates
 async fn start_counting_host(received: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -142,8 +179,8 @@
             tokio::spawn(async move {
                 let mut buf = [0; CHUNK_BYTES];
                 while let Ok(n @ 1..) = server_read.read(&mut buf).await {
-                    tokio::time::sleep(Duration::from_secs_f64(n as f64 / bytes_per_s as f64))
-                        .await;
+                    let pause_us = (n * 1_000_000 / bytes_per_s) as u64;
+                    tokio::time::sleep(Duration::from_micros(pause_us)).await;
                     if caller_write.write_all(&buf[..n]).await.is_err() {
                         break;
                     }
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -67,7 +67,9 @@
         | Body::Refuse(_)
         | Body::HeartbeatReply(_)
         | Body::Ok(_)
-        | Body::PermitLoans(_) => None,
+        | Body::PermitLoans(_)
+        | Body::FetchRoutes(_)
+        | Body::Routes(_) => None,
     }
 }
 
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -111,6 +111,7 @@
     SETTINGS_REFUSED = 1023 "changed settings rejected, previous settings stay in force";
     PEER_SNAPSHOT_APPLIED = 1024 "targets updated from a peer that has read the platform more recently";
     ROUTES_SENT = 1025 "routes sent to a peer with an older revision";
+    ROUTES_NOT_FETCHED = 1026 "routes could not be fetched from a peer";
     LINK_REFUSED = 1030 "link to a peer refused";
     LINK_BROKEN = 1031 "link to a peer failed";
     REQUEST_DONE = 1101 "request answered";
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -25,11 +25,12 @@
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
     AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, EngineStateMsg,
-    EngineViewMsg, FindStreamOriginMsg, Frame, GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello,
-    HostHeartbeatMsg, Link, LinkError, LinkPool, LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg,
-    PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg, RegisterTicketsMsg, ReleaseMsg, ResidentMsg,
-    StatusMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg,
-    TargetLoadMsg, TicketMsg, serve_links,
+    EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame, GrantMsg, HeartbeatMsg,
+    HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool, LoadAdapterMsg,
+    PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg,
+    RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg, StatusMsg, StreamOriginMsg,
+    StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg, TargetLoadMsg, TicketMsg,
+    serve_links,
 };
 pub use logs::init_logging;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -15,7 +15,7 @@
     /// Content of the frame.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -80,6 +80,12 @@
     /// Answer to that request.
     #[prost(message, tag = "20")]
     StreamOriginReport(StreamOriginReportMsg),
+    /// Requests the routes that a host has in force.
+    #[prost(message, tag = "21")]
+    FetchRoutes(FetchRoutesMsg),
+    /// Answer to that request.
+    #[prost(message, tag = "22")]
+    Routes(RoutesMsg),
 }
 
 /// Identifies the sender of a link's messages.
@@ -439,7 +445,7 @@
 /// Snapshot of what an edge host has read from the platform.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct PlatformSnapshotMsg {
-    /// Routes, versions and targets, as JSON.
+    /// Versions and targets, as JSON.
     #[prost(bytes = "vec", tag = "1")]
     pub json: Vec<u8>,
     /// Milliseconds since the content was read.
@@ -456,6 +462,25 @@
     pub revision: u64,
 }
 
+/// Requests the routes in force at a peer.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct FetchRoutesMsg {
+    /// Revision that the sender has in force.
+    #[prost(uint64, tag = "1")]
+    pub base_revision: u64,
+}
+
+/// The routes in force at the sender.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RoutesMsg {
+    /// Change from the requested revision, or all routes, and the versions of adapters, as JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub json: bytes::Bytes,
+    /// Offset up to which routes and versions reflect the operator's records.
+    #[prost(uint64, tag = "2")]
+    pub operator_offset: u64,
+}
+
 /// Requests of a host at one target.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct TargetLoadMsg {
