Let reads of the store go on while their answer arrives

Cause: a read had 1.5 s for its whole answer and was begun again from its start after that, so an answer that takes longer was never complete, and each try loaded the link again. Class of fault: a deadline on work whose length depends on its size, without progress kept. Change: the deadline of a call to the store applies to the head of the answer; the body may arrive as long as no pause exceeds 1.5 s, 20 s in all. Elsewhere: calls to engines and peers carry small answers and keep their deadlines.

--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -8,7 +8,7 @@
     http::{HeaderMap, HeaderValue, Method, Request, Response, header},
     http_body_util::{BodyExt, Full},
     hyper::{
-        body::Incoming,
+        body::{Frame, Incoming},
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -25,6 +25,13 @@
 /// Size limit of an answer that is read into memory, in bytes.
 const REPLY_BYTES_MAX: usize = 64 * 1024 * 1024;
 
+/// Longest pause within the body of a large answer, in milliseconds.
+const BODY_PAUSE_MAX_MS: u64 = 1500;
+
+/// Longest transfer of the body of a large answer, in milliseconds. A server whose answer does not
+/// end is given up then.
+const BODY_TRANSFER_MAX_MS: u64 = 20_000;
+
 /// Limit of idle connections in a pool.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
@@ -40,8 +47,8 @@
     /// The deadline passed: the peer may have seen the request.
     #[error("no answer before the deadline")]
     TimedOut,
-    /// The deadline passed in the middle of the body of the answer, after this many bytes of it.
-    #[error("answer incomplete at the deadline, {0} bytes received")]
+    /// The body of the answer did not arrive in time or ceased to arrive, after this many bytes.
+    #[error("answer incomplete, {0} bytes received")]
     Incomplete(usize),
 }
 
@@ -116,11 +123,31 @@
         request: Request<Full<Bytes>>,
         deadline: Time,
     ) -> Result<Reply, HttpError> {
-        let (head, body) = self.send(request, deadline).await?.into_parts();
+        self.call_with(request, deadline, BodyTimeout::Deadline).await
+    }
+
+    async fn call_with(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        deadline: Time,
+        timeout: BodyTimeout,
+    ) -> Result<Reply, HttpError> {
+        let (head, mut body) = self.send(request, deadline).await?.into_parts();
+        let transfer_deadline = crate::now().after_ms(BODY_TRANSFER_MAX_MS);
         let mut received = BytesMut::new();
-        let read = read_into(&mut received, body, REPLY_BYTES_MAX);
-        let read = with_deadline(deadline, read).await;
-        read.ok_or(HttpError::Incomplete(received.len()))??;
+        loop {
+            let read_deadline = match timeout {
+                BodyTimeout::Deadline => deadline,
+                BodyTimeout::Pause => {
+                    crate::now().after_ms(BODY_PAUSE_MAX_MS).min(transfer_deadline)
+                }
+            };
+            let frame = with_deadline(read_deadline, body.frame()).await;
+            match frame.ok_or(HttpError::Incomplete(received.len()))? {
+                Some(frame) => push_frame(&mut received, frame, REPLY_BYTES_MAX)?,
+                None => break,
+            }
+        }
         Ok(Reply { status: head.status, headers: head.headers, body: received.freeze() })
     }
 }
@@ -130,35 +157,46 @@
 /// # Errors
 ///
 /// When the body is longer or the connection breaks.
-pub async fn read_incoming(body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
+pub async fn read_incoming(mut body: Incoming, limit: usize) -> Result<Bytes, HttpError> {
     let mut bytes = BytesMut::new();
-    read_into(&mut bytes, body, limit).await?;
+    while let Some(frame) = body.frame().await {
+        push_frame(&mut bytes, frame, limit)?;
+    }
     Ok(bytes.freeze())
 }
 
-async fn read_into(
+fn push_frame(
     bytes: &mut BytesMut,
-    mut body: Incoming,
+    frame: Result<Frame<Bytes>, hyper::Error>,
     limit: usize,
 ) -> Result<(), HttpError> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| HttpError::Broken(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > limit {
-            return Err(HttpError::Broken("answer too large".to_owned()));
-        }
-        bytes.extend_from_slice(&data);
+    let frame = frame.map_err(|e| HttpError::Broken(e.to_string()))?;
+    let Ok(data) = frame.into_data() else {
+        return Ok(());
+    };
+    if bytes.len() + data.len() > limit {
+        return Err(HttpError::Broken("answer too large".to_owned()));
     }
+    bytes.extend_from_slice(&data);
     Ok(())
 }
 
+/// How long the body of an answer may take.
+#[derive(Clone, Copy, Debug)]
+enum BodyTimeout {
+    /// It has to be complete by the deadline of the call.
+    Deadline,
+    /// It may take as long as it keeps arriving. A large answer that was cut off by a deadline would
+    /// be begun again from its start, and never be complete on a slow link.
+    Pause,
+}
+
 /// Pool of connections to one address, for calls whose answers are read completely. A connection
 /// is closed when its call fails, and replaced when it broke while idle.
 #[derive(Debug)]
 pub struct ConnPool {
     address: SocketAddr,
+    body_timeout: BodyTimeout,
     idle: Mutex<Vec<Conn>>,
 }
 
@@ -166,7 +204,14 @@
     /// Creates an empty pool.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::default() }
+        Self { address, body_timeout: BodyTimeout::Deadline, idle: Mutex::default() }
+    }
+
+    /// Creates an empty pool for calls whose answers may be large. The deadline of a call applies to
+    /// the head of the answer; the body may take longer as long as it keeps arriving.
+    #[must_use]
+    pub fn for_large_answers(address: SocketAddr) -> Self {
+        Self { body_timeout: BodyTimeout::Pause, ..Self::new(address) }
     }
 
     /// Sends a request for `path` and reads the complete answer.
@@ -194,7 +239,7 @@
         let host = HeaderValue::from_str(&self.address.to_string());
         let host = host.map_err(|e| HttpError::NotSent(e.to_string()))?;
         request.headers_mut().insert(header::HOST, host);
-        let reply = conn.call(request, deadline).await?;
+        let reply = conn.call_with(request, deadline, self.body_timeout).await?;
         let mut idle = self.idle.lock();
         if idle.len() < IDLE_CONNECTIONS_MAX {
             idle.push(conn);
