Failing tests: requests that crash their targets; hypotheses

Change: the stand-in's targets crash on requests with a marker, before or within their answers, and stream with or without chunks.

--- /dev/null
+++ b/crates/edge/tests/edge/crashes.rs
@@ -0,0 +1,138 @@
+//! Requests that crash the targets that run them.
+
+use {
+    crate::support::{Deployment, EdgeProcess, stream_request, wait_until, whole_stream},
+    bytes::Bytes,
+    egret_runtime::now,
+    egret_standin::platform::{StreamFraming, Target},
+    http::Request,
+    http_body_util::Full,
+    nix::sys::signal::Signal,
+    std::time::{Duration, Instant},
+};
+
+/// Part of the prompt of requests that crash engines.
+const MARKER: &str = "dead";
+
+/// Time within which all hosts know of a crash.
+const NOTICE: Duration = Duration::from_millis(700);
+
+/// Crashes after which a content is refused.
+const CRASHES_MAX: u64 = 2;
+
+/// A request for a resumable stream that crashes engines, under a new id each time.
+fn crashing_request() -> Request<Full<Bytes>> {
+    let mut req = stream_request("stream", "a1");
+    req.headers_mut().insert("prompt-prefix", format!("{MARKER}:10").parse().unwrap());
+    req
+}
+
+async fn start_engines(d: &Deployment, count: usize, crash_after_events: u64) -> Vec<Target> {
+    let mut engines = Vec::new();
+    for number in 1..=count {
+        let pause = Duration::from_millis(15);
+        let engine = d.start_engine_of_version(&format!("e-{number}"), "v1", &["a1"], pause).await;
+        engine.crash_on(MARKER, crash_after_events);
+        engines.push(engine);
+    }
+    engines
+}
+
+async fn start_ready_edges(d: &Deployment, count: u64) -> Vec<EdgeProcess> {
+    let mut edges = Vec::new();
+    for host in 1..=count {
+        edges.push(d.start_ready_edge(host).await);
+    }
+    let settling = Instant::now();
+    wait_until("hosts know each other", || settling.elapsed() > Duration::from_secs(1)).await;
+    edges
+}
+
+fn crashes(engines: &[Target]) -> u64 {
+    engines.iter().map(Target::crashes).sum()
+}
+
+// An engine counted as crashed only when its host happened to open another connection to it within
+// two seconds. With many engines and hosts that is rare.
+#[tokio::test]
+async fn crash_is_found_without_further_requests() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 4, 1).await;
+    let edges = start_ready_edges(&d, 2).await;
+    let _ = edges[0].call(crashing_request()).await;
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+    tokio::time::sleep(NOTICE).await;
+    for edge in &edges {
+        assert_eq!(edge.call(crashing_request()).await.unwrap().status, 503);
+    }
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+    let sound = edges[1].call(stream_request("stream", "a1")).await.unwrap();
+    assert_eq!(sound.body, whole_stream());
+}
+
+// A stream without length or chunks that ended within an event was resumed, but did not count as a
+// sign of a crash.
+#[tokio::test]
+async fn crash_is_found_within_unframed_stream() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 4, 2).await;
+    for engine in &engines {
+        engine.set_framing(StreamFraming::UntilClose);
+    }
+    let edges = start_ready_edges(&d, 2).await;
+    let _ = edges[0].call(crashing_request()).await;
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+    // another request finds the engines down
+    for _ in 0..4 {
+        let sound = edges[0].call(stream_request("stream", "a1")).await.unwrap();
+        assert_eq!(sound.body, whole_stream());
+    }
+    tokio::time::sleep(NOTICE).await;
+    assert_eq!(edges[1].call(crashing_request()).await.unwrap().status, 503);
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+}
+
+// A request that was waiting or being moved went on to the next engine after its content had been
+// refused elsewhere.
+#[tokio::test]
+async fn refused_content_is_not_moved() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 4, 1).await;
+    let edges = start_ready_edges(&d, 1).await;
+    // the caller leaves after the first crash
+    let mut conn = edges[0].connect().await;
+    let first =
+        tokio::spawn(async move { conn.call(crashing_request(), now().after_ms(9000)).await });
+    wait_until("first crash", || crashes(&engines) > 0).await;
+    first.abort();
+    tokio::time::sleep(NOTICE).await;
+    let crashes_before = crashes(&engines);
+    // the second crash is that of the next request, which is not sent a second time
+    let _ = edges[0].call(crashing_request()).await;
+    let allowed = CRASHES_MAX.max(crashes_before);
+    assert_eq!(crashes(&engines), allowed);
+}
+
+// A host that had restarted did not know what the others refused.
+#[tokio::test]
+async fn restarted_host_refuses_known_content() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 4, 1).await;
+    let mut edges = start_ready_edges(&d, 2).await;
+    let _ = edges[0].call(crashing_request()).await;
+    // another request finds the engines down
+    for _ in 0..4 {
+        let _ = edges[0].call(stream_request("stream", "a1")).await;
+    }
+    tokio::time::sleep(NOTICE).await;
+    edges[1].signal(Signal::SIGKILL);
+    edges.truncate(1);
+    edges.push(d.start_ready_edge(2).await);
+    tokio::time::sleep(NOTICE).await;
+    assert_eq!(edges[1].call(crashing_request()).await.unwrap().status, 503);
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+}
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -4,7 +4,7 @@
     super::{
         batch::{Batch, SequenceHandle},
         raw_http::{RawConn, RawRequest, response_head},
-        target::{AdapterState, EngineConf, Shared, TargetFault},
+        target::{AdapterState, EngineConf, Shared, StreamFraming, TargetFault},
     },
     serde_json::{Value, json},
     std::{
@@ -141,6 +141,9 @@
     pub(super) batch: &'a Batch,
     pub(super) sequence: &'a SequenceHandle,
     pub(super) fault: TargetFault,
+    pub(super) framing: StreamFraming,
+    /// Number of events after which the stream breaks off within the next one.
+    pub(super) breaks_after: Option<u64>,
 }
 
 impl EventStream<'_> {
@@ -162,7 +165,9 @@
         self.pause_after(conn, 0).await?;
         let mut headers = headers.to_vec();
         headers.push(("Content-Type", "text/event-stream"));
-        headers.push(("Transfer-Encoding", "chunked"));
+        if self.framing == StreamFraming::Chunked {
+            headers.push(("Transfer-Encoding", "chunked"));
+        }
         conn.write(&response_head(200, &headers, None)).await?;
         let last = header_number(request, "last-event-id").unwrap_or(0);
         let ends_after = match self.fault {
@@ -172,7 +177,7 @@
             {
                 Some(events)
             }
-            _ => None,
+            _ => self.breaks_after.map(|events| last + events),
         };
         for id in last + 1..=self.conf.events_per_stream {
             if ends_after == Some(id - 1) {
@@ -181,19 +186,30 @@
                     return Err(io::ErrorKind::BrokenPipe.into());
                 }
                 // the stream breaks off within the next event
-                return conn.write(b"10\r\nid: ").await;
+                return match self.framing {
+                    StreamFraming::Chunked => conn.write(b"10\r\nid: ").await,
+                    StreamFraming::UntilClose => conn.write(b"id: ").await,
+                };
             }
             if !self.sequence.is_running() {
                 // preemption frees the request's memory, so its prompt needs another prefill
                 while_connected(conn, self.run_prefill(prefill)).await?;
             }
             let event = format!("id: {id}\ndata: token-{id}\n\n");
-            conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+            match self.framing {
+                StreamFraming::Chunked => {
+                    conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+                }
+                StreamFraming::UntilClose => conn.write(event.as_bytes()).await?,
+            }
             self.pause_after(conn, id).await?;
             let step = self.conf.event_interval + Duration::from_micros(self.batch.step_us());
             while_connected(conn, tokio::time::sleep(step)).await?;
         }
-        conn.write(b"0\r\n\r\n").await
+        match self.framing {
+            StreamFraming::Chunked => conn.write(b"0\r\n\r\n").await,
+            StreamFraming::UntilClose => Ok(()),
+        }
     }
 
     async fn pause_after(&self, conn: &RawConn, event: u64) -> io::Result<()> {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -18,6 +18,6 @@
     simulated::{
         BASE_MODEL, EVENTS_PER_STREAM, PlatformConf, ROUTE_HOST, SimulatedPlatform, config,
     },
-    target::{EngineConf, ExecutedRequest, Target, TargetConf, TargetFault},
+    target::{EngineConf, ExecutedRequest, StreamFraming, Target, TargetConf, TargetFault},
     weight_store::WeightStore,
 };
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -24,6 +24,7 @@
     },
     tokio::{
         net::TcpListener,
+        sync::Notify,
         task::{JoinHandle, JoinSet},
     },
 };
@@ -124,6 +125,33 @@
     OrdersLate(u64),
 }
 
+/// How the end of an engine's stream is marked.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StreamFraming {
+    /// By chunks.
+    #[default]
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// Requests that crash a target.
+#[derive(Clone, Debug)]
+pub(super) struct CrashTrigger {
+    // part of the path or of a header's value
+    marker: String,
+    // events of a stream that are written before the crash, which is within the next event
+    after_events: u64,
+}
+
+impl CrashTrigger {
+    fn matches(&self, request: &RawRequest) -> bool {
+        let has_marker = |text: &str| text.contains(&self.marker);
+        has_marker(&request.path)
+            || request.headers.values().filter_map(|value| value.to_str().ok()).any(has_marker)
+    }
+}
+
 /// A request that a target has executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -154,6 +182,8 @@
     // number of starts, written as the time of the latest one
     starts: u64,
     pub(super) fault: TargetFault,
+    framing: StreamFraming,
+    crash_trigger: Option<CrashTrigger>,
     refused_requests: u64,
     pub(super) executed_requests: Vec<ExecutedRequest>,
     pub(super) adapters: IndexMap<String, AdapterState>,
@@ -174,6 +204,8 @@
     pub(super) batch: Arc<Batch>,
     open_connections: AtomicUsize,
     seal_count: AtomicU64,
+    crash: Notify,
+    crashes: AtomicU64,
 }
 
 // counts an open connection, also when its task is aborted
@@ -227,6 +259,8 @@
             batch,
             open_connections: AtomicUsize::new(0),
             seal_count: AtomicU64::new(0),
+            crash: Notify::new(),
+            crashes: AtomicU64::new(0),
         });
         shared.reset_state(software_version);
         let server = tokio::spawn(serve(listener, shared.clone()));
@@ -285,6 +319,25 @@
         self.shared.state.lock().fault = fault;
     }
 
+    /// Makes each request crash the target that has `marker` in its path or in the value of a header:
+    /// all connections close and new ones are refused until a restart. A stream crashes it within the
+    /// event after the first `after_events`.
+    pub fn crash_on(&self, marker: &str, after_events: u64) {
+        let trigger = CrashTrigger { marker: marker.to_owned(), after_events };
+        self.shared.state.lock().crash_trigger = Some(trigger);
+    }
+
+    /// Number of crashes so far.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.shared.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Sets how the ends of later streams are marked.
+    pub fn set_framing(&self, framing: StreamFraming) {
+        self.shared.state.lock().framing = framing;
+    }
+
     /// Makes `version` the newest version of an adapter.
     pub fn set_version(&self, adapter: &str, version: u64) {
         self.shared.state.lock().newest_versions.insert(adapter.to_owned(), version);
@@ -364,6 +417,26 @@
         state.adapters = initial.iter().map(|name| (name.clone(), loaded)).collect();
     }
 
+    // returns the index of the record
+    fn record_execution(&self, request: &RawRequest, request_id: &str) -> usize {
+        let mut state = self.state.lock();
+        let software_version = state.software_version.clone();
+        state.executed_requests.push(ExecutedRequest {
+            request_id: request_id.to_owned(),
+            software_version,
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            abandoned: false,
+        });
+        state.executed_requests.len() - 1
+    }
+
+    fn begin_crash(&self) {
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.crash.notify_one();
+    }
+
     fn next_seal(&self) -> String {
         format!("{}.{}", self.conf.id, self.seal_count.fetch_add(1, Ordering::Relaxed))
     }
@@ -380,7 +453,14 @@
 async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     // dropping the set closes all connections, like a crash
     let mut conns = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.crash.notified() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let shared = shared.clone();
         conns.spawn(async move {
@@ -426,6 +506,22 @@
     }
 }
 
+// status and retry delay of a request that is refused before it reaches the batch
+fn refusal(
+    shared: &Shared,
+    request: &RawRequest,
+    fault: TargetFault,
+) -> Option<(u16, Option<String>)> {
+    match fault {
+        TargetFault::Full => Some((503, None)),
+        TargetFault::FullFor(ms) => {
+            shared.state.lock().refused_requests += 1;
+            Some((503, Some(format!("{}.{:03}", ms / 1000, ms % 1000))))
+        }
+        _ => engine::missing_adapter_status(shared, request).map(|status| (status, None)),
+    }
+}
+
 // returns the connection if it can carry another request
 async fn run_request(
     mut conn: RawConn,
@@ -434,19 +530,9 @@
 ) -> Option<RawConn> {
     let fault = shared.state.lock().fault;
     let id = request.header("request-id").unwrap_or_default().to_owned();
-    if fault == TargetFault::Full {
-        let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
-        return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
-    }
-    if let TargetFault::FullFor(ms) = fault {
-        let retry_after = format!("{}.{:03}", ms / 1000, ms % 1000);
-        let headers =
-            [("Request-Id", id.as_str()), ("Not-Executed", "1"), ("Retry-After", &retry_after)];
-        shared.state.lock().refused_requests += 1;
-        return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
-    }
-    if let Some(status) = engine::missing_adapter_status(shared, request) {
-        let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
+    if let Some((status, retry_after)) = refusal(shared, request, fault) {
+        let mut headers = vec![("Request-Id", id.as_str()), ("Not-Executed", "1")];
+        headers.extend(retry_after.as_deref().map(|text| ("Retry-After", text)));
         return conn.write_response(status, &headers, b"").await.ok().map(|()| conn);
     }
     let sequence = shared.conf.engine.as_ref().map(|_| engine::submit(shared, request));
@@ -455,19 +541,7 @@
         let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
         return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
     };
-    let index = {
-        let mut state = shared.state.lock();
-        let software_version = state.software_version.clone();
-        state.executed_requests.push(ExecutedRequest {
-            request_id: id.clone(),
-            software_version,
-            path: request.path.clone(),
-            headers: request.headers.clone(),
-            body: request.body.clone(),
-            abandoned: false,
-        });
-        state.executed_requests.len() - 1
-    };
+    let index = shared.record_execution(request, &id);
     let seal = shared.next_seal();
     let echoed_id =
         if fault == TargetFault::WrongRequestId { "another".to_owned() } else { id.clone() };
@@ -478,6 +552,15 @@
     if fault != TargetFault::Unsealed {
         headers.push(("Server-Seal", seal.as_str()));
     }
+    let (framing, trigger) = {
+        let state = shared.state.lock();
+        (state.framing, state.crash_trigger.clone())
+    };
+    let crash_after = trigger.filter(|t| t.matches(request)).map(|t| t.after_events);
+    if crash_after.is_some_and(|events| events == 0 || shared.conf.engine.is_none()) {
+        shared.begin_crash();
+        return None;
+    }
     match (&shared.conf.engine, fault) {
         (_, TargetFault::LoseAnswer) => {
             conn.reset();
@@ -504,14 +587,25 @@
         }
         (Some(engine), _) => {
             let sequence = sequence.as_ref().expect("an engine's request is in its batch");
-            let stream =
-                engine::EventStream { conf: engine, batch: &shared.batch, sequence, fault };
+            let stream = engine::EventStream {
+                conf: engine,
+                batch: &shared.batch,
+                sequence,
+                fault,
+                framing,
+                breaks_after: crash_after,
+            };
             let streamed = stream.write_events(&mut conn, request, &headers).await;
+            if crash_after.is_some() {
+                shared.begin_crash();
+                return None;
+            }
             if streamed.is_err() {
                 shared.state.lock().executed_requests[index].abandoned = true;
             }
             match fault {
                 TargetFault::CutAfter(_) | TargetFault::CutUnresumedAfter(_) => None,
+                _ if framing == StreamFraming::UntilClose => None,
                 _ => streamed.ok().map(|()| conn),
             }
         }
