Check for a crash when a stream without length or chunks ends

Seen by callers: as before, a request that crashes targets went on to further ones. Cause: a stream without framing ends with its connection. Within an event it was resumed but not recorded as a broken connection; between two events a crash looked like the end of the stream and even cleared the content of suspicion. Class of fault: an end of input that is taken for success without proof. Change: both ends lead to a check of the target; only a framed end clears a content.

--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -18,7 +18,7 @@
     egret_platform::forwarded_answer_headers,
     egret_runtime::{EventId, events, now, read_incoming, with_deadline},
     futures::stream::unfold,
-    http::Response,
+    http::{HeaderMap, Response, header},
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::sync::Arc,
@@ -94,6 +94,11 @@
     answer
 }
 
+// true if the end of the body is marked by a length or chunks
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 struct EventStream {
     edge: Arc<Edge>,
     out: SharedRequest,
@@ -135,10 +140,14 @@
                     }
                 }
                 Some(None) if self.splitter.is_at_boundary() => {
-                    self.finish_complete();
+                    self.finish_complete().await;
                     return None;
                 }
-                Some(None) => self.handle_break("stream ended within an event").await,
+                Some(None) => {
+                    // the end of a stream without length or chunks is that of its connection
+                    self.check_for_crash().await;
+                    self.handle_break("stream ended within an event").await
+                }
                 Some(Some(Err(e))) => {
                     self.check_for_crash().await;
                     self.handle_break(&e.to_string()).await
@@ -210,12 +219,18 @@
         );
     }
 
-    fn finish_complete(&mut self) {
+    async fn finish_complete(&mut self) {
         let Some(target_answer) = self.target_answer.take() else {
             return;
         };
         record_health(&self.edge, &target_answer.target, HealthSignal::Success);
-        self.edge.suspects.lock().clear(self.out.fingerprint);
+        if is_framed(&target_answer.headers) {
+            self.edge.suspects.lock().clear(self.out.fingerprint);
+        } else {
+            // a crash between two events looks like the end of the stream
+            let target = &target_answer.target;
+            crash_suspects::handle_broken_connection(&self.edge, &self.out, target).await;
+        }
         record_answer(&self.edge, &self.out, target_answer.status, &target_answer.target);
         let TargetAnswer { target, conn, headers, .. } = target_answer;
         attempt::keep_connection(&self.edge, &self.out, &target, conn, &headers);
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -32,7 +32,7 @@
     for number in 1..=count {
         let pause = Duration::from_millis(15);
         let engine = d.start_engine_of_version(&format!("e-{number}"), "v1", &["a1"], pause).await;
-        engine.crash_on(MARKER, crash_after_events);
+        engine.crash_on(MARKER, crash_after_events, true);
         engines.push(engine);
     }
     engines
@@ -94,6 +94,27 @@
     assert_eq!(crashes(&engines), CRASHES_MAX);
 }
 
+// A crash between two events looked like the end of such a stream.
+#[tokio::test]
+async fn crash_is_found_at_end_of_unframed_stream() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 4, 2).await;
+    for engine in &engines {
+        engine.set_framing(StreamFraming::UntilClose);
+        engine.crash_on(MARKER, 2, false);
+    }
+    let edges = start_ready_edges(&d, 2).await;
+    for _ in 0..3 {
+        let _ = edges[0].call(crashing_request()).await;
+    }
+    tokio::time::sleep(NOTICE).await;
+    assert_eq!(edges[1].call(crashing_request()).await.unwrap().status, 503);
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+    let sound = edges[1].call(stream_request("stream", "a1")).await.unwrap();
+    assert_eq!(sound.body, whole_stream());
+}
+
 // A request that was waiting or being moved went on to the next engine after its content had been
 // refused elsewhere.
 #[tokio::test]
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -142,8 +142,8 @@
     pub(super) sequence: &'a SequenceHandle,
     pub(super) fault: TargetFault,
     pub(super) framing: StreamFraming,
-    /// Number of events after which the stream breaks off within the next one.
-    pub(super) breaks_after: Option<u64>,
+    /// Number of events after which the stream breaks off, and whether within the next one.
+    pub(super) breaks_after: Option<(u64, bool)>,
 }
 
 impl EventStream<'_> {
@@ -177,7 +177,7 @@
             {
                 Some(events)
             }
-            _ => self.breaks_after.map(|events| last + events),
+            _ => self.breaks_after.map(|(events, _)| last + events),
         };
         for id in last + 1..=self.conf.events_per_stream {
             if ends_after == Some(id - 1) {
@@ -185,6 +185,9 @@
                     conn.wait_for_close().await;
                     return Err(io::ErrorKind::BrokenPipe.into());
                 }
+                if matches!(self.breaks_after, Some((_, false))) {
+                    return Ok(());
+                }
                 // the stream breaks off within the next event
                 return match self.framing {
                     StreamFraming::Chunked => conn.write(b"10\r\nid: ").await,
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -140,8 +140,10 @@
 pub(super) struct CrashTrigger {
     // part of the path or of a header's value
     marker: String,
-    // events of a stream that are written before the crash, which is within the next event
+    // events of a stream that are written before the crash
     after_events: u64,
+    // true if the crash is within the next event
+    within_event: bool,
 }
 
 impl CrashTrigger {
@@ -320,10 +322,10 @@
     }
 
     /// Makes each request crash the target that has `marker` in its path or in the value of a header:
-    /// all connections close and new ones are refused until a restart. A stream crashes it within the
-    /// event after the first `after_events`.
-    pub fn crash_on(&self, marker: &str, after_events: u64) {
-        let trigger = CrashTrigger { marker: marker.to_owned(), after_events };
+    /// all connections close and new ones are refused until a restart. A stream crashes it after
+    /// `after_events` events, within the next one if `within_event` is set.
+    pub fn crash_on(&self, marker: &str, after_events: u64, within_event: bool) {
+        let trigger = CrashTrigger { marker: marker.to_owned(), after_events, within_event };
         self.shared.state.lock().crash_trigger = Some(trigger);
     }
 
@@ -556,8 +558,8 @@
         let state = shared.state.lock();
         (state.framing, state.crash_trigger.clone())
     };
-    let crash_after = trigger.filter(|t| t.matches(request)).map(|t| t.after_events);
-    if crash_after.is_some_and(|events| events == 0 || shared.conf.engine.is_none()) {
+    let trigger = trigger.filter(|trigger| trigger.matches(request));
+    if trigger.as_ref().is_some_and(|t| t.after_events == 0 || shared.conf.engine.is_none()) {
         shared.begin_crash();
         return None;
     }
@@ -593,10 +595,10 @@
                 sequence,
                 fault,
                 framing,
-                breaks_after: crash_after,
+                breaks_after: trigger.as_ref().map(|t| (t.after_events, t.within_event)),
             };
             let streamed = stream.write_events(&mut conn, request, &headers).await;
-            if crash_after.is_some() {
+            if trigger.is_some() {
                 shared.begin_crash();
                 return None;
             }
