Refuse contents that crash targets before each send, not only on arrival

Seen by callers: as before. Cause: a request that was being moved, waited for an adapter or stood beside a silent target was sent on although its content had been refused meanwhile. Class of fault: a decision taken once for work that takes long. Change: the content is looked up before each send, also before second sends to other targets.

--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -6,7 +6,7 @@
         request::OutgoingRequest,
     },
     crate::state::Edge,
-    egret_core::{Target, Time},
+    egret_core::{RunPolicy, Target, Time},
     egret_runtime::{Body, SuspectMsg, SuspectsMsg, events, now, with_deadline},
     faststr::FastStr,
     futures::{FutureExt, future::Shared},
@@ -43,6 +43,15 @@
     is_down: Shared<oneshot::Receiver<bool>>,
 }
 
+/// Reason of a refusal.
+pub(crate) const REFUSAL_REASON: &str = "its content crashed targets";
+
+/// True if the content of a request is refused because it crashed targets.
+pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest) -> bool {
+    let policy = edge.suspects.lock().run_policy(now(), out.fingerprint);
+    matches!(policy, RunPolicy::Refused(_))
+}
+
 /// Records that the connection of a request broke off, and checks whether its target accepts
 /// connections: waiting for the next request would find a crash late or never. Returns once the
 /// first check has ended.
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -15,7 +15,7 @@
         server::{Answer, full_answer, refusal},
         state::{Edge, OpenRequest},
     },
-    egret_core::{FinalAnswer, RequestSends, RunPolicy, SendDecision, SendEnd, Target, Time},
+    egret_core::{FinalAnswer, RequestSends, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
     egret_runtime::{events, now, read_incoming, with_deadline},
     faststr::FastStr,
@@ -43,9 +43,8 @@
         Ok(out) => out,
         Err(answer) => return *answer,
     };
-    let policy = edge.suspects.lock().run_policy(now(), out.fingerprint);
-    if let RunPolicy::Refused(_) = policy {
-        return finish_unanswered(edge, &out, FinalAnswer::NotRun, "its content crashed targets");
+    if crash_suspects::is_refused(edge, &out) {
+        return finish_unanswered(edge, &out, FinalAnswer::NotRun, crash_suspects::REFUSAL_REASON);
     }
     if let Err(reason) = resumption::restrict_to_origin(edge, &mut out).await {
         return finish_unanswered(edge, &out, FinalAnswer::NotRun, reason);
@@ -137,6 +136,10 @@
                     return Err((self.sends.final_answer(now()), self.record_no_target()));
                 }
             };
+            // it may have been refused while the request waited or broke off
+            if crash_suspects::is_refused(&self.edge, &self.out) {
+                return Err((self.sends.final_answer(now()), crash_suspects::REFUSAL_REASON));
+            }
             let id = target.id.clone();
             match self.send(target, last_event).await {
                 Ok(target_answer) if self.should_retry(&target_answer) => {
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
+        crash_suspects,
         placement::{self, Eligibility, Placement, select_target},
         request::SharedRequest,
         serve::RequestSender,
@@ -127,6 +128,7 @@
                     tried_targets.extend(not_loaded);
                     search_at = now().after_ms(SEARCH_INTERVAL_MS);
                     if let Some(other) = found
+                        && !crash_suspects::is_refused(&self.edge, &self.out)
                         && self.edge.try_take_retry(&self.out.selected.service.name)
                     {
                         self.sends.start_second_send();
