Keep refusing a content that crashes targets while its callers still send it

Seen by callers: as before. Cause: a suspect ended 30 s after its last crash at each host, whether its repeats still came or not; each time it then crashed targets again. Change: a refusal keeps the suspect for another 30 s.

--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -48,8 +48,12 @@
 
 /// True if the content of a request is refused because it crashed targets.
 pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest) -> bool {
-    let policy = edge.suspects.lock().run_policy(now(), out.fingerprint);
-    matches!(policy, RunPolicy::Refused(_))
+    let mut suspects = edge.suspects.lock();
+    let is_refused = matches!(suspects.run_policy(now(), out.fingerprint), RunPolicy::Refused(_));
+    if is_refused {
+        suspects.renew(now(), out.fingerprint, SUSPECT_RETENTION_MS);
+    }
+    is_refused
 }
 
 /// Records that the connection of a request broke off, and checks whether its target accepts
