Send crash suspects to a host when a link to it opens

Seen by callers: as before. Cause: suspects were sent once, at the crash. A host that restarted or was cut off never got them. Class of fault: state that is announced once and never reconciled. Change: the sender of a new link sends its suspects after the first heartbeat.

--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -56,6 +56,13 @@
     is_refused
 }
 
+/// The suspects known to this host, for a host that may not know them.
+pub(crate) fn suspects_message(edge: &Edge) -> Option<Body> {
+    let records = edge.suspects.lock().records(now());
+    let suspects: Vec<SuspectMsg> = records.into_iter().map(SuspectMsg::from).collect();
+    (!suspects.is_empty()).then_some(Body::Suspects(SuspectsMsg { suspects }))
+}
+
 /// Records that the connection of a request broke off, and checks whether its target accepts
 /// connections: waiting for the next request would find a crash late or never. Returns once the
 /// first check has ended.
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -9,4 +9,7 @@
 mod silence;
 mod stream;
 
-pub(crate) use {crash_suspects::CrashChecks, serve::serve};
+pub(crate) use {
+    crash_suspects::{CrashChecks, suspects_message},
+    serve::serve,
+};
--- a/crates/edge/src/peers/heartbeat.rs
+++ b/crates/edge/src/peers/heartbeat.rs
@@ -6,6 +6,7 @@
         gossip,
     },
     crate::{
+        dispatch,
         orders::{self, EngineReconciler},
         state::{Edge, ReadPosition},
     },
@@ -109,6 +110,10 @@
         if let Some(link) = edge.links.get_or_connect(&host, address).await {
             // the adapter lists follow with the next heartbeat
             link.notify(Body::HostHeartbeat(heartbeat(&edge)));
+            // the host may have restarted, or missed them while it was cut off
+            if let Some(suspects) = dispatch::suspects_message(&edge) {
+                link.notify(suspects);
+            }
         } else {
             edge.peers.lock().record_unreachable(&host);
             tokio::time::sleep(Duration::from_millis(RECONNECT_PAUSE_MS)).await;
