--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -71,6 +71,14 @@
     out: &OutgoingRequest,
     target: &Arc<Target>,
 ) {
+    events::CRASH_WITNESSED.info(format_args!(
+        "request={} route={} target={} content={:016x} parts={}",
+        out.head.id,
+        out.selected.route.name,
+        target.id,
+        out.fingerprint.0,
+        out.head.shared_prompt_parts.join(",")
+    ));
     edge.broken_connections.lock().record_broken(now(), &target.id, out.fingerprint);
     if check(edge, target).await == Ok(true) {
         // the connection of this request may have broken after the check had ended
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -136,6 +136,7 @@
     SUSPECTS_FOUND = 1222 "contents became crash suspects";
     ENGINE_REPORTED = 1223 "engine reported its models and adapters";
     CRASH_CHECK_UNDECIDED = 1224 "engine kept breaking connections; whether it crashed is not known";
+    CRASH_WITNESSED = 1225 "request was on a target when its connection broke off";
     TICKET_CANCELLED = 1230 "expired ticket cancelled at the engine";
     PERMITS_LENT = 1240 "weight store permits lent";
 }
