Failing tests: a prompt part that crashes engines, and sound requests beside it

Requests share one part of their prompts and crash each engine; sound requests are on engines that crash.

--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -20,6 +20,17 @@
 /// Crashes after which a content is refused.
 const CRASHES_MAX: u64 = 2;
 
+/// Crashes after which a part of a prompt is refused, with those of requests that are under way.
+const PART_CRASHES_MAX: u64 = 5;
+
+/// A request whose prompt has a shared first part, `part` and a last part of its own.
+fn request_with_part(part: &str, number: usize) -> Request<Full<Bytes>> {
+    let mut req = stream_request("stream", "a1");
+    let prefix = format!("5c1e:10,{part}:10,{number:x}:10");
+    req.headers_mut().insert("prompt-prefix", prefix.parse().unwrap());
+    req
+}
+
 /// A request for a resumable stream that crashes engines, under a new id each time.
 fn crashing_request() -> Request<Full<Bytes>> {
     let mut req = stream_request("stream", "a1");
@@ -156,3 +167,66 @@
     assert_eq!(edges[1].call(crashing_request()).await.unwrap().status, 503);
     assert_eq!(crashes(&engines), CRASHES_MAX);
 }
+
+// Only whole contents were remembered, and requests that share one part of their prompts crashed one
+// engine after the other.
+#[tokio::test]
+async fn prompt_part_that_crashes_engines_is_refused() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = start_engines(&d, 12, 1).await;
+    let edges = start_ready_edges(&d, 2).await;
+    for number in 0..4 {
+        let answer = edges[number % 2].call(request_with_part("50f7", number)).await.unwrap();
+        assert_eq!(answer.body, whole_stream());
+    }
+    for number in 0..12 {
+        let _ = edges[number % 2].call(request_with_part(MARKER, number)).await;
+    }
+    assert!(crashes(&engines) <= PART_CRASHES_MAX, "{} crashes", crashes(&engines));
+    tokio::time::sleep(NOTICE).await;
+    let before = crashes(&engines);
+    for (number, edge) in edges.iter().enumerate() {
+        let refused = edge.call(request_with_part(MARKER, 100 + number)).await.unwrap();
+        assert_eq!(refused.status, 503);
+        // sound requests share the other parts
+        let sound = edge.call(request_with_part("50f7", 100 + number)).await.unwrap();
+        assert_eq!(sound.body, whole_stream());
+    }
+    assert_eq!(crashes(&engines), before);
+}
+
+// Sound requests that were on several crashed engines were refused like the one that crashed them.
+#[tokio::test]
+async fn sound_requests_on_crashed_engines_are_not_refused() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = Vec::new();
+    for number in 1..=6 {
+        let pause = Duration::from_millis(80);
+        let engine = d.start_engine_of_version(&format!("e-{number}"), "v1", &["a1"], pause).await;
+        engine.crash_on(MARKER, 1, true);
+        engines.push(engine);
+    }
+    let edges = start_ready_edges(&d, 1).await;
+    let edge = &edges[0];
+    for number in 0..3 {
+        // the same sound content is on each engine that crashes
+        let mut sound = Vec::new();
+        for _ in 0..12 {
+            let mut conn = edge.connect().await;
+            let deadline = now().after_ms(9000);
+            sound.push(tokio::spawn(async move {
+                conn.call(request_with_part("50f7", 7), deadline).await
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let _ = edge.call(request_with_part(MARKER, number)).await;
+        for request in sound {
+            let _ = request.await;
+        }
+    }
+    assert!(crashes(&engines) >= 2);
+    let answer = edge.call(request_with_part("50f7", 7)).await.unwrap();
+    assert_eq!(answer.body, whole_stream());
+}
