Refuse only contents that explain crashes and have not run to their end

Cause: each content on a crashed target counted as if it had caused the crash, and at the second one it was refused, whatever had become of it elsewhere. Class of fault: blame by presence, without evidence to the contrary. Change: hosts exchange crashes with the contents that were on them, a crash counts once however many hosts saw it. A content that has run to its end within 10 s at any host is sound and taken out. Of the rest that is refused which most crashes have in common, then that of the crashes left. One host tests a refused content after 30 s, then in doubling intervals; Retry-After names the next test.

--- /dev/null
+++ b/crates/core/src/crash_reports.rs
@@ -0,0 +1,237 @@
+//! Finds what requests have in common that crash the targets that run them.
+//!
+//! A crash report holds the contents of the requests on a target that crashed, which callers send
+//! again under new ids. Most of them are sound. What has run to its end lately, at any host, is taken out; of the
+//! rest, that which explains most crashes is refused.
+
+use {
+    crate::{Fingerprint, Time},
+    faststr::FastStr,
+    indexmap::{IndexMap, IndexSet},
+};
+
+/// Time for which something counts as sound after it has run to its end.
+const SOUND_MS: u64 = 10_000;
+
+/// Time for which a crash is kept after the last request that is refused because of it.
+const RETENTION_MS: u64 = 120_000;
+
+/// Crashes kept; the oldest are dropped beyond that.
+const CRASHES_MAX: usize = 256;
+
+/// Suspects kept for one crash.
+const SUSPECTS_PER_CRASH_MAX: usize = 1024;
+
+/// Sound suspects kept; the oldest are dropped beyond that.
+const SOUND_MAX: usize = 16_384;
+
+/// Highest number of doublings of the time between two tests.
+const TEST_DOUBLINGS_MAX: u32 = 5;
+
+/// What may make a request crash its target.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Suspect {
+    /// The whole content.
+    Content(Fingerprint),
+}
+
+impl Suspect {
+    // crashes from which on it is refused
+    const fn crashes_to_refuse(self) -> usize {
+        match self {
+            Self::Content(_) => 2,
+        }
+    }
+
+    // time from a refusal to the first test
+    const fn first_test_ms(self) -> u64 {
+        match self {
+            Self::Content(_) => 30_000,
+        }
+    }
+}
+
+/// A crash: the target, and the Unix time of its start in milliseconds.
+pub type CrashId = (FastStr, u64);
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashVerdict {
+    /// Nothing of it is refused.
+    Allowed,
+    /// It is sent once, to find out whether what it holds still crashes targets.
+    Test,
+    /// It is refused; the next test is at this time.
+    Refused(Time),
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    suspects: IndexSet<Suspect>,
+    expires_at: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    tests: u32,
+    next_test_at: Time,
+}
+
+/// Crash reports of all hosts, as known to one of them.
+#[derive(Clone, Debug, Default)]
+pub struct CrashReports {
+    crashes: IndexMap<CrashId, Crash>,
+    // when each was last known to have run to its end
+    sound: IndexMap<Suspect, Time>,
+    refused: IndexMap<Suspect, Refusal>,
+}
+
+impl CrashReports {
+    /// Adds what was on a target that crashed. Returns those that are sound, which other hosts may
+    /// not know.
+    pub fn record_crash(
+        &mut self,
+        now: Time,
+        id: CrashId,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) -> Vec<Suspect> {
+        self.crashes.retain(|_, crash| now < crash.expires_at);
+        let (sound, unknown): (Vec<Suspect>, Vec<Suspect>) =
+            suspects.into_iter().partition(|suspect| self.is_sound(now, *suspect));
+        let expires_at = now.after_ms(RETENTION_MS);
+        let new = || Crash { suspects: IndexSet::new(), expires_at };
+        let crash = self.crashes.entry(id).or_insert_with(new);
+        let free = SUSPECTS_PER_CRASH_MAX.saturating_sub(crash.suspects.len());
+        crash.suspects.extend(unknown.into_iter().take(free));
+        while self.crashes.len() > CRASHES_MAX {
+            self.crashes.shift_remove_index(0);
+        }
+        self.update_refusals(now);
+        sound
+    }
+
+    /// Records that a request with these has run to its end. Returns those that were on a target
+    /// that crashed.
+    pub fn record_sound(
+        &mut self,
+        now: Time,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) -> Vec<Suspect> {
+        if self.sound.len() >= SOUND_MAX {
+            self.sound.retain(|_, at| now < at.after_ms(SOUND_MS));
+            let excess = (self.sound.len() + 1).saturating_sub(SOUND_MAX);
+            self.sound.drain(..excess);
+        }
+        let mut cleared = Vec::new();
+        for suspect in suspects {
+            self.sound.insert(suspect, now);
+            let mut was_suspected = false;
+            for crash in self.crashes.values_mut() {
+                was_suspected |= crash.suspects.swap_remove(&suspect);
+            }
+            if was_suspected {
+                cleared.push(suspect);
+            }
+        }
+        if !cleared.is_empty() {
+            self.update_refusals(now);
+        }
+        cleared
+    }
+
+    /// Whether a request with these may be sent. `is_tester` tells whether this host is the one that
+    /// tests the first of them that is refused.
+    pub fn judge(&mut self, now: Time, suspects: &[Suspect], is_tester: bool) -> CrashVerdict {
+        let refused: Vec<Suspect> =
+            suspects.iter().filter(|s| self.refused.contains_key(*s)).copied().collect();
+        let Some(first) = refused.first() else {
+            return CrashVerdict::Allowed;
+        };
+        for crash in self.crashes.values_mut() {
+            if refused.iter().any(|suspect| crash.suspects.contains(suspect)) {
+                crash.expires_at = now.after_ms(RETENTION_MS);
+            }
+        }
+        let next_test_at = refused.iter().map(|s| self.refused[s].next_test_at).max();
+        let next_test_at = next_test_at.unwrap_or(now);
+        // a test of several at once would not tell which one is sound
+        if refused.len() > 1 || now < next_test_at || !is_tester {
+            return CrashVerdict::Refused(next_test_at.max(now));
+        }
+        let refusal = &mut self.refused[first];
+        refusal.tests += 1;
+        let factor = 1 << refusal.tests.min(TEST_DOUBLINGS_MAX);
+        refusal.next_test_at = now.after_ms(first.first_test_ms() * factor);
+        CrashVerdict::Test
+    }
+
+    /// The first of these that is refused.
+    #[must_use]
+    pub fn first_refused(&self, suspects: &[Suspect]) -> Option<Suspect> {
+        suspects.iter().find(|suspect| self.refused.contains_key(*suspect)).copied()
+    }
+
+    /// True if something of a request is refused.
+    #[must_use]
+    pub fn is_refused(&self, suspects: &[Suspect]) -> bool {
+        self.first_refused(suspects).is_some()
+    }
+
+    /// What is refused, with the number of crashes that it was on.
+    pub fn refused(&self) -> impl Iterator<Item = (Suspect, usize)> {
+        self.refused.keys().map(|suspect| (*suspect, self.crashes_with(*suspect).count()))
+    }
+
+    /// The crashes with what is not known to be sound.
+    pub fn reports(&self, now: Time) -> impl Iterator<Item = (&CrashId, &IndexSet<Suspect>)> {
+        let current = self.crashes.iter().filter(move |(_, crash)| now < crash.expires_at);
+        current.map(|(id, crash)| (id, &crash.suspects))
+    }
+
+    fn is_sound(&self, now: Time, suspect: Suspect) -> bool {
+        self.sound.get(&suspect).is_some_and(|at| now < at.after_ms(SOUND_MS))
+    }
+
+    fn crashes_with(&self, suspect: Suspect) -> impl Iterator<Item = &CrashId> {
+        let with = self.crashes.iter().filter(move |(_, crash)| crash.suspects.contains(&suspect));
+        with.map(|(id, _)| id)
+    }
+
+    // Refuses what explains the crashes: that which most of them have in common, then that of the
+    // crashes left.
+    fn update_refusals(&mut self, now: Time) {
+        let mut unexplained: IndexMap<&CrashId, &Crash> = self.crashes.iter().collect();
+        let mut refused = IndexMap::new();
+        loop {
+            let mut counts: IndexMap<Suspect, usize> = IndexMap::new();
+            for suspect in unexplained.values().flat_map(|crash| &crash.suspects) {
+                *counts.entry(*suspect).or_default() += 1;
+            }
+            counts.retain(|suspect, count| *count >= suspect.crashes_to_refuse());
+            let Some((best, count)) = counts
+                .iter()
+                .map(|(suspect, count)| (*suspect, *count))
+                .max_by_key(|(s, c)| (*c, *s))
+            else {
+                break;
+            };
+            let is_alike = |other: &Suspect| {
+                let mut with = unexplained.values().filter(|crash| crash.suspects.contains(&best));
+                std::mem::discriminant(other) == std::mem::discriminant(&best)
+                    && with.all(|crash| crash.suspects.contains(other))
+            };
+            let alike: Vec<Suspect> = counts
+                .iter()
+                .filter(|(s, c)| **c == count && is_alike(s))
+                .map(|(s, _)| *s)
+                .collect();
+            unexplained.retain(|_, crash| !crash.suspects.contains(&best));
+            for suspect in alike {
+                let first_test_at = now.after_ms(suspect.first_test_ms());
+                let new = Refusal { tests: 0, next_test_at: first_test_at };
+                refused.insert(suspect, self.refused.get(&suspect).copied().unwrap_or(new));
+            }
+        }
+        self.refused = refused;
+    }
+}
--- a/crates/core/src/crash_suspects.rs
+++ b/crates/core/src/crash_suspects.rs
@@ -92,13 +92,6 @@
         }
     }
 
-    /// Keeps a content that is refused for another `ttl_ms`, since its callers still send it.
-    pub fn renew(&mut self, now: Time, fingerprint: Fingerprint, ttl_ms: u64) {
-        if let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) {
-            suspect.expires_at = suspect.expires_at.max(now.after_ms(ttl_ms));
-        }
-    }
-
     /// Merges a record of another process.
     pub fn merge(&mut self, now: Time, record: SuspectRecord) {
         self.remove_expired(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod broken_connections;
 mod cold_load_limit;
 mod config;
+mod crash_reports;
 mod crash_suspects;
 mod cross_data_centre;
 mod engine_owners;
@@ -43,6 +44,7 @@
     ConfigSnapshot, EngineSpec, HostsOutOfService, Manifest, ManifestError, ManifestOp, Rejection,
     ServiceSpec, ServiceTarget, WeightStoreSpec, diff, validate,
 };
+pub use crash_reports::{CrashId, CrashReports, CrashVerdict, Suspect};
 pub use crash_suspects::{CrashSuspects, RunPolicy, SuspectRecord};
 pub use cross_data_centre::CrossDataCentreRequests;
 pub use engine_owners::{EngineClaim, EngineOwners, Fencing};
--- /dev/null
+++ b/crates/core/tests/crash_reports.rs
@@ -0,0 +1,94 @@
+//! What requests have in common that crash their targets.
+
+use {
+    egret_core::{CrashReports, CrashVerdict, Fingerprint, Suspect, Time},
+    faststr::FastStr,
+};
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn content(number: u64) -> Suspect {
+    Suspect::Content(Fingerprint(number))
+}
+
+fn crash(
+    reports: &mut CrashReports,
+    at_ms: u64,
+    target: u64,
+    suspects: &[Suspect],
+) -> Vec<Suspect> {
+    let id = (FastStr::from_string(format!("t-{target}")), 1);
+    reports.record_crash(at(at_ms), id, suspects.iter().copied())
+}
+
+#[test]
+fn crash_reports_second_crash_refuses_content() {
+    let mut reports = CrashReports::default();
+    crash(&mut reports, 0, 1, &[content(1), content(2)]);
+    // another host reports the same crash
+    crash(&mut reports, 10, 1, &[content(1), content(3)]);
+    assert_eq!(reports.judge(at(20), &[content(1)], true), CrashVerdict::Allowed);
+    crash(&mut reports, 30, 2, &[content(1), content(4)]);
+    assert!(matches!(reports.judge(at(40), &[content(1)], true), CrashVerdict::Refused(_)));
+    for number in 2..5 {
+        assert_eq!(reports.judge(at(40), &[content(number)], true), CrashVerdict::Allowed);
+    }
+}
+
+// A content that all callers of a plain service send was refused after it had been on two targets
+// that crashed for other reasons.
+#[test]
+fn crash_reports_sound_content_is_not_refused() {
+    let mut reports = CrashReports::default();
+    assert!(reports.record_sound(at(0), [content(1)]).is_empty());
+    for target in 0..5 {
+        assert_eq!(crash(&mut reports, 100, target, &[content(1)]), [content(1)]);
+    }
+    assert!(!reports.is_refused(&[content(1)]));
+    // known to be sound only after the crashes
+    for target in 0..2 {
+        crash(&mut reports, 200, target, &[content(2)]);
+    }
+    assert!(reports.is_refused(&[content(2)]));
+    assert_eq!(reports.record_sound(at(300), [content(2)]), [content(2)]);
+    assert!(!reports.is_refused(&[content(2)]));
+}
+
+// A content whose repeats were refused ran again 30 s after its last crash, at each host.
+#[test]
+fn crash_reports_repeated_content_stays_refused() {
+    let mut reports = CrashReports::default();
+    for target in 0..2 {
+        crash(&mut reports, 0, target, &[content(1)]);
+    }
+    for seconds in (10..600).step_by(10) {
+        let verdict = reports.judge(at(seconds * 1000), &[content(1)], false);
+        assert!(matches!(verdict, CrashVerdict::Refused(_)), "after {seconds} s");
+    }
+    // no longer sent for longer than the crashes are kept
+    crash(&mut reports, 900_000, 9, &[content(2)]);
+    assert!(!reports.is_refused(&[content(1)]));
+}
+
+#[test]
+fn crash_reports_tests_become_rare() {
+    let mut reports = CrashReports::default();
+    for target in 0..2 {
+        crash(&mut reports, 0, target, &[content(1)]);
+    }
+    let mut tests = Vec::new();
+    for seconds in 1..300 {
+        // only one host tests
+        let time = at(seconds * 1000);
+        assert_ne!(reports.judge(time, &[content(1)], false), CrashVerdict::Test);
+        if reports.judge(time, &[content(1)], true) == CrashVerdict::Test {
+            tests.push(seconds);
+            crash(&mut reports, seconds * 1000 + 100, 100 + seconds, &[content(1)]);
+        }
+    }
+    assert_eq!(tests, [30, 90, 210]);
+    reports.record_sound(at(300_000), [content(1)]);
+    assert_eq!(reports.judge(at(300_001), &[content(1)], false), CrashVerdict::Allowed);
+}
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -1,13 +1,13 @@
-//! Request contents that may have crashed targets. All hosts are notified of them.
+//! Finds requests that crash targets, together with all other hosts.
 
 use {
     super::{
         attempt::{self, HealthSignal},
         request::OutgoingRequest,
     },
-    crate::state::Edge,
-    egret_core::{RunPolicy, Target, Time},
-    egret_runtime::{Body, SuspectMsg, SuspectsMsg, events, now, with_deadline},
+    crate::{peers, state::Edge},
+    egret_core::{CrashId, CrashVerdict, Fingerprint, Suspect, Target, Time},
+    egret_runtime::{Body, CrashMsg, SuspectsMsg, events, now, with_deadline},
     faststr::FastStr,
     futures::{FutureExt, future::Shared},
     indexmap::IndexMap,
@@ -16,10 +16,6 @@
     tokio::{net::TcpStream, sync::oneshot},
 };
 
-/// How long a suspect is kept. A crashed engine restarts within seconds, and callers repeat the
-/// same content until their deadline.
-const SUSPECT_RETENTION_MS: u64 = 30_000;
-
 /// Timeout of a connection that shows whether a target has crashed.
 const CHECK_TIMEOUT_MS: u64 = 150;
 
@@ -46,21 +42,109 @@
 /// Reason of a refusal.
 pub(crate) const REFUSAL_REASON: &str = "its content crashed targets";
 
-/// True if the content of a request is refused because it crashed targets.
-pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest) -> bool {
-    let mut suspects = edge.suspects.lock();
-    let is_refused = matches!(suspects.run_policy(now(), out.fingerprint), RunPolicy::Refused(_));
-    if is_refused {
-        suspects.renew(now(), out.fingerprint, SUSPECT_RETENTION_MS);
+/// Whether a request that has arrived may be sent.
+pub(crate) fn judge(edge: &Edge, out: &OutgoingRequest) -> CrashVerdict {
+    let refused = edge.crash_reports.lock().first_refused(&out.suspects);
+    let Some(refused) = refused else {
+        return CrashVerdict::Allowed;
+    };
+    let is_tester = peers::is_first_for(edge, &key_of(refused));
+    let verdict = edge.crash_reports.lock().judge(now(), &out.suspects, is_tester);
+    if verdict == CrashVerdict::Test {
+        events::CRASH_TEST.warn(format_args!(
+            "request={} route={} suspect={}",
+            out.head.id,
+            out.selected.route.name,
+            key_of(refused)
+        ));
+    }
+    verdict
+}
+
+/// True if a request may not be sent, or sent again, because its content crashed targets.
+pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest, was_sent: bool) -> bool {
+    let is_first_of_test = out.is_crash_test && !was_sent;
+    !is_first_of_test && edge.crash_reports.lock().is_refused(&out.suspects)
+}
+
+fn key_of(suspect: Suspect) -> String {
+    match suspect {
+        Suspect::Content(fingerprint) => format!("content-{:016x}", fingerprint.0),
+    }
+}
+
+/// Records that a request has run to its end, which none does that crashes its target.
+pub(crate) fn record_sound(edge: &Edge, out: &OutgoingRequest) {
+    let cleared = edge.crash_reports.lock().record_sound(now(), out.suspects.iter().copied());
+    send_sound(edge, &cleared);
+}
+
+// tells all hosts that these are sound, if there are any
+fn send_sound(edge: &Edge, suspects: &[Suspect]) {
+    if suspects.is_empty() {
+        return;
+    }
+    let message = sound_message(suspects, false);
+    for link in edge.links.open_links() {
+        link.notify(Body::Suspects(message.clone()));
+    }
+}
+
+fn sound_message(suspects: &[Suspect], is_reply: bool) -> SuspectsMsg {
+    SuspectsMsg { sound_contents: contents(suspects.iter()), is_reply, ..SuspectsMsg::default() }
+}
+
+fn contents<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> Vec<u64> {
+    suspects
+        .map(|suspect| match suspect {
+            Suspect::Content(fingerprint) => fingerprint.0,
+        })
+        .collect()
+}
+
+fn suspects_from(contents: &[u64]) -> impl Iterator<Item = Suspect> {
+    contents.iter().map(|fingerprint| Suspect::Content(Fingerprint(*fingerprint)))
+}
+
+fn crash_message<'a>(
+    (target, started_unix_ms): &CrashId,
+    suspects: impl Iterator<Item = &'a Suspect>,
+) -> CrashMsg {
+    CrashMsg {
+        target: target.to_string(),
+        started_unix_ms: *started_unix_ms,
+        contents: contents(suspects),
     }
-    is_refused
 }
 
-/// The suspects known to this host, for a host that may not know them.
-pub(crate) fn suspects_message(edge: &Edge) -> Option<Body> {
-    let records = edge.suspects.lock().records(now());
-    let suspects: Vec<SuspectMsg> = records.into_iter().map(SuspectMsg::from).collect();
-    (!suspects.is_empty()).then_some(Body::Suspects(SuspectsMsg { suspects }))
+/// The crashes known to this host, for a host that may not know them.
+pub(crate) fn crashes_message(edge: &Edge) -> Option<Body> {
+    let reports = edge.crash_reports.lock();
+    let known = reports.reports(now()).filter(|(_, suspects)| !suspects.is_empty());
+    let crashes: Vec<CrashMsg> =
+        known.map(|(id, suspects)| crash_message(id, suspects.iter())).collect();
+    let message = SuspectsMsg { crashes, ..SuspectsMsg::default() };
+    (!message.crashes.is_empty()).then_some(Body::Suspects(message))
+}
+
+/// Applies what another host reports of crashes, and tells it which suspects are sound.
+pub(crate) fn apply_message(edge: &Edge, host: &str, message: &SuspectsMsg) {
+    let mut sound = Vec::new();
+    let cleared = {
+        let mut reports = edge.crash_reports.lock();
+        let cleared = reports.record_sound(now(), suspects_from(&message.sound_contents));
+        for crash in &message.crashes {
+            let id = (FastStr::new(&crash.target), crash.started_unix_ms);
+            sound.extend(reports.record_crash(now(), id, suspects_from(&crash.contents)));
+        }
+        cleared
+    };
+    if message.is_reply {
+        send_sound(edge, &cleared);
+    }
+    if !sound.is_empty() {
+        edge.links.notify(host, Body::Suspects(sound_message(&sound, true)));
+    }
 }
 
 /// Records that the connection of a request broke off, and checks whether its target accepts
@@ -72,14 +156,14 @@
     target: &Arc<Target>,
 ) {
     events::CRASH_WITNESSED.info(format_args!(
-        "request={} route={} target={} content={:016x} parts={}",
+        "request={} route={} target={} suspects={} parts={}",
         out.head.id,
         out.selected.route.name,
         target.id,
-        out.fingerprint.0,
+        out.suspects.iter().map(|suspect| key_of(*suspect)).collect::<Vec<_>>().join(","),
         out.head.shared_prompt_parts.join(",")
     ));
-    edge.broken_connections.lock().record_broken(now(), &target.id, out.fingerprint);
+    edge.broken_connections.lock().record_broken(now(), &target.id, out.suspects.clone());
     if check(edge, target).await == Ok(true) {
         // the connection of this request may have broken after the check had ended
         record_target_down(edge, target);
@@ -123,29 +207,32 @@
     matches!(with_deadline(deadline, TcpStream::connect(target.address)).await, Some(Err(_)))
 }
 
-/// Records that a target accepts no connection. The contents of requests that were running on it
-/// become suspects.
+/// Records that a target accepts no connection. What the requests that were running on it hold
+/// becomes suspect.
 pub(crate) fn record_target_down(edge: &Edge, target: &Target) {
-    let fingerprints = edge.broken_connections.lock().confirm_crash(now(), &target.id);
-    if fingerprints.is_empty() {
+    let suspects = edge.broken_connections.lock().confirm_crash(now(), &target.id);
+    if suspects.is_empty() {
         return;
     }
+    let id = (target.id.clone(), target.started_unix_ms);
+    let (sound, refused) = {
+        let mut reports = edge.crash_reports.lock();
+        let sound = reports.record_crash(now(), id.clone(), suspects.iter().copied());
+        (sound, reports.refused().collect::<Vec<_>>())
+    };
     events::SUSPECTS_FOUND.warn(format_args!(
-        "target={} contents={}",
+        "target={} contents={} sound={}",
         target.id,
-        fingerprints.len()
+        suspects.len(),
+        sound.len()
     ));
-    let records = {
-        let mut suspects = edge.suspects.lock();
-        suspects.record_crash(now(), &fingerprints, SUSPECT_RETENTION_MS);
-        suspects.records(now())
-    };
-    let suspects: Vec<SuspectMsg> = records
-        .into_iter()
-        .filter(|record| fingerprints.contains(&record.fingerprint))
-        .map(SuspectMsg::from)
-        .collect();
+    for (suspect, crashes) in refused {
+        events::SUSPECT_REFUSED.warn(format_args!("suspect={} crashes={crashes}", key_of(suspect)));
+    }
+    let unknown = suspects.iter().filter(|suspect| !sound.contains(suspect));
+    let crash = crash_message(&id, unknown);
+    let message = SuspectsMsg { crashes: vec![crash], ..SuspectsMsg::default() };
     for link in edge.links.open_links() {
-        link.notify(Body::Suspects(SuspectsMsg { suspects: suspects.clone() }));
+        link.notify(Body::Suspects(message.clone()));
     }
 }
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -10,6 +10,6 @@
 mod stream;
 
 pub(crate) use {
-    crash_suspects::{CrashChecks, suspects_message},
+    crash_suspects::{CrashChecks, apply_message as apply_suspects, crashes_message},
     serve::serve,
 };
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -6,7 +6,9 @@
         state::Edge,
     },
     bytes::Bytes,
-    egret_core::{Fingerprint, RouteKind, RouteMatch, StreamOrigin, Time, fingerprint, mix_hashes},
+    egret_core::{
+        Fingerprint, RouteKind, RouteMatch, StreamOrigin, Suspect, Time, fingerprint, mix_hashes,
+    },
     egret_platform::{HeadError, RequestHead},
     egret_runtime::{events, now, with_deadline},
     faststr::FastStr,
@@ -46,7 +48,11 @@
     pub(crate) software_version: Option<FastStr>,
     /// Revision of the routes by which the request was selected.
     pub(crate) revision: u64,
-    pub(crate) fingerprint: Fingerprint,
+    /// What of it may crash the target that runs it.
+    pub(crate) suspects: Arc<[Suspect]>,
+    /// True if it is sent although something of it is refused, to find out whether that still crashes
+    /// targets.
+    pub(crate) is_crash_test: bool,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
     // set once the answer has ended, completely or not
@@ -105,7 +111,7 @@
         let body_fingerprint = fingerprint(parts.uri.path(), &body);
         let header_hashes =
             RequestHead::content_headers(&parts.headers).map(|value| fingerprint("", value).0);
-        let fingerprint = Fingerprint(header_hashes.fold(body_fingerprint.0, mix_hashes));
+        let content = Fingerprint(header_hashes.fold(body_fingerprint.0, mix_hashes));
         Ok(Self {
             id: id.expect("a head without an id is refused"),
             head,
@@ -116,7 +122,8 @@
             selected,
             software_version: None,
             revision: routing.revision,
-            fingerprint,
+            suspects: Arc::new([Suspect::Content(content)]),
+            is_crash_test: false,
             arrived_at: arrived,
             deadline,
             is_finished: AtomicBool::new(false),
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -9,13 +9,13 @@
         request::{OutgoingRequest, SharedRequest},
         resumption,
         silence::{ResumePoint, SilenceEnd},
-        stream,
+        stream::{self, is_framed},
     },
     crate::{
         server::{Answer, full_answer, refusal},
         state::{Edge, OpenRequest},
     },
-    egret_core::{FinalAnswer, RequestSends, SendDecision, SendEnd, Target, Time},
+    egret_core::{CrashVerdict, FinalAnswer, RequestSends, SendDecision, SendEnd, Target, Time},
     egret_platform::forwarded_answer_headers,
     egret_runtime::{events, now, read_incoming, with_deadline},
     faststr::FastStr,
@@ -43,8 +43,10 @@
         Ok(out) => out,
         Err(answer) => return *answer,
     };
-    if crash_suspects::is_refused(edge, &out) {
-        return finish_unanswered(edge, &out, FinalAnswer::NotRun, crash_suspects::REFUSAL_REASON);
+    match crash_suspects::judge(edge, &out) {
+        CrashVerdict::Allowed => {}
+        CrashVerdict::Test => out.is_crash_test = true,
+        CrashVerdict::Refused(until) => return refuse_suspect(edge, &out, until),
     }
     if let Err(reason) = resumption::restrict_to_origin(edge, &mut out).await {
         return finish_unanswered(edge, &out, FinalAnswer::NotRun, reason);
@@ -137,7 +139,7 @@
                 }
             };
             // it may have been refused while the request waited or broke off
-            if crash_suspects::is_refused(&self.edge, &self.out) {
+            if crash_suspects::is_refused(&self.edge, &self.out, self.sends.was_sent()) {
                 return Err((self.sends.final_answer(now()), crash_suspects::REFUSAL_REASON));
             }
             let id = target.id.clone();
@@ -269,7 +271,9 @@
         record_health(edge, &target, HealthSignal::Success);
     }
     edge.broken_connections.lock().rule_out_crash(&target.id);
-    edge.suspects.lock().clear(out.fingerprint);
+    if is_framed(&target_answer.headers) && !target_answer.status.is_server_error() {
+        crash_suspects::record_sound(edge, out);
+    }
     attempt::keep_connection(edge, out, &target, target_answer.conn, &target_answer.headers);
     let mut answer = full_answer(target_answer.status, body);
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
@@ -300,18 +304,32 @@
     edge.counts.answers.get_or_create(&vec![("outcome", "done".to_owned())]).inc();
 }
 
+// refuses a request that may crash its target; others like it are refused until then as well
+fn refuse_suspect(edge: &Edge, out: &OutgoingRequest, until: Time) -> Answer {
+    let retry_ms = now().ms_until(until).max(out.retry_after_ms());
+    finish(edge, out, FinalAnswer::NotRun, crash_suspects::REFUSAL_REASON, retry_ms)
+}
+
 /// Logs and counts a request that no target answered, and builds the answer to its caller.
 pub(crate) fn finish_unanswered(
     edge: &Edge,
     out: &OutgoingRequest,
     end: FinalAnswer,
     reason: &str,
+) -> Answer {
+    finish(edge, out, end, reason, out.retry_after_ms())
+}
+
+fn finish(
+    edge: &Edge,
+    out: &OutgoingRequest,
+    end: FinalAnswer,
+    reason: &str,
+    retry_after_ms: u64,
 ) -> Answer {
     out.mark_finished();
     let (status, retry, outcome) = match end {
-        FinalAnswer::NotRun => {
-            (StatusCode::SERVICE_UNAVAILABLE, Some(out.retry_after_ms()), "not_run")
-        }
+        FinalAnswer::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after_ms), "not_run"),
         FinalAnswer::Unknown => (StatusCode::BAD_GATEWAY, None, "unknown"),
         FinalAnswer::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, None, "late"),
     };
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -128,7 +128,7 @@
                     tried_targets.extend(not_loaded);
                     search_at = now().after_ms(SEARCH_INTERVAL_MS);
                     if let Some(other) = found
-                        && !crash_suspects::is_refused(&self.edge, &self.out)
+                        && !crash_suspects::is_refused(&self.edge, &self.out, true)
                         && self.edge.try_take_retry(&self.out.selected.service.name)
                     {
                         self.sends.start_second_send();
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -95,7 +95,7 @@
 }
 
 // true if the end of the body is marked by a length or chunks
-fn is_framed(headers: &HeaderMap) -> bool {
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
@@ -225,7 +225,7 @@
         };
         record_health(&self.edge, &target_answer.target, HealthSignal::Success);
         if is_framed(&target_answer.headers) {
-            self.edge.suspects.lock().clear(self.out.fingerprint);
+            crash_suspects::record_sound(&self.edge, &self.out);
         } else {
             // a crash between two events looks like the end of the stream
             let target = &target_answer.target;
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -47,6 +47,14 @@
     peers.all().keys().filter(|host| peers.is_live(host) && score(host) > own_score).count() as u64
 }
 
+/// True if this host is the first of the live ones in the rendezvous order for `key`.
+pub(crate) fn is_first_for(edge: &Edge, key: &str) -> bool {
+    let peers = edge.peers.lock();
+    let own_weight = rendezvous_weight(key, &edge.cfg.host);
+    let mut live = peers.all().keys().filter(|host| peers.is_live(host));
+    live.all(|host| rendezvous_weight(key, host) < own_weight)
+}
+
 /// True if this host reads the store for the others.
 pub(crate) fn is_reader(edge: &Edge) -> bool {
     host_rank(edge) == 0
--- a/crates/edge/src/peers/heartbeat.rs
+++ b/crates/edge/src/peers/heartbeat.rs
@@ -111,8 +111,8 @@
             // the adapter lists follow with the next heartbeat
             link.notify(Body::HostHeartbeat(heartbeat(&edge)));
             // the host may have restarted, or missed them while it was cut off
-            if let Some(suspects) = dispatch::suspects_message(&edge) {
-                link.notify(suspects);
+            if let Some(crashes) = dispatch::crashes_message(&edge) {
+                link.notify(crashes);
             }
         } else {
             edge.peers.lock().record_unreachable(&host);
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -3,6 +3,7 @@
 use {
     super::{gossip, routes, stream_origins},
     crate::{
+        dispatch,
         orders::{self, AdapterRequest},
         state::Edge,
     },
@@ -43,10 +44,7 @@
                 None
             }
             Body::Suspects(message) => {
-                let mut suspects = edge.suspects.lock();
-                for suspect in &message.suspects {
-                    suspects.merge(now(), (*suspect).into());
-                }
+                dispatch::apply_suspects(&edge, &hello.host, &message);
                 None
             }
             Body::PlatformSnapshot(message) => {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -11,7 +11,8 @@
 
 pub(crate) use {
     gossip::{
-        ReadStatus, confirm_current, host_rank, is_reader, may_be_behind, read_status, send_updates,
+        ReadStatus, confirm_current, host_rank, is_first_for, is_reader, may_be_behind,
+        read_status, send_updates,
     },
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,7 +9,7 @@
         pool::ConnectionPool,
     },
     egret_core::{
-        BrokenConnections, ColdLoadLimit, CrashSuspects, CrossDataCentreRequests, EngineClaim,
+        BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests, EngineClaim,
         EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, StreamOrigins,
         Time, VersionRecord, VersionSightings,
     },
@@ -146,7 +146,7 @@
     pub(crate) retry_windows: Mutex<IndexMap<FastStr, RetryWindow>>,
     // time from which this host may use its part of the fixed repeats
     fixed_repeats_from: Mutex<Time>,
-    pub(crate) suspects: Mutex<CrashSuspects>,
+    pub(crate) crash_reports: Mutex<CrashReports>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
@@ -203,7 +203,7 @@
             connections: ConnectionPool::default(),
             retry_windows: Mutex::default(),
             fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_s * 1000)),
-            suspects: Mutex::default(),
+            crash_reports: Mutex::default(),
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
             stream_origins: Mutex::default(),
--- a/crates/entry/src/keepers/suspects.rs
+++ b/crates/entry/src/keepers/suspects.rs
@@ -28,7 +28,10 @@
         let suspects = self.suspect_messages();
         let deadline = now().after_ms(BROADCAST_TIMEOUT_MS);
         let send = |link: std::sync::Arc<egret_runtime::Link>| {
-            let body = Body::Suspects(SuspectsMsg { suspects: suspects.clone() });
+            let body = Body::Suspects(SuspectsMsg {
+                suspects: suspects.clone(),
+                ..SuspectsMsg::default()
+            });
             async move { link.call(body, deadline).await }
         };
         futures::future::join_all(self.links.open_links().into_iter().map(send)).await;
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -115,7 +115,10 @@
     if let Some(engine) = keeper.engine(&msg.engine) {
         check_for_crash(keeper, &engine).await;
     }
-    Body::Suspects(SuspectsMsg { suspects: peers::suspect_messages(keeper) })
+    Body::Suspects(SuspectsMsg {
+        suspects: peers::suspect_messages(keeper),
+        ..SuspectsMsg::default()
+    })
 }
 
 fn register_entry(keeper: &Arc<Keeper>, hello: &Hello, msg: RegisterTicketsMsg) {
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -137,6 +137,8 @@
     ENGINE_REPORTED = 1223 "engine reported its models and adapters";
     CRASH_CHECK_UNDECIDED = 1224 "engine kept breaking connections; whether it crashed is not known";
     CRASH_WITNESSED = 1225 "request was on a target when its connection broke off";
+    SUSPECT_REFUSED = 1226 "requests refused, since targets crashed on what they hold";
+    CRASH_TEST = 1227 "request sent to test whether what it holds still crashes targets";
     TICKET_CANCELLED = 1230 "expired ticket cancelled at the engine";
     PERMITS_LENT = 1240 "weight store permits lent";
 }
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -237,6 +237,29 @@
     /// The suspects.
     #[prost(message, repeated, tag = "1")]
     pub suspects: Vec<SuspectMsg>,
+    /// Crashes of targets, from edge hosts.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<CrashMsg>,
+    /// Fingerprints of contents that have run to their end, from edge hosts.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub sound_contents: Vec<u64>,
+    /// True if the sound ones answer a message of the receiver, which then passes them on.
+    #[prost(bool, tag = "5")]
+    pub is_reply: bool,
+}
+
+/// A crash of a target.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashMsg {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Unix time of its start, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Fingerprints of the contents that were on it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub contents: Vec<u64>,
 }
 
 /// A crash suspect.
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -8,11 +8,11 @@
 pub use {
     client::{Link, LinkError},
     message::{
-        AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, EngineStateMsg,
-        EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame, GrantMsg, HeartbeatMsg,
-        HeartbeatReplyMsg, Hello, HostHeartbeatMsg, LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg,
-        PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg, RegisterTicketsMsg, ReleaseMsg,
-        ResidentMsg, RoutesMsg, StatusMsg, StreamOriginMsg, StreamOriginReportMsg,
+        AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg,
+        EngineStateMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame, GrantMsg,
+        HeartbeatMsg, HeartbeatReplyMsg, Hello, HostHeartbeatMsg, LoadAdapterMsg, PermitLoanMsg,
+        PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg, RegisterTicketsMsg,
+        ReleaseMsg, ResidentMsg, RoutesMsg, StatusMsg, StreamOriginMsg, StreamOriginReportMsg,
         StreamOriginsMsg, SuspectMsg, SuspectsMsg, TargetLoadMsg, TicketMsg,
     },
     pool::LinkPool,
