Find and refuse prompt parts that crash targets

Cause: only whole contents were remembered. Requests that share one part of their prompts never match. Class of fault: identity of a cause taken from the whole instead of from what its cases have in common. Change: crash reports also hold the shared parts of the prompts (all but the last). A part that no request has completed with in the last 10 s, and that three crashes have in common, is refused if it explains more crashes than anything else. One host tests it after 5 s, then in doubling intervals; a request with it that runs to its end clears it at all hosts. Sound requests share the other parts and are not refused.

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -1,7 +1,8 @@
 //! Finds what requests have in common that crash the targets that run them.
 //!
-//! A crash report holds the contents of the requests on a target that crashed, which callers send
-//! again under new ids. Most of them are sound. What has run to its end lately, at any host, is taken out; of the
+//! A crash report holds what the requests on a target that crashed consist of: their whole contents,
+//! which callers send again under new ids, and the parts of their prompts, which other requests
+//! share. Most of it is sound. What has run to its end lately, at any host, is taken out; of the
 //! rest, that which explains most crashes is refused.
 
 use {
@@ -31,6 +32,8 @@
 /// What may make a request crash its target.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Suspect {
+    /// A part of the prompt, which many requests may share.
+    Part(Fingerprint),
     /// The whole content.
     Content(Fingerprint),
 }
@@ -39,13 +42,16 @@
     // crashes from which on it is refused
     const fn crashes_to_refuse(self) -> usize {
         match self {
+            Self::Part(_) => 3,
             Self::Content(_) => 2,
         }
     }
 
-    // time from a refusal to the first test
+    // Time from a refusal to the first test. Many sound requests may share a part, so it is tested
+    // soon.
     const fn first_test_ms(self) -> u64 {
         match self {
+            Self::Part(_) => 5000,
             Self::Content(_) => 30_000,
         }
     }
--- a/crates/core/tests/crash_reports.rs
+++ b/crates/core/tests/crash_reports.rs
@@ -92,3 +92,61 @@
     reports.record_sound(at(300_000), [content(1)]);
     assert_eq!(reports.judge(at(300_001), &[content(1)], false), CrashVerdict::Allowed);
 }
+
+fn part(number: u64) -> Suspect {
+    Suspect::Part(Fingerprint(number))
+}
+
+#[test]
+fn crash_reports_common_part_explains_crashes() {
+    const FIRST_PART: u64 = 1;
+    const CRASHING_PART: u64 = 2;
+    let mut reports = CrashReports::default();
+    reports.record_sound(at(0), [part(FIRST_PART)]);
+    // no two requests are alike; a new session is on each target that crashes, the content of one of
+    // its requests on two of them
+    for number in 0..5 {
+        let crashing = [part(FIRST_PART), part(CRASHING_PART), content(number)];
+        let session = [part(FIRST_PART), part(10), content(20 + number / 2)];
+        crash(&mut reports, 10 + number, number, &[crashing, session].concat());
+        if number == 3 {
+            reports.record_sound(at(20), [part(FIRST_PART), part(10), content(99)]);
+        }
+    }
+    let judge =
+        |reports: &mut CrashReports, suspects: &[Suspect]| reports.judge(at(100), suspects, true);
+    let crashing = [part(FIRST_PART), part(CRASHING_PART), content(100)];
+    assert!(matches!(judge(&mut reports, &crashing), CrashVerdict::Refused(_)));
+    for sound in
+        [[part(FIRST_PART), part(10), content(20)], [part(FIRST_PART), part(3), content(3)]]
+    {
+        assert_eq!(judge(&mut reports, &sound), CrashVerdict::Allowed);
+    }
+}
+
+#[test]
+fn crash_reports_third_crash_refuses_part() {
+    let mut reports = CrashReports::default();
+    for number in 0..2 {
+        crash(&mut reports, number, number, &[part(2), content(number)]);
+        assert!(!reports.is_refused(&[part(2)]));
+    }
+    crash(&mut reports, 2, 2, &[part(2), content(2)]);
+    assert!(reports.is_refused(&[part(2)]));
+}
+
+// A part that only requests which crash targets have is refused together with the one that makes
+// them do it, until a sound request has it.
+#[test]
+fn crash_reports_companion_part_is_cleared() {
+    let mut reports = CrashReports::default();
+    for number in 0..3 {
+        crash(&mut reports, number, number, &[part(2), part(3), content(number)]);
+    }
+    assert!(reports.is_refused(&[part(2)]) && reports.is_refused(&[part(3)]));
+    // the test of one part alone runs well
+    let sound = [part(3), content(9)];
+    assert_eq!(reports.judge(at(6000), &sound, true), CrashVerdict::Test);
+    assert_eq!(reports.record_sound(at(7000), sound), [part(3)]);
+    assert!(reports.is_refused(&[part(2)]) && !reports.is_refused(&[part(3)]));
+}
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -70,6 +70,7 @@
 fn key_of(suspect: Suspect) -> String {
     match suspect {
         Suspect::Content(fingerprint) => format!("content-{:016x}", fingerprint.0),
+        Suspect::Part(fingerprint) => format!("part-{:016x}", fingerprint.0),
     }
 }
 
@@ -91,30 +92,34 @@
 }
 
 fn sound_message(suspects: &[Suspect], is_reply: bool) -> SuspectsMsg {
-    SuspectsMsg { sound_contents: contents(suspects.iter()), is_reply, ..SuspectsMsg::default() }
+    let (sound_contents, sound_parts) = fingerprints(suspects.iter());
+    SuspectsMsg { sound_contents, sound_parts, is_reply, ..SuspectsMsg::default() }
 }
 
-fn contents<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> Vec<u64> {
-    suspects
-        .map(|suspect| match suspect {
-            Suspect::Content(fingerprint) => fingerprint.0,
-        })
-        .collect()
+// those of contents and those of prompt parts
+fn fingerprints<'a>(suspects: impl Iterator<Item = &'a Suspect>) -> (Vec<u64>, Vec<u64>) {
+    let (mut contents, mut parts) = (Vec::new(), Vec::new());
+    for suspect in suspects {
+        match suspect {
+            Suspect::Content(fingerprint) => contents.push(fingerprint.0),
+            Suspect::Part(fingerprint) => parts.push(fingerprint.0),
+        }
+    }
+    (contents, parts)
 }
 
-fn suspects_from(contents: &[u64]) -> impl Iterator<Item = Suspect> {
-    contents.iter().map(|fingerprint| Suspect::Content(Fingerprint(*fingerprint)))
+fn suspects_from(contents: &[u64], parts: &[u64]) -> impl Iterator<Item = Suspect> {
+    let contents = contents.iter().map(|fingerprint| Suspect::Content(Fingerprint(*fingerprint)));
+    let parts = parts.iter().map(|fingerprint| Suspect::Part(Fingerprint(*fingerprint)));
+    contents.chain(parts)
 }
 
 fn crash_message<'a>(
     (target, started_unix_ms): &CrashId,
     suspects: impl Iterator<Item = &'a Suspect>,
 ) -> CrashMsg {
-    CrashMsg {
-        target: target.to_string(),
-        started_unix_ms: *started_unix_ms,
-        contents: contents(suspects),
-    }
+    let (contents, parts) = fingerprints(suspects);
+    CrashMsg { target: target.to_string(), started_unix_ms: *started_unix_ms, contents, parts }
 }
 
 /// The crashes known to this host, for a host that may not know them.
@@ -132,10 +137,15 @@
     let mut sound = Vec::new();
     let cleared = {
         let mut reports = edge.crash_reports.lock();
-        let cleared = reports.record_sound(now(), suspects_from(&message.sound_contents));
+        let cleared = reports
+            .record_sound(now(), suspects_from(&message.sound_contents, &message.sound_parts));
         for crash in &message.crashes {
             let id = (FastStr::new(&crash.target), crash.started_unix_ms);
-            sound.extend(reports.record_crash(now(), id, suspects_from(&crash.contents)));
+            sound.extend(reports.record_crash(
+                now(),
+                id,
+                suspects_from(&crash.contents, &crash.parts),
+            ));
         }
         cleared
     };
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -112,6 +112,9 @@
         let header_hashes =
             RequestHead::content_headers(&parts.headers).map(|value| fingerprint("", value).0);
         let content = Fingerprint(header_hashes.fold(body_fingerprint.0, mix_hashes));
+        let prompt_parts = head.shared_prompt_parts.iter();
+        let prompt_parts = prompt_parts.map(|id| Suspect::Part(fingerprint("", id.as_bytes())));
+        let suspects = prompt_parts.chain([Suspect::Content(content)]).collect();
         Ok(Self {
             id: id.expect("a head without an id is refused"),
             head,
@@ -122,7 +125,7 @@
             selected,
             software_version: None,
             revision: routing.revision,
-            suspects: Arc::new([Suspect::Content(content)]),
+            suspects,
             is_crash_test: false,
             arrived_at: arrived,
             deadline,
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -243,6 +243,9 @@
     /// Fingerprints of contents that have run to their end, from edge hosts.
     #[prost(fixed64, repeated, tag = "3")]
     pub sound_contents: Vec<u64>,
+    /// Fingerprints of prompt parts with which requests have run to their end, from edge hosts.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub sound_parts: Vec<u64>,
     /// True if the sound ones answer a message of the receiver, which then passes them on.
     #[prost(bool, tag = "5")]
     pub is_reply: bool,
@@ -260,6 +263,9 @@
     /// Fingerprints of the contents that were on it.
     #[prost(fixed64, repeated, tag = "3")]
     pub contents: Vec<u64>,
+    /// Fingerprints of the parts of their prompts.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub parts: Vec<u64>,
 }
 
 /// A crash suspect.
