Discard input after an early answer before closing its connection

Cause: the server answered and closed while its caller was still sending. Unread bytes turn the close into a reset, which drops the answer at the caller. Confirmed by callers that wait 300 ms and then send the rest: their write fails with a broken pipe each time. A stop waits for them. volo-http's server owns its connections, so serve_http runs hyper's, which is the one below it, with the same stop: drain, then close, at most 28 s.

--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -7,7 +7,7 @@
         state::{CallerConnection, Edge},
     },
     bytes::Bytes,
-    egret_runtime::events,
+    egret_runtime::{LingeringStream, events},
     http::{HeaderValue, Request, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -117,7 +117,8 @@
         let edge = edge.clone();
         async move { Ok::<Answer, Infallible>(serve_request(edge, req, peer).await) }
     });
-    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let io = TokioIo::new(LingeringStream::new(stream));
+    let mut conn = pin!(builder.serve_connection(io, service));
     tokio::select! {
         // errors of a caller's connection need no handling
         _ = conn.as_mut() => {}
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{conf::Settings, state::Edge},
-    egret_runtime::{events, load_settings, now, with_deadline},
+    egret_runtime::{events, lingering_connections, load_settings, now, with_deadline},
     std::{path::Path, sync::Arc, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -45,7 +45,10 @@
     // an answer is complete for this host before its last bytes are sent, and a connection ends
     // after them
     let finished = async {
-        while edge.open_requests() > 0 || edge.caller_connections() > 0 {
+        while edge.open_requests() > 0
+            || edge.caller_connections() > 0
+            || lingering_connections() > 0
+        {
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         }
     };
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -391,6 +391,33 @@
     assert!(plain.executed_requests().is_empty());
 }
 
+// The host closed the connection with unread bytes, and the reset dropped its answer at the caller.
+#[tokio::test]
+async fn early_refusals_reach_callers_that_still_send() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _plain = d.start_plain_target("p-1").await;
+    let edge = d.start_ready_edge(1).await;
+    let filler = "x".repeat(2_000_000);
+    let head = format!("GET /safe/a HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nRequest-Id: r-e1\r\n");
+    let body = "Content-Length: 2000000\r\n\r\n";
+    for (status, first) in [
+        ("431", format!("{head}X-Large: {}", &filler[..100_000])),
+        ("413", format!("{head}{body}{}", &filler[..100_000])),
+        ("404", format!("{}{body}", head.replace("/safe/", "/none/"))),
+        ("400", format!("{}{body}", head.replace("Request-Id", "Other"))),
+    ] {
+        let mut stream = TcpStream::connect(edge.caller_address).await.unwrap();
+        stream.write_all(first.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        stream.write_all(&filler.as_bytes()[..1_500_000]).await.expect(status);
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.expect(status);
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+    }
+}
+
 #[tokio::test]
 async fn serve_during_store_outage() {
     let d = Deployment::new().await;
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -2,12 +2,14 @@
 
 mod client;
 mod conn;
+mod linger;
 mod response;
 mod server;
 
 pub use {
     client::{CallError, ENGINE_ECHO_HEADERS, HttpClient, Reply, with_deadline},
     conn::{Conn, ConnPool, HttpError, read_incoming},
+    linger::{LingeringStream, lingering_connections},
     response::{ErrorResponse, error_json, json_response, text_response},
     server::{read_limited, serve_http},
 };
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -1,20 +1,33 @@
 //! HTTP server with one handler and a graceful stop.
 
 use {
+    super::linger::{LingeringStream, lingering_connections},
     bytes::{Bytes, BytesMut},
     futures::future::BoxFuture,
     http_body_util::BodyExt,
-    std::{convert::Infallible, net::SocketAddr},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{convert::Infallible, net::SocketAddr, pin::pin, time::Duration},
     thiserror::Error,
-    volo::net::Address,
-    volo_http::{
-        body::Body,
-        request::Request,
-        response::Response,
-        server::{Router, Server},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+        task::JoinSet,
     },
+    volo::net::Address,
+    volo_http::{body::Body, request::Request, response::Response},
 };
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest wait at a stop for connections to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(28);
+
+/// Interval of checks at a stop whether connections still linger.
+const LINGER_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Reason why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum BodyReadError {
@@ -50,9 +63,9 @@
     Ok(bytes.freeze())
 }
 
-/// Serves HTTP on `address` until SIGTERM or SIGINT. The handler gets the peer's address and
+/// Serves HTTP on `address` until SIGTERM, SIGINT or SIGHUP. The handler gets the peer's address and
 /// the request. On the signal `drain` runs while the server still answers requests; once it
-/// returns, idle connections are closed.
+/// returns, connections are closed after their open requests.
 ///
 /// # Errors
 ///
@@ -62,12 +75,79 @@
     H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
     D: FnOnce() -> BoxFuture<'static, ()> + Send + 'static,
 {
-    let handle = move |peer: Address, req: Request| {
-        let answer = handler(peer, req);
+    let listener = TcpListener::bind(address).await?;
+    let (closing_tx, closing) = watch::channel(false);
+    let mut conns = JoinSet::new();
+    let mut stop = pin!(async {
+        wait_for_stop_signal().await?;
+        drain().await;
+        Ok::<(), std::io::Error>(())
+    });
+    loop {
+        tokio::select! {
+            stopped = stop.as_mut() => {
+                stopped?;
+                break;
+            }
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    conns.spawn(serve_connection(stream, peer, handler.clone(), closing.clone()));
+                }
+                // file descriptors may have run out
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+        while conns.try_join_next().is_some() {}
+    }
+    drop(listener);
+    closing_tx.send_replace(true);
+    let closed = async {
+        while conns.join_next().await.is_some() {}
+        while lingering_connections() > 0 {
+            tokio::time::sleep(LINGER_POLL_INTERVAL).await;
+        }
+    };
+    // connections that are still open then break off
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
+    Ok(())
+}
+
+async fn wait_for_stop_signal() -> std::io::Result<()> {
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let mut term = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = int.recv() => {}
+        _ = hup.recv() => {}
+        _ = term.recv() => {}
+    }
+    Ok(())
+}
+
+async fn serve_connection<H>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: H,
+    mut closing: watch::Receiver<bool>,
+) where
+    H: Fn(Address, Request) -> BoxFuture<'static, Response>,
+{
+    let service = service_fn(|req: http::Request<Incoming>| {
+        let answer = handler(Address::from(peer), req.map(Body::from_incoming));
         async move { Ok::<Response, Infallible>(answer.await) }
+    });
+    let io = TokioIo::new(LingeringStream::new(stream));
+    let mut conn = pin!(http1::Builder::new().serve_connection(io, service));
+    let is_closing = async move {
+        // an error means that the server has ended
+        let _ = closing.wait_for(|closing| *closing).await;
     };
-    let app: Router = Router::new().fallback(handle);
-    let server = Server::new(app).register_shutdown_hook(drain);
-    let run = server.run(Address::from(address)).await;
-    run.map_err(|e| std::io::Error::other(e.to_string()))
+    // errors of a peer's connection need no handling
+    tokio::select! {
+        _ = conn.as_mut() => {}
+        () = is_closing => {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.await;
+        }
+    }
 }
