Bound the memory of answers without end

Seen: a test of ours; the operators report targets in trouble that send bytes without end in a head or a body. Cause: an event without end was kept until the deadline and scanned from its start for each read; each answer of a plain service could fill 8 MB and each report of an engine 64 MB. Class of fault: limits for each request, none for the process. A head without end is bounded by the HTTP library.

--- a/crates/core/src/event_splitter.rs
+++ b/crates/core/src/event_splitter.rs
@@ -5,14 +5,23 @@
     thiserror::Error,
 };
 
-/// The number of an event does not follow the one before it.
+/// Largest event, in bytes. A target in trouble may send bytes without end.
+const EVENT_BYTES_MAX: usize = 256 * 1024;
+
+/// Why bytes are no part of a stream.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("event {found} follows event {last}")]
-pub struct OutOfOrder {
-    /// Number of the event before it.
-    pub last: u64,
-    /// Number of the event.
-    pub found: u64,
+pub enum EventError {
+    /// The number of an event does not follow the one before it.
+    #[error("event {found} follows event {last}")]
+    OutOfOrder {
+        /// Number of the event before it.
+        last: u64,
+        /// Number of the event.
+        found: u64,
+    },
+    /// An event is too long, or has no end.
+    #[error("event of more than {EVENT_BYTES_MAX} bytes")]
+    TooLong,
 }
 
 /// Splits a stream of server-sent events (WHATWG HTML, section 9.2) at the ends of events, so that
@@ -51,21 +60,26 @@
     ///
     /// # Errors
     ///
-    /// Fails when the number of an event is not one above the number before it. No event of these
-    /// bytes counts as received then.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OutOfOrder> {
+    /// Fails when the number of an event is not one above the number before it, or an event is too
+    /// long. No event of these bytes counts as received then.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.partial_event.extend_from_slice(bytes);
         let mut complete_len = 0;
         let mut last_number = self.last_number;
         while let Some(end) = self.event_end(complete_len) {
             if let Some(found) = event_number(&self.partial_event[complete_len..end]) {
                 match last_number {
-                    Some(last) if found != last + 1 => return Err(OutOfOrder { last, found }),
+                    Some(last) if found != last + 1 => {
+                        return Err(EventError::OutOfOrder { last, found });
+                    }
                     _ => last_number = Some(found),
                 }
             }
             complete_len = end;
         }
+        if self.partial_event.len() - complete_len > EVENT_BYTES_MAX {
+            return Err(EventError::TooLong);
+        }
         self.last_number = last_number;
         Ok(self.partial_event.split_to(complete_len).freeze())
     }
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -698,6 +698,16 @@
     assert_eq!(splitter.push(resumed).unwrap(), &resumed[..]);
 }
 
+// An event without end was kept until the deadline, and scanned from its start for each read.
+#[test]
+fn splitter_rejects_endless_event() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\n\nid: 2\n").unwrap(), "id: 1\n\n");
+    let pushes = (0..1000).map(|_| splitter.push(&[b'x'; 16 * 1024]));
+    let accepted = pushes.take_while(Result::is_ok).count();
+    assert!(accepted <= 16, "{accepted} pieces of 16 KiB");
+}
+
 #[test]
 fn splitter_discards_partial_event() {
     let mut splitter = EventSplitter::default();
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -418,6 +418,42 @@
     }
 }
 
+// Bytes without end filled the host's memory, as far as each request's limit and deadline allowed.
+#[tokio::test]
+async fn endless_answers_are_bounded() {
+    // what docs/CAPACITY.md allows a host for its state
+    const MEMORY_KB_MAX: u64 = 64_000;
+    const REQUESTS: usize = 24;
+    let d = Deployment::new().await;
+    d.configure(7);
+    let plain = d.start_plain_target("p-1").await;
+    let engine = d.start_engine("e-1", 3).await;
+    let edge = d.start_ready_edge(1).await;
+    edge.call_until(200, || stream_request("stream", "a1")).await;
+    for fault in [TargetFault::EndlessHead, TargetFault::EndlessBody] {
+        plain.set_fault(fault);
+        engine.set_fault(fault);
+        let mut calls = Vec::new();
+        for number in 0..REQUESTS {
+            let mut conn = edge.connect().await;
+            let req = match number % 3 {
+                0 => stream_request("frail", "a1"),
+                1 => stream_request("stream", "a1"),
+                _ => request(Method::POST, "/once/a", &[]),
+            };
+            calls.push(tokio::spawn(async move { conn.call(req, now().after_ms(12_000)).await }));
+        }
+        for call in calls {
+            let answer = call.await.unwrap();
+            assert!(!answer.is_ok_and(|reply| reply.status == 200), "{fault:?}");
+        }
+    }
+    let memory_kb = edge.process.peak_memory_kb();
+    assert!(memory_kb < MEMORY_KB_MAX, "{memory_kb} KB");
+    plain.set_fault(TargetFault::None);
+    edge.call_until(200, || request(Method::POST, "/once/a", &[])).await;
+}
+
 #[tokio::test]
 async fn serve_during_store_outage() {
     let d = Deployment::new().await;
--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -23,7 +23,10 @@
 const CONNECT_TIMEOUT_MS: u64 = 1200;
 
 /// Size limit of an answer that is read into memory, in bytes.
-const REPLY_BYTES_MAX: usize = 64 * 1024 * 1024;
+const REPLY_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+/// Size limit of a large answer, in bytes.
+const LARGE_REPLY_BYTES_MAX: usize = 64 * 1024 * 1024;
 
 /// Longest pause within the body of a large answer, in milliseconds.
 const BODY_PAUSE_MAX_MS: u64 = 1500;
@@ -136,15 +139,16 @@
         let transfer_deadline = crate::now().after_ms(BODY_TRANSFER_MAX_MS);
         let mut received = BytesMut::new();
         loop {
-            let read_deadline = match timeout {
-                BodyTimeout::Deadline => deadline,
+            let (read_deadline, bytes_max) = match timeout {
+                BodyTimeout::Deadline => (deadline, REPLY_BYTES_MAX),
                 BodyTimeout::Pause => {
-                    crate::now().after_ms(BODY_PAUSE_MAX_MS).min(transfer_deadline)
+                    let pause_end = crate::now().after_ms(BODY_PAUSE_MAX_MS);
+                    (pause_end.min(transfer_deadline), LARGE_REPLY_BYTES_MAX)
                 }
             };
             let frame = with_deadline(read_deadline, body.frame()).await;
             match frame.ok_or(HttpError::Incomplete(received.len()))? {
-                Some(frame) => push_frame(&mut received, frame, REPLY_BYTES_MAX)?,
+                Some(frame) => push_frame(&mut received, frame, bytes_max)?,
                 None => break,
             }
         }
--- a/crates/scenarios/src/process.rs
+++ b/crates/scenarios/src/process.rs
@@ -55,6 +55,15 @@
         self.child.id()
     }
 
+    /// Highest resident memory of the process so far, in kilobytes; 0 if it has ended.
+    #[must_use]
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        peak.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// Sends a signal to the process.
     pub fn send_signal(&self, signal: Signal) {
         if let Ok(id) = i32::try_from(self.child.id()) {
--- a/crates/standin/src/platform/raw_http.rs
+++ b/crates/standin/src/platform/raw_http.rs
@@ -12,6 +12,12 @@
 const HEADERS_MAX: usize = 64;
 
 /// A request as read from its connection.
+/// Filler of answers without end that is written at once.
+const FILLER_BYTES: usize = 64 * 1024;
+
+/// Filler after which an answer without end stays silent.
+const ENDLESS_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 #[derive(Clone, Debug)]
 pub(crate) struct RawRequest {
     pub(crate) path: String,
@@ -103,6 +109,31 @@
         self.write(body).await
     }
 
+    /// Writes `head` and then filler until the peer closes the connection: further bytes of the head
+    /// if `head` does not end it, else chunks, the first of which begins with `first_chunk`.
+    pub(crate) async fn write_endless(&mut self, head: &[u8], first_chunk: &[u8]) {
+        let is_body = head.ends_with(b"\r\n\r\n");
+        let mut filler = vec![b'x'; FILLER_BYTES];
+        if is_body {
+            filler = [format!("{FILLER_BYTES:x}\r\n").as_bytes(), &filler, b"\r\n"].concat();
+        }
+        let size = format!("{:x}\r\n", first_chunk.len());
+        let first = match first_chunk {
+            [] => Vec::new(),
+            chunk => [size.as_bytes(), chunk, b"\r\n"].concat(),
+        };
+        if self.write(head).await.is_err() || self.write(&first).await.is_err() {
+            return;
+        }
+        // bounded, so that a caller that reads it all fails a test and not the machine
+        for _ in 0..ENDLESS_BYTES_MAX / FILLER_BYTES {
+            if self.write(&filler).await.is_err() {
+                return;
+            }
+        }
+        self.wait_for_close().await;
+    }
+
     /// Resets the connection.
     pub(crate) fn reset(self) {
         // closing a socket with a linger time of zero sends a reset
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -102,6 +102,11 @@
     UnframedReset,
     /// Answers are not valid HTTP.
     Garbled,
+    /// Answers are heads without end.
+    EndlessHead,
+    /// Answers and reports have bodies without end: streams an event, others one chunk after the
+    /// other.
+    EndlessBody,
     /// Requests are refused with a `Not-Executed` header before their body is read.
     #[serde(rename = "early")]
     RefuseEarly,
@@ -419,6 +424,13 @@
         state.adapters = initial.iter().map(|name| (name.clone(), loaded)).collect();
     }
 
+    // framing of the answer, and how the request crashes the target if it does
+    fn stream_conf(&self, request: &RawRequest) -> (StreamFraming, Option<CrashTrigger>) {
+        let state = self.state.lock();
+        let trigger = state.crash_trigger.clone();
+        (state.framing, trigger.filter(|trigger| trigger.matches(request)))
+    }
+
     // returns the index of the record
     fn record_execution(&self, request: &RawRequest, request_id: &str) -> usize {
         let mut state = self.state.lock();
@@ -554,11 +566,7 @@
     if fault != TargetFault::Unsealed {
         headers.push(("Server-Seal", seal.as_str()));
     }
-    let (framing, trigger) = {
-        let state = shared.state.lock();
-        (state.framing, state.crash_trigger.clone())
-    };
-    let trigger = trigger.filter(|trigger| trigger.matches(request));
+    let (framing, trigger) = shared.stream_conf(request);
     if trigger.as_ref().is_some_and(|t| t.after_events == 0 || shared.conf.engine.is_none()) {
         shared.begin_crash();
         return None;
@@ -577,6 +585,16 @@
             let _ = conn.write(b"HTTP/9.7 two hundred\r\n\r\n").await;
             None
         }
+        (_, TargetFault::EndlessHead) => {
+            conn.write_endless(b"HTTP/1.1 200 OK\r\nX-Filler: ", b"").await;
+            None
+        }
+        (_, TargetFault::EndlessBody) => {
+            headers.push(("Transfer-Encoding", "chunked"));
+            let event: &[u8] = if shared.conf.engine.is_some() { b"id: " } else { b"" };
+            conn.write_endless(&response_head(200, &headers, None), event).await;
+            None
+        }
         (_, TargetFault::Error) => {
             conn.write_response(500, &headers, b"failed").await.ok().map(|()| conn)
         }
