Failing test: the store comes back from an older copy

Cause: not mended yet. Change: the stand-in's store can be copied and restored, and sends the header.

--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -396,6 +396,58 @@
     assert!(calls < 2 * CHANGES, "{calls} calls for {CHANGES} changes at {HOSTS} hosts");
 }
 
+// After the store had come back from an older copy, all that was written below the offsets of before was
+// taken for old.
+#[tokio::test]
+async fn follow_store_restored_from_copy() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let engine = d.start_engine("e-1", 3).await;
+    let edges = [d.start_ready_edge(1).await, d.start_ready_edge(2).await];
+    let settling = Instant::now();
+    wait_until("hosts know each other", || settling.elapsed() > Duration::from_secs(2)).await;
+    let copy = d.store.copy();
+    for revision in 8..20 {
+        d.configure(revision);
+        a.register(&d.store, "ready");
+        b.register(&d.store, "ready");
+    }
+    for host in [1, 2] {
+        wait_until("in force", || d.log(host).contains("applied revision=19")).await;
+    }
+    edges[0].call_until(200, || stream_request("stream", "a1")).await;
+    d.store.restore(copy);
+    // the operator and the targets write again
+    let restored_at = Instant::now();
+    d.configure(21);
+    engine.register(&d.store, "ready");
+    b.register(&d.store, "draining");
+    let c = d.start_plain_target("p-3").await;
+    for host in [1, 2] {
+        let log = || d.log(host);
+        wait_until("in force again", || log().contains("applied revision=21")).await;
+        wait_until("target leaves", || {
+            log().contains("target leaves target=p-2") || log().contains("targets=4\"")
+        })
+        .await;
+    }
+    assert!(restored_at.elapsed() < Duration::from_secs(3), "{:?}", restored_at.elapsed());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let runs_before = b.executed_requests().len();
+    for edge in &edges {
+        for _ in 0..20 {
+            assert_eq!(edge.call(request(Method::POST, "/once/a", &[])).await.unwrap().status, 200);
+        }
+        // adapters are still loaded under tokens that engines accept
+        edge.call_until(200, || stream_request("stream", "a2")).await;
+        edge.call_until(200, || stream_request("stream", "a3")).await;
+    }
+    assert_eq!(b.executed_requests().len(), runs_before, "a leaving target is used");
+    assert!(!c.executed_requests().is_empty(), "a new target is not used");
+    assert!(d.store.keys("keyed.egretshore").contains(&"host/host-2".to_owned()));
+}
+
 #[tokio::test]
 async fn restart_all_hosts_at_once() {
     const HOSTS: u64 = 6;
--- a/crates/standin/src/platform/metastore.rs
+++ b/crates/standin/src/platform/metastore.rs
@@ -36,7 +36,7 @@
     Reset,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first_offset: u64,
     records: Vec<Vec<u8>>,
@@ -66,10 +66,18 @@
 #[derive(Debug, Default)]
 struct State {
     topics: IndexMap<String, Topic>,
+    // rises by one each time the store comes back from a copy
+    era: u64,
     fault: StoreFault,
     calls: u64,
 }
 
+/// A copy of the contents of a store.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: IndexMap<String, Topic>,
+}
+
 /// A metadata store that serves HTTP.
 #[derive(Debug)]
 pub struct Metastore {
@@ -135,6 +143,21 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Copies all contents.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { topics: self.state.lock().topics.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is lost, and its offsets are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock();
+        state.topics = copy.topics;
+        state.era += 1;
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Deletes the records of `topic` from the log; the newest value of each key stays.
     pub fn compact(&self, topic: &str) {
         if let Some(log) = self.state.lock().topics.get_mut(topic) {
@@ -224,7 +247,9 @@
         "/v1/log-newest" => newest(request, state),
         _ => (404, Vec::new()),
     };
-    conn.write_response(status, &[("Content-Type", "application/json")], &body).await
+    let era = state.lock().era.to_string();
+    let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+    conn.write_response(status, &headers, &body).await
 }
 
 fn append(
@@ -286,7 +311,7 @@
 fn read_available(topic: &str, from: u64, state: &Mutex<State>) -> Option<(u16, Vec<u8>)> {
     let state = state.lock();
     let log = state.topics.get(topic)?;
-    if from < log.first_offset {
+    if from < log.first_offset || from > log.end_offset() {
         return Some((410, json!({ "first_offset": log.first_offset }).to_string().into_bytes()));
     }
     if from >= log.end_offset() {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -14,7 +14,7 @@
 pub use {
     batch::{Batch, BatchConf, SequenceHandle},
     callers::{CallersConf, CallersReport, RouteCounts, call_hosts},
-    metastore::{Metastore, StoreFault},
+    metastore::{Metastore, StoreCopy, StoreFault},
     simulated::{
         BASE_MODEL, EVENTS_PER_STREAM, PlatformConf, ROUTE_HOST, SimulatedPlatform, config,
     },
