Follow a store that has come back from an older copy

Cause: offsets order what hosts know, and after a restore they are given out again. Listings of targets below the old offset were dropped as outdated until offsets passed it, records of this host and of software versions that were lost were not written again, and new fencing tokens were lower than old ones. Class of fault: an order that is only valid within one life of its source. Lost entries of targets get the grace period. Lost own records are written again. Not covered: a target that was removed after the copy was made is used again until its entry lapses.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -16,6 +16,7 @@
         watch,
     },
     egret_core::{Target, rendezvous_weight},
+    egret_platform::generation,
     egret_runtime::{Body, PlatformSnapshotMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -251,6 +252,9 @@
         return;
     }
     watch::extend_grace_after_gap(edge);
+    if generation(message.registry_offset) != generation(edge.fleet.read().position()) {
+        watch::extend_grace(edge);
+    }
     let mut own_read_at = edge.registry_read_at.lock();
     *own_read_at = time_from_age(message.age_ms).max(*own_read_at);
     drop(own_read_at);
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -82,7 +82,9 @@
                 if std::mem::take(&mut is_first_read) {
                     record_first_start(&edge, &page);
                 }
-                has_snapshot = true;
+                if !std::mem::replace(&mut has_snapshot, true) {
+                    forget_lost_records(&edge, &page);
+                }
                 apply_page(&edge, &page, started);
                 if !edge.is_announced.load(Ordering::Acquire) {
                     announce(&edge).await;
@@ -90,7 +92,7 @@
                 // hosts often start together, and their records and claims come in quick succession
                 tokio::time::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
             }
-            Err(StoreError::Gone) => has_snapshot = false,
+            Err(StoreError::Gone | StoreError::Restored) => has_snapshot = false,
             Err(e) => backoff.back_off(&e).await,
         }
     }
@@ -105,6 +107,18 @@
     }
 }
 
+// Records that a listing lacks were lost with a store that came back from an older copy. Those that
+// this host keeps up are written again.
+fn forget_lost_records(edge: &Edge, page: &Page) {
+    let has_record = |key: &str| page.records.iter().any(|record| record.key == key);
+    if !has_record(&host_key(&edge.cfg.host)) {
+        edge.is_announced.store(false, Ordering::Release);
+    }
+    if !has_record(VERSIONS_KEY) {
+        version_record::apply(edge, None);
+    }
+}
+
 fn apply_page(edge: &Edge, page: &Page, started: Time) {
     for record in &page.records {
         if let Some(host) = record.key.strip_prefix(HOST_PREFIX) {
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -66,7 +66,7 @@
                     peers::send_updates(&edge);
                 }
             }
-            Err(StoreError::Gone) => has_snapshot = false,
+            Err(StoreError::Gone | StoreError::Restored) => has_snapshot = false,
             Err(e) => backoff.back_off(&e).await,
         }
     }
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -56,6 +56,11 @@
                 tokio::time::sleep(Duration::from_millis(READ_INTERVAL_MS)).await;
             }
             Err(StoreError::Gone) => next_offset = None,
+            Err(StoreError::Restored) => {
+                events::STORE_RESTORED.warn(format_args!("stream=targets"));
+                extend_grace(&edge);
+                next_offset = None;
+            }
             Err(e) => backoff.back_off(&e).await,
         }
         remove_gone_targets(&edge);
@@ -68,10 +73,15 @@
 pub(crate) fn extend_grace_after_gap(edge: &Edge) {
     let read_at = *edge.registry_read_at.lock();
     if read_at > Time::ZERO && now().ms_since(read_at) > READ_GAP_MAX_MS {
-        edge.fleet.write().extend_grace_period(now().after_ms(edge.cfg.store.lapse_ms));
+        extend_grace(edge);
     }
 }
 
+/// Starts a grace period, since entries may be missing that are written again.
+pub(crate) fn extend_grace(edge: &Edge) {
+    edge.fleet.write().extend_grace_period(now().after_ms(edge.cfg.store.lapse_ms));
+}
+
 // removes targets that no longer exist, and state that is kept for them
 fn remove_gone_targets(edge: &Edge) {
     peers::observe_versions(edge);
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -112,6 +112,7 @@
     PEER_SNAPSHOT_APPLIED = 1024 "targets updated from a peer that has read the platform more recently";
     ROUTES_SENT = 1025 "routes sent to a peer with an older revision";
     ROUTES_NOT_FETCHED = 1026 "routes could not be fetched from a peer";
+    STORE_RESTORED = 1027 "the platform's store has come back from an older copy";
     LINK_REFUSED = 1030 "link to a peer refused";
     LINK_BROKEN = 1031 "link to a peer failed";
     REQUEST_DONE = 1101 "request answered";
