--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -125,8 +125,10 @@
     ) -> Vec<Suspect> {
         if self.sound.len() >= SOUND_MAX {
             self.sound.retain(|_, at| now < at.after_ms(SOUND_MS));
-            let excess = (self.sound.len() + 1).saturating_sub(SOUND_MAX);
-            self.sound.drain(..excess);
+            // several at once, since removing the first ones moves all others
+            if self.sound.len() >= SOUND_MAX {
+                self.sound.drain(..SOUND_MAX / 4);
+            }
         }
         let mut cleared = Vec::new();
         for suspect in suspects {
