Go on with the retry budget after a restart from what the other hosts have seen

Cause: a restarted host forgot what it had repeated. It waited a window for its part of the fixed repeats, but used the part for its requests at once. Class of fault: state of a bound over a window that dies with its process. Change: heartbeats carry totals of first and repeated sends by service. The others keep them for 20 s and send them to the host with the first heartbeat of a new link. A host without such a report does not repeat for a window; one that never ran before has no earlier sends. Ruled out: keeping them on the platform, a write a second for each host. Costs: after a kill of all hosts at once nothing is repeated for a window.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -72,7 +72,7 @@
     AdapterOrder, EngineInventory, EngineReport, NextOrder, OrderAnswer, ResidentAdapter,
 };
 pub use retry::{RetryBudget, backoff_ms};
-pub use retry_window::{RetryBounds, RetryWindow};
+pub use retry_window::{EarlierSends, RetryBounds, RetryWindow, SendTotals};
 pub use routing::{
     CallerBounds, EngineTraits, Route, RouteKind, RouteMatch, Routing, RoutingChange, Service,
     WeightedService,
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -2,11 +2,11 @@
 
 use {
     egret_core::{
-        BrokenConnections, CallerBounds, CrossDataCentreRequests, EngineClaim, EngineOwners,
-        EventSplitter, Fencing, FinalAnswer, Fingerprint, Fleet, Health, LocalCopies, RequestSends,
-        RetryBounds, RetryWindow, Route, RouteKind, Routing, RoutingChange, SendDecision, SendEnd,
-        Service, Suspect, Target, TargetCandidate, TargetChoice, TargetState, Time,
-        WeightedService, choose_engine_for_adapter, choose_target,
+        BrokenConnections, CallerBounds, CrossDataCentreRequests, EarlierSends, EngineClaim,
+        EngineOwners, EventSplitter, Fencing, FinalAnswer, Fingerprint, Fleet, Health, LocalCopies,
+        RequestSends, RetryBounds, RetryWindow, Route, RouteKind, Routing, RoutingChange,
+        SendDecision, SendEnd, Service, Suspect, Target, TargetCandidate, TargetChoice,
+        TargetState, Time, WeightedService, choose_engine_for_adapter, choose_target,
     },
     faststr::FastStr,
     indexmap::IndexMap,
@@ -351,7 +351,7 @@
             window_ms: 10_000,
             ratio_milli: 180,
             fixed_repeats: 48,
-            fixed_from: Time::ZERO,
+            repeats_from: Time::ZERO,
         };
         let mut hosts = vec![RetryWindow::default(); 4];
         let (mut now, mut first_sends, mut repeats) = (0, VecDeque::new(), VecDeque::new());
@@ -389,12 +389,12 @@
         window_ms: 10_000,
         ratio_milli: 180,
         fixed_repeats: 48,
-        fixed_from: Time::ZERO,
+        repeats_from: Time::ZERO,
     };
     let mut repeats = Vec::new();
     for host in 0..4 {
         let restarted_at = 1000 + host * 1500;
-        let restarted = RetryBounds { fixed_from: at(restarted_at + 10_000), ..first_start };
+        let restarted = RetryBounds { repeats_from: at(restarted_at + 10_000), ..first_start };
         for (bounds, started_at) in [(first_start, 0), (restarted, restarted_at)] {
             let mut window = RetryWindow::default();
             for ms in (started_at..started_at + 1000).step_by(20) {
@@ -417,11 +417,11 @@
 // a restarted host forgets repeats for which requests before the window were counted
 #[test]
 fn retry_window_bound_over_restarts_under_load() {
-    let bounds = |fixed_from| RetryBounds {
+    let bounds = |repeats_from| RetryBounds {
         window_ms: 10_000,
         ratio_milli: 180,
         fixed_repeats: 48,
-        fixed_from,
+        repeats_from,
     };
     let (mut first_sends, mut repeats) = (Vec::new(), Vec::new());
     for _ in 0..4 {
@@ -448,13 +448,62 @@
     assert!(taken <= allowed, "{taken} repeats, allowed {allowed}");
 }
 
+// hosts that restart one after the other go on from the sends that the others have seen
+#[test]
+fn retry_window_resumes_earlier_sends() {
+    let bounds = |repeats_from| RetryBounds {
+        window_ms: 10_000,
+        ratio_milli: 180,
+        fixed_repeats: 48,
+        repeats_from,
+    };
+    let (mut first_sends, mut repeats) = (Vec::new(), Vec::new());
+    for host in 0..4 {
+        let restarted_at = 11_000 + host * 1000;
+        let mut window = RetryWindow::default();
+        let mut seen: Vec<EarlierSends> = Vec::new();
+        let mut repeats_from = Time::ZERO;
+        for ms in (0..30_000).step_by(50) {
+            if ms == restarted_at {
+                window = RetryWindow::default();
+                repeats_from = at(ms + 10_000);
+            }
+            // the other hosts' links open, and what they saw is 300 ms old
+            if ms == restarted_at + 400 {
+                seen.retain(|sends| sends.at < at(restarted_at - 300));
+                window.resume(&bounds(Time::ZERO), &seen);
+                repeats_from = Time::ZERO;
+            }
+            window.record_first_send(at(ms), &bounds(repeats_from));
+            first_sends.push(ms);
+            let is_repeated = ms >= 10_000 && window.try_take(at(ms), &bounds(repeats_from), 4);
+            if is_repeated {
+                repeats.push(ms);
+            }
+            let sends =
+                EarlierSends { at: at(ms), first_sends: 1, repeats: u64::from(is_repeated) };
+            seen.push(sends);
+        }
+    }
+    let count = |times: &[u64], from: u64| {
+        times.iter().filter(|ms| (from..from + 10_000).contains(*ms)).count()
+    };
+    for from in (10_000..20_000).step_by(500) {
+        let allowed = count(&first_sends, from) / 5 + 54;
+        let taken = count(&repeats, from);
+        assert!(taken <= allowed, "{taken} repeats from {from} ms, allowed {allowed}");
+    }
+    // a restarted host repeats again long before a window has passed
+    assert!(count(&repeats, 10_000) > 150, "{} repeats", count(&repeats, 10_000));
+}
+
 #[test]
 fn retry_window_share_per_host() {
     let bounds = RetryBounds {
         window_ms: 10_000,
         ratio_milli: 200,
         fixed_repeats: 40,
-        fixed_from: Time::ZERO,
+        repeats_from: Time::ZERO,
     };
     let mut window = RetryWindow::default();
     let taken = (0..100).filter(|_| window.try_take(at(5), &bounds, 4)).count();
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -92,16 +92,15 @@
 
 impl RetrySettings {
     /// Limits that this host applies: nine tenths of the allowed values, since the windows of
-    /// different hosts do not begin at the same time. The fixed repeats are available from
-    /// `fixed_from`.
+    /// different hosts do not begin at the same time. This host may repeat from `repeats_from`.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn bounds(&self, fixed_from: Time) -> RetryBounds {
+    pub fn bounds(&self, repeats_from: Time) -> RetryBounds {
         RetryBounds {
             window_ms: self.window_s * 1000,
             ratio_milli: (self.ratio * 900.0) as u64,
             fixed_repeats: self.free * 9 / 10,
-            fixed_from,
+            repeats_from,
         }
     }
 }
--- a/crates/edge/src/peers/heartbeat.rs
+++ b/crates/edge/src/peers/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         adapter_deltas::{AdapterDeltas, EngineState},
-        gossip,
+        gossip, send_history,
     },
     crate::{
         dispatch,
@@ -109,8 +109,12 @@
     tokio::spawn(async move {
         if let Some(link) = edge.links.get_or_connect(&host, address).await {
             // the adapter lists follow with the next heartbeat
-            link.notify(Body::HostHeartbeat(heartbeat(&edge)));
-            // the host may have restarted, or missed them while it was cut off
+            let mut message = heartbeat(&edge);
+            // the host may have restarted
+            let sends = edge.peers.lock().all().get(&host).map(|peer| peer.sends.messages());
+            message.earlier_sends = sends.unwrap_or_default();
+            link.notify(Body::HostHeartbeat(message));
+            // the host may also have missed crashes while it was cut off
             if let Some(crashes) = dispatch::crashes_message(&edge) {
                 link.notify(crashes);
             }
@@ -148,6 +152,8 @@
         operator_position: position_message(&edge.operator_position),
         host_log_position: position_message(&edge.host_log_position),
         target_loads: loads,
+        send_totals: send_history::own_totals(edge),
+        earlier_sends: Vec::new(),
     }
 }
 
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::{gossip, routes, stream_origins},
+    super::{gossip, routes, send_history, stream_origins},
     crate::{
         dispatch,
         orders::{self, AdapterRequest},
@@ -32,9 +32,10 @@
 ) -> BoxFuture<'static, Option<Body>> {
     Box::pin(async move {
         match body {
-            Body::HostHeartbeat(heartbeat) => {
+            Body::HostHeartbeat(mut heartbeat) => {
+                send_history::resume(&edge, std::mem::take(&mut heartbeat.earlier_sends));
                 let revision = heartbeat.revision;
-                let reported = edge.peers.lock().apply_heartbeat(heartbeat);
+                let reported = edge.peers.lock().apply_heartbeat(hello.incarnation, heartbeat);
                 let mut copies = edge.local_copies.lock();
                 for (engine, adapters) in &reported {
                     copies.record_resident(engine, adapters.iter());
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod peer_table;
 mod routes;
+mod send_history;
 mod stream_origins;
 
 pub(crate) use {
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -1,6 +1,7 @@
 //! Table of the other hosts, from their records and heartbeats.
 
 use {
+    super::send_history::SendHistory,
     crate::state::ReadPosition,
     egret_core::Time,
     egret_runtime::{HostHeartbeatMsg, ReadPositionMsg, now},
@@ -76,6 +77,8 @@
     pub(crate) host_log_position: ReadPosition,
     /// Time of the last update that this host sent to it.
     pub(crate) last_update_at: Time,
+    /// Its sends in the last seconds.
+    pub(crate) sends: SendHistory,
 }
 
 /// Local time of an event that another host reports as `age_ms` ago.
@@ -142,19 +145,22 @@
             operator_position: ReadPosition::default(),
             host_log_position: ReadPosition::default(),
             last_update_at: Time::ZERO,
+            sends: SendHistory::default(),
         };
         self.all.insert(FastStr::new(host), peer);
     }
 
-    /// Applies a heartbeat. Returns the newly reported adapters by engine.
+    /// Applies a heartbeat of the process `incarnation`. Returns the newly reported adapters by engine.
     pub(crate) fn apply_heartbeat(
         &mut self,
+        incarnation: u64,
         message: HostHeartbeatMsg,
     ) -> Vec<(FastStr, Vec<FastStr>)> {
         let Some(peer) = self.all.get_mut(message.host.as_str()) else {
             return Vec::new();
         };
         peer.last_heartbeat_at = now();
+        peer.sends.record(incarnation, message.send_totals);
         peer.loads = message
             .target_loads
             .into_iter()
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -9,9 +9,9 @@
         pool::ConnectionPool,
     },
     egret_core::{
-        BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests, EngineClaim,
-        EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing, StreamOrigins,
-        Time, VersionRecord, VersionSightings,
+        BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests, EarlierSends,
+        EngineClaim, EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing,
+        StreamOrigins, Time, VersionRecord, VersionSightings,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -144,8 +144,8 @@
     pub(crate) connecting: Mutex<IndexSet<FastStr>>,
     pub(crate) connections: ConnectionPool,
     pub(crate) retry_windows: Mutex<IndexMap<FastStr, RetryWindow>>,
-    // time from which this host may use its part of the fixed repeats
-    fixed_repeats_from: Mutex<Time>,
+    // time from which this host may repeat sends
+    repeats_from: Mutex<Time>,
     pub(crate) crash_reports: Mutex<CrashReports>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) crash_checks: CrashChecks,
@@ -204,7 +204,7 @@
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_windows: Mutex::default(),
-            fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_s * 1000)),
+            repeats_from: Mutex::new(now().after_ms(cfg.retries.window_s * 1000)),
             crash_reports: Mutex::default(),
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
@@ -309,14 +309,30 @@
         windows.entry(service.clone()).or_default().has_budget(now(), &bounds, hosts)
     }
 
+    /// Goes on from the sends of an earlier process of this host.
+    pub(crate) fn resume_retry_windows(&self, sends: IndexMap<FastStr, Vec<EarlierSends>>) {
+        if sends.is_empty() {
+            return;
+        }
+        let bounds = self.retry_bounds();
+        let mut windows = self.retry_windows.lock();
+        for (service, sends) in sends {
+            windows.entry(service).or_default().resume(&bounds, &sends);
+        }
+        drop(windows);
+        *self.repeats_from.lock() = Time::ZERO;
+    }
+
     /// Records that no earlier process of this host has served requests.
     pub(crate) fn record_first_start(&self) {
-        self.version_sightings.lock().record_first_start();
-        *self.fixed_repeats_from.lock() = Time::ZERO;
+        if self.cfg.first_start {
+            self.version_sightings.lock().record_first_start();
+        }
+        *self.repeats_from.lock() = Time::ZERO;
     }
 
     fn retry_bounds(&self) -> RetryBounds {
-        self.cfg.retries.bounds(*self.fixed_repeats_from.lock())
+        self.cfg.retries.bounds(*self.repeats_from.lock())
     }
 }
 
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -102,7 +102,7 @@
 fn record_first_start(edge: &Edge, page: &Page) {
     let own_key = host_key(&edge.cfg.host);
     let has_run_before = page.records.iter().any(|record| record.key == own_key);
-    if edge.cfg.first_start && !has_run_before {
+    if !has_run_before {
         edge.record_first_start();
     }
 }
--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -396,6 +396,32 @@
     assert!(calls < 2 * CHANGES, "{calls} calls for {CHANGES} changes at {HOSTS} hosts");
 }
 
+// A restarted host did not know what its earlier process had used up of the retry budget. Without
+// that it must not repeat for a window, which is 2 s here.
+#[tokio::test]
+async fn restarted_host_goes_on_with_retry_budget() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let _other = d.start_ready_edge(1).await;
+    let edge = d.start_ready_edge(2).await;
+    let settling = Instant::now();
+    wait_until("hosts know each other", || settling.elapsed() > Duration::from_secs(1)).await;
+    for _ in 0..40 {
+        assert_eq!(edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap().status, 200);
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    edge.signal(Signal::SIGKILL);
+    drop(edge);
+    let edge = d.start_ready_edge(2).await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    a.set_fault(TargetFault::LoseAnswer);
+    for _ in 0..6 {
+        assert_eq!(edge.call(request(Method::GET, "/safe/a", &[])).await.unwrap().status, 200);
+    }
+    assert!(b.executed_requests().len() >= 6);
+}
+
 // After the store had come back from an older copy, all that was written below the offsets of before was
 // taken for old.
 #[tokio::test]
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,13 +24,13 @@
 pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
-    AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg, EngineStateMsg,
-    EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame, GrantMsg, HeartbeatMsg,
-    HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool, LoadAdapterMsg,
-    PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg,
-    RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg, StatusMsg, StreamOriginMsg,
-    StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg, TargetLoadMsg, TicketMsg,
-    serve_links,
+    AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg,
+    EarlierSendsMsg, EngineStateMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame,
+    GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool,
+    LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg,
+    RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg, SendTotalsMsg, StatusMsg,
+    StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg,
+    TargetLoadMsg, TicketMsg, serve_links,
 };
 pub use logs::init_logging;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -458,6 +458,47 @@
     /// How far the sender has read the host log.
     #[prost(message, required, tag = "12")]
     pub host_log_position: ReadPositionMsg,
+    /// Sends of the sender since its start, by service.
+    #[prost(message, repeated, tag = "13")]
+    pub send_totals: Vec<SendTotalsMsg>,
+    /// Sends of the receiver's processes in the last seconds. Only the first heartbeat of a link
+    /// includes them.
+    #[prost(message, repeated, tag = "14")]
+    pub earlier_sends: Vec<EarlierSendsMsg>,
+}
+
+/// Sends of a host to one service since its start.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SendTotalsMsg {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// First sends of requests.
+    #[prost(uint64, tag = "2")]
+    pub first_sends: u64,
+    /// Repeated sends.
+    #[prost(uint64, tag = "3")]
+    pub repeats: u64,
+}
+
+/// Sends of a process of a host to one service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EarlierSendsMsg {
+    /// The process.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Name of the service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Milliseconds since they were counted.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// First sends of requests.
+    #[prost(uint64, tag = "4")]
+    pub first_sends: u64,
+    /// Repeated sends.
+    #[prost(uint64, tag = "5")]
+    pub repeats: u64,
 }
 
 /// How far a host has read a stream of the platform's store.
