Pass on only recurring crash suspects, and keep cleared ones out

Cause: found on reading. A host that had been cut off sent suspects again that had proved sound meanwhile, so sound requests could be refused on old evidence; and the reports for a newly linked host could have 2 MB, on links that are slow. E1226 was logged for each crash, not for each refusal. Change: a crash keeps which of its suspects were cleared. A new link carries those that were on several crashes, at most 64 a crash.

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -23,6 +23,9 @@
 /// Suspects kept for one crash.
 const SUSPECTS_PER_CRASH_MAX: usize = 1024;
 
+/// Suspects of one crash that are reported to a host that does not know it.
+const REPORTED_SUSPECTS_MAX: usize = 64;
+
 /// Sound suspects kept; the oldest are dropped beyond that.
 const SOUND_MAX: usize = 16_384;
 
@@ -74,6 +77,8 @@
 #[derive(Clone, Debug)]
 struct Crash {
     suspects: IndexSet<Suspect>,
+    // those that have proved sound since, which late reports of other hosts may still hold
+    cleared: IndexSet<Suspect>,
     expires_at: Time,
 }
 
@@ -102,10 +107,14 @@
         suspects: impl IntoIterator<Item = Suspect>,
     ) -> Vec<Suspect> {
         self.crashes.retain(|_, crash| now < crash.expires_at);
-        let (sound, unknown): (Vec<Suspect>, Vec<Suspect>) =
-            suspects.into_iter().partition(|suspect| self.is_sound(now, *suspect));
+        let is_cleared = |suspect: &Suspect| {
+            self.crashes.get(&id).is_some_and(|crash| crash.cleared.contains(suspect))
+        };
+        let (sound, unknown): (Vec<Suspect>, Vec<Suspect>) = suspects
+            .into_iter()
+            .partition(|suspect| self.is_sound(now, *suspect) || is_cleared(suspect));
         let expires_at = now.after_ms(RETENTION_MS);
-        let new = || Crash { suspects: IndexSet::new(), expires_at };
+        let new = || Crash { suspects: IndexSet::new(), cleared: IndexSet::new(), expires_at };
         let crash = self.crashes.entry(id).or_insert_with(new);
         let free = SUSPECTS_PER_CRASH_MAX.saturating_sub(crash.suspects.len());
         crash.suspects.extend(unknown.into_iter().take(free));
@@ -135,7 +144,10 @@
             self.sound.insert(suspect, now);
             let mut was_suspected = false;
             for crash in self.crashes.values_mut() {
-                was_suspected |= crash.suspects.swap_remove(&suspect);
+                if crash.suspects.swap_remove(&suspect) {
+                    crash.cleared.insert(suspect);
+                    was_suspected = true;
+                }
             }
             if was_suspected {
                 cleared.push(suspect);
@@ -190,10 +202,18 @@
         self.refused.keys().map(|suspect| (*suspect, self.crashes_with(*suspect).count()))
     }
 
-    /// The crashes with what is not known to be sound.
-    pub fn reports(&self, now: Time) -> impl Iterator<Item = (&CrashId, &IndexSet<Suspect>)> {
-        let current = self.crashes.iter().filter(move |(_, crash)| now < crash.expires_at);
-        current.map(|(id, crash)| (id, &crash.suspects))
+    /// The crashes with those of their suspects that were on several ones, for a host that does not
+    /// know them.
+    #[must_use]
+    pub fn recurring(&self, now: Time) -> Vec<(&CrashId, Vec<Suspect>)> {
+        let counts = count_suspects(self.crashes.values());
+        let recurring = |crash: &Crash| -> Vec<Suspect> {
+            let suspects = crash.suspects.iter().filter(|suspect| counts[*suspect] > 1);
+            suspects.copied().take(REPORTED_SUSPECTS_MAX).collect()
+        };
+        let current = self.crashes.iter().filter(|(_, crash)| now < crash.expires_at);
+        let reports = current.map(|(id, crash)| (id, recurring(crash)));
+        reports.filter(|(_, suspects)| !suspects.is_empty()).collect()
     }
 
     fn is_sound(&self, now: Time, suspect: Suspect) -> bool {
@@ -211,10 +231,7 @@
         let mut unexplained: IndexMap<&CrashId, &Crash> = self.crashes.iter().collect();
         let mut refused = IndexMap::new();
         loop {
-            let mut counts: IndexMap<Suspect, usize> = IndexMap::new();
-            for suspect in unexplained.values().flat_map(|crash| &crash.suspects) {
-                *counts.entry(*suspect).or_default() += 1;
-            }
+            let mut counts = count_suspects(unexplained.values().copied());
             counts.retain(|suspect, count| *count >= suspect.crashes_to_refuse());
             let Some((best, count)) = counts
                 .iter()
@@ -243,3 +260,12 @@
         self.refused = refused;
     }
 }
+
+// on how many of the crashes each suspect was
+fn count_suspects<'a>(crashes: impl Iterator<Item = &'a Crash>) -> IndexMap<Suspect, usize> {
+    let mut counts = IndexMap::new();
+    for suspect in crashes.flat_map(|crash| &crash.suspects) {
+        *counts.entry(*suspect).or_default() += 1;
+    }
+    counts
+}
--- a/crates/core/tests/crash_reports.rs
+++ b/crates/core/tests/crash_reports.rs
@@ -150,3 +150,31 @@
     assert_eq!(reports.record_sound(at(7000), sound), [part(3)]);
     assert!(reports.is_refused(&[part(2)]) && !reports.is_refused(&[part(3)]));
 }
+
+// A host that had been cut off sent suspects again that had proved sound meanwhile.
+#[test]
+fn crash_reports_cleared_suspect_is_not_added_again() {
+    let mut reports = CrashReports::default();
+    for target in 0..3 {
+        crash(&mut reports, 0, target, &[part(1), content(target)]);
+    }
+    assert!(reports.is_refused(&[part(1)]));
+    assert_eq!(reports.record_sound(at(100), [part(1)]), [part(1)]);
+    for target in 0..3 {
+        assert_eq!(crash(&mut reports, 60_000, target, &[part(1)]), [part(1)]);
+    }
+    assert!(!reports.is_refused(&[part(1)]));
+}
+
+#[test]
+fn crash_reports_only_recurring_suspects_are_passed_on() {
+    let mut reports = CrashReports::default();
+    for target in 0..3 {
+        let others = (0..500).map(|number| content(1000 * (target + 1) + number));
+        let suspects: Vec<Suspect> = others.chain([part(1)]).collect();
+        crash(&mut reports, 0, target, &suspects);
+    }
+    let recurring = reports.recurring(at(1));
+    assert_eq!(recurring.len(), 3);
+    assert!(recurring.iter().all(|(_, suspects)| *suspects == [part(1)]));
+}
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -10,7 +10,7 @@
     egret_runtime::{Body, CrashMsg, SuspectsMsg, events, now, with_deadline},
     faststr::FastStr,
     futures::{FutureExt, future::Shared},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
     tokio::{net::TcpStream, sync::oneshot},
@@ -74,13 +74,13 @@
     }
 }
 
-/// Records that a request has run to its end, which none does that crashes its target.
+/// Records that a request has run to its end, which shows that nothing of it crashes targets.
 pub(crate) fn record_sound(edge: &Edge, out: &OutgoingRequest) {
     let cleared = edge.crash_reports.lock().record_sound(now(), out.suspects.iter().copied());
     send_sound(edge, &cleared);
 }
 
-// tells all hosts that these are sound, if there are any
+// notifies all hosts that these are sound, if there are any
 fn send_sound(edge: &Edge, suspects: &[Suspect]) {
     if suspects.is_empty() {
         return;
@@ -125,14 +125,14 @@
 /// The crashes known to this host, for a host that may not know them.
 pub(crate) fn crashes_message(edge: &Edge) -> Option<Body> {
     let reports = edge.crash_reports.lock();
-    let known = reports.reports(now()).filter(|(_, suspects)| !suspects.is_empty());
+    let recurring = reports.recurring(now()).into_iter();
     let crashes: Vec<CrashMsg> =
-        known.map(|(id, suspects)| crash_message(id, suspects.iter())).collect();
+        recurring.map(|(id, suspects)| crash_message(id, suspects.iter())).collect();
     let message = SuspectsMsg { crashes, ..SuspectsMsg::default() };
     (!message.crashes.is_empty()).then_some(Body::Suspects(message))
 }
 
-/// Applies what another host reports of crashes, and tells it which suspects are sound.
+/// Applies what another host reports of crashes, and answers which of its suspects are sound.
 pub(crate) fn apply_message(edge: &Edge, host: &str, message: &SuspectsMsg) {
     let mut sound = Vec::new();
     let cleared = {
@@ -199,7 +199,7 @@
 
 async fn run_check(edge: Arc<Edge>, target: Arc<Target>, first_result: oneshot::Sender<bool>) {
     let mut is_down = refuses_connections(&target).await;
-    // nobody may be waiting for the result
+    // the requests that waited for the result may have ended
     let _ = first_result.send(is_down);
     if !is_down {
         tokio::time::sleep(Duration::from_millis(SECOND_CHECK_PAUSE_MS)).await;
@@ -225,10 +225,12 @@
         return;
     }
     let id = (target.id.clone(), target.started_unix_ms);
-    let (sound, refused) = {
+    let (sound, newly_refused) = {
         let mut reports = edge.crash_reports.lock();
+        let refused_before: IndexSet<Suspect> = reports.refused().map(|(s, _)| s).collect();
         let sound = reports.record_crash(now(), id.clone(), suspects.iter().copied());
-        (sound, reports.refused().collect::<Vec<_>>())
+        let new = reports.refused().filter(|(suspect, _)| !refused_before.contains(suspect));
+        (sound, new.collect::<Vec<_>>())
     };
     events::SUSPECTS_FOUND.warn(format_args!(
         "target={} contents={} sound={}",
@@ -236,7 +238,7 @@
         suspects.len(),
         sound.len()
     ));
-    for (suspect, crashes) in refused {
+    for (suspect, crashes) in newly_refused {
         events::SUSPECT_REFUSED.warn(format_args!("suspect={} crashes={crashes}", key_of(suspect)));
     }
     let unknown = suspects.iter().filter(|suspect| !sound.contains(suspect));
