--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -50,10 +50,21 @@
 
 /// True if this host is the first of the live ones in the rendezvous order for `key`.
 pub(crate) fn is_first_for(edge: &Edge, key: &str) -> bool {
+    is_first_among(edge, key, |_| true)
+}
+
+/// True if this host is the first live one of its data centre, which exchanges state with the other
+/// data centres.
+pub(super) fn is_first_of_data_centre(edge: &Edge) -> bool {
+    is_first_among(edge, "reader", |peer| peer.record.data_centre == edge.cfg.data_centre)
+}
+
+fn is_first_among(edge: &Edge, key: &str, includes: impl Fn(&Peer) -> bool) -> bool {
     let peers = edge.peers.lock();
     let own_weight = rendezvous_weight(key, &edge.cfg.host);
-    let mut live = peers.all().keys().filter(|host| peers.is_live(host));
-    live.all(|host| rendezvous_weight(key, host) < own_weight)
+    let mut others =
+        peers.all().iter().filter(|(host, peer)| peers.is_live(host) && includes(peer));
+    others.all(|(host, _)| rendezvous_weight(key, host) < own_weight)
 }
 
 /// True if this host reads the store for the others.
@@ -208,17 +219,6 @@
     receivers
 }
 
-/// True if this host is the first live one of its data centre, which exchanges state with the other
-/// data centres.
-pub(super) fn is_first_of_data_centre(edge: &Edge) -> bool {
-    let peers = edge.peers.lock();
-    let own_score = rendezvous_weight("reader", &edge.cfg.host);
-    let mut local = peers.all().iter().filter(|(host, peer)| {
-        peer.record.data_centre == edge.cfg.data_centre && peers.is_live(host)
-    });
-    local.all(|(host, _)| rendezvous_weight("reader", host) < own_score)
-}
-
 // loaded adapters change often, and the owners of the engines report them in heartbeats
 fn without_adapters(target: &Target) -> Target {
     let mut target = target.clone();
