--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -1,9 +1,9 @@
 //! Finds what requests have in common that crash the targets that run them.
 //!
-//! A crash report holds what the requests on a target that crashed consist of: their whole contents,
-//! which callers send again under new ids, and the parts of their prompts, which other requests
-//! share. Most of it is sound. What has run to its end lately, at any host, is taken out; of the
-//! rest, that which explains most crashes is refused.
+//! A crash report holds the suspects of the requests that were on a target when it crashed: their
+//! whole contents, which callers send again under new ids, and the parts of their prompts, which
+//! other requests share. Most of them are sound. Those with which a request has run to its end
+//! lately, at any host, are taken out; of the rest, the one that explains most crashes is refused.
 
 use {
     crate::{Fingerprint, Time},
@@ -98,8 +98,8 @@
 }
 
 impl CrashReports {
-    /// Adds what was on a target that crashed. Returns those that are sound, which other hosts may
-    /// not know.
+    /// Adds the suspects of the requests that were on a target when it crashed. Returns those that
+    /// are sound, which other hosts may not know.
     pub fn record_crash(
         &mut self,
         now: Time,
@@ -125,8 +125,8 @@
         sound
     }
 
-    /// Records that a request with these has run to its end. Returns those that were on a target
-    /// that crashed.
+    /// Records that a request with these suspects has run to its end. Returns those that were on a
+    /// target that crashed.
     pub fn record_sound(
         &mut self,
         now: Time,
@@ -159,7 +159,7 @@
         cleared
     }
 
-    /// Whether a request with these may be sent. `is_tester` tells whether this host is the one that
+    /// Whether a request with these suspects may be sent. `is_tester` tells whether this host is the one that
     /// tests the first of them that is refused.
     pub fn judge(&mut self, now: Time, suspects: &[Suspect], is_tester: bool) -> CrashVerdict {
         let refused: Vec<Suspect> =
@@ -185,19 +185,19 @@
         CrashVerdict::Test
     }
 
-    /// The first of these that is refused.
+    /// The first of these suspects that is refused.
     #[must_use]
     pub fn first_refused(&self, suspects: &[Suspect]) -> Option<Suspect> {
         suspects.iter().find(|suspect| self.refused.contains_key(*suspect)).copied()
     }
 
-    /// True if something of a request is refused.
+    /// True if one of these suspects is refused.
     #[must_use]
     pub fn is_refused(&self, suspects: &[Suspect]) -> bool {
         self.first_refused(suspects).is_some()
     }
 
-    /// What is refused, with the number of crashes that it was on.
+    /// The refused suspects, each with the number of crashes that it was on.
     pub fn refused(&self) -> impl Iterator<Item = (Suspect, usize)> {
         self.refused.keys().map(|suspect| (*suspect, self.crashes_with(*suspect).count()))
     }
@@ -225,8 +225,8 @@
         with.map(|(id, _)| id)
     }
 
-    // Refuses what explains the crashes: that which most of them have in common, then that of the
-    // crashes left.
+    // Refuses the suspects that explain the crashes: the one which most crashes have in common, then
+    // that of the crashes left.
     fn update_refusals(&mut self, now: Time) {
         let mut unexplained: IndexMap<&CrashId, &Crash> = self.crashes.iter().collect();
         let mut refused = IndexMap::new();
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -80,7 +80,7 @@
     send_sound(edge, &cleared);
 }
 
-// notifies all hosts that these are sound, if there are any
+// notifies all hosts that these suspects are sound, if there are any
 fn send_sound(edge: &Edge, suspects: &[Suspect]) {
     if suspects.is_empty() {
         return;
@@ -217,8 +217,8 @@
     matches!(with_deadline(deadline, TcpStream::connect(target.address)).await, Some(Err(_)))
 }
 
-/// Records that a target accepts no connection. What the requests that were running on it hold
-/// becomes suspect.
+/// Records that a target accepts no connection. The contents and prompt parts of the requests that
+/// were running on it become suspects.
 pub(crate) fn record_target_down(edge: &Edge, target: &Target) {
     let suspects = edge.broken_connections.lock().confirm_crash(now(), &target.id);
     if suspects.is_empty() {
