Tests: routes at a host that the store does not reach, and a cut stream without framing

Cause: asked on review. Neither was tested: the fetch of routes while the store is away from one host, and the end within an event of a stream that has no length or chunks and may not be resumed. Change: two tests, no change of the product; both describe what holds.

--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -5,7 +5,7 @@
     crate::support::{Deployment, request, stream_request, wait_until, whole_stream},
     bytes::Bytes,
     egret_runtime::{HttpError, now},
-    egret_standin::platform::{ROUTE_HOST, StoreFault, TargetFault},
+    egret_standin::platform::{ROUTE_HOST, StoreFault, StreamFraming, TargetFault},
     http::Method,
     http_body_util::Full,
     std::time::Duration,
@@ -312,6 +312,21 @@
     assert_eq!(a.executed_requests().len() + b.executed_requests().len(), runs_before + 1);
 }
 
+// The end of a stream without length or chunks within an event must not look like that of the answer.
+#[tokio::test]
+async fn break_off_unframed_stream_cut_within_event() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.start_engine("e-1", 3).await;
+    engine.set_framing(StreamFraming::UntilClose);
+    let edge = d.start_ready_edge(1).await;
+    let whole = edge.call_until(200, || stream_request("frail", "a1")).await;
+    assert_eq!(whole.body, whole_stream());
+    engine.set_fault(TargetFault::CutAfter(2));
+    let cut = edge.call(stream_request("frail", "a1")).await;
+    assert!(matches!(cut, Err(HttpError::Broken(_))), "{cut:?}");
+}
+
 #[tokio::test]
 async fn cancel_at_target_when_caller_disconnects() {
     let d = Deployment::new().await;
--- a/crates/edge/tests/edge/routes.rs
+++ b/crates/edge/tests/edge/routes.rs
@@ -10,7 +10,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -160,7 +160,7 @@
     let mut d = Deployment::new().await;
     d.configure(7);
     let _target = d.start_plain_target("p-1").await;
-    d.store_address = start_slow_relay(d.store.address(), BYTES_PER_S).await;
+    d.store_address = start_slow_relay(d.store.address(), BYTES_PER_S, Arc::default()).await;
     let edge = d.start_ready_edge(1).await;
     let large = large_config(20, 4000).to_string();
     let transfer = Duration::from_secs((large.len() / BYTES_PER_S + 1) as u64);
@@ -173,13 +173,45 @@
     assert_eq!(added.unwrap().status, 200);
 }
 
-// passes on each connection, answers no faster than `bytes_per_s`
-async fn start_slow_relay(to: SocketAddr, bytes_per_s: usize) -> SocketAddr {
+// A host that the store does not reach has its routes from the others.
+#[tokio::test]
+async fn host_without_store_gets_routes_from_peer() {
+    let mut d = Deployment::new().await;
+    d.configure(7);
+    let _target = d.start_plain_target("p-1").await;
+    let _reader = d.start_ready_edge(1).await;
+    let is_cut = Arc::new(AtomicBool::new(false));
+    d.store_address = start_slow_relay(d.store.address(), 100_000_000, is_cut.clone()).await;
+    let edge = d.start_ready_edge(2).await;
+    let settling = Instant::now();
+    wait_until("hosts know each other", || settling.elapsed() > Duration::from_secs(2)).await;
+    is_cut.store(true, Ordering::Relaxed);
+    let cut_at = Instant::now();
+    wait_until("store lost", || cut_at.elapsed() > Duration::from_secs(1)).await;
+    d.store.write("keyed.op", "config", Some(&large_config(20, 2000).to_string()));
+    let written_at = Instant::now();
+    wait_until("in force", || d.log(2).contains("applied revision=20 before=7 source=host-1"))
+        .await;
+    assert!(written_at.elapsed() < Duration::from_secs(2), "took {:?}", written_at.elapsed());
+    let added = edge.call(request(Method::GET, "/many/001999/x", &[])).await.unwrap();
+    assert_eq!(added.status, 200);
+}
+
+// passes on each connection until it is cut, answers no faster than `bytes_per_s`
+async fn start_slow_relay(
+    to: SocketAddr,
+    bytes_per_s: usize,
+    is_cut: Arc<AtomicBool>,
+) -> SocketAddr {
     const CHUNK_BYTES: usize = 4096;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((caller, _)) = listener.accept().await {
+            if is_cut.load(Ordering::Relaxed) {
+                continue;
+            }
+            let is_cut = is_cut.clone();
             let server = TcpStream::connect(to).await.unwrap();
             let (mut caller_read, mut caller_write) = caller.into_split();
             let (mut server_read, mut server_write) = server.into_split();
@@ -189,6 +221,9 @@
             tokio::spawn(async move {
                 let mut buf = [0; CHUNK_BYTES];
                 while let Ok(n @ 1..) = server_read.read(&mut buf).await {
+                    if is_cut.load(Ordering::Relaxed) {
+                        break;
+                    }
                     let pause_us = (n * 1_000_000 / bytes_per_s) as u64;
                     tokio::time::sleep(Duration::from_micros(pause_us)).await;
                     if caller_write.write_all(&buf[..n]).await.is_err() {
