--- /dev/null
+++ b/crates/edge/src/counts.rs
@@ -0,0 +1,60 @@
+//! Metrics of an edge host.
+
+use {
+    egret_runtime::Metrics,
+    prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
+};
+
+type Labels = Vec<(&'static str, String)>;
+
+/// Metrics of the edge host.
+#[derive(Debug)]
+pub(crate) struct Counts {
+    pub(crate) answers: Family<Labels, Counter>,
+    pub(crate) sends_failed: Family<Labels, Counter>,
+    pub(crate) orders: Family<Labels, Counter>,
+    pub(crate) resumptions: Family<Labels, Counter>,
+    pub(crate) streams_without_target: Counter,
+    update_bytes: Family<Labels, Counter>,
+    pub(crate) first_part_ms: Histogram,
+    pub(crate) load_stalls_ms: Histogram,
+}
+
+impl Counts {
+    /// Registers the metrics.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            answers: metrics.counters("egret_answers", "Final answers by outcome"),
+            sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
+            orders: metrics.counters("egret_orders", "Orders to engines by answer"),
+            resumptions: metrics.counters(
+                "egret_resumptions",
+                "Requests that resume a stream, by what is known of its software version",
+            ),
+            streams_without_target: metrics.counter(
+                "egret_streams_without_target",
+                "Streams that found no target of their software version",
+            ),
+            update_bytes: metrics.counters(
+                "egret_update_bytes",
+                "Bytes of updates exchanged with other hosts, by direction and content",
+            ),
+            first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
+            load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
+        }
+    }
+}
+
+impl Counts {
+    /// Counts an update of `bytes` bytes, `direction` is `sent` or `received`.
+    pub(crate) fn record_update_bytes(
+        &self,
+        direction: &'static str,
+        has_routes: bool,
+        bytes: usize,
+    ) {
+        let content = if has_routes { "routes" } else { "targets" };
+        let labels = vec![("direction", direction.to_owned()), ("content", content.to_owned())];
+        self.update_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 mod conf;
+mod counts;
 mod dispatch;
 mod orders;
 mod peers;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         conf::Settings,
+        counts::Counts,
         dispatch::CrashChecks,
         orders::EngineReconcilers,
         peers::{Peers, RoutesExchange},
@@ -18,7 +19,6 @@
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
     parking_lot::{Mutex, RwLock},
-    prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
     std::sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -29,59 +29,6 @@
 /// Time after the start of the process within which links to the other hosts are opened.
 const STARTUP_MS: u64 = 3000;
 
-type Labels = Vec<(&'static str, String)>;
-
-/// Metrics of the edge host.
-#[derive(Debug)]
-pub(crate) struct Counts {
-    pub(crate) answers: Family<Labels, Counter>,
-    pub(crate) sends_failed: Family<Labels, Counter>,
-    pub(crate) orders: Family<Labels, Counter>,
-    pub(crate) resumptions: Family<Labels, Counter>,
-    pub(crate) streams_without_target: Counter,
-    update_bytes: Family<Labels, Counter>,
-    pub(crate) first_part_ms: Histogram,
-    pub(crate) load_stalls_ms: Histogram,
-}
-
-impl Counts {
-    fn new(metrics: &Metrics) -> Self {
-        Self {
-            answers: metrics.counters("egret_answers", "Final answers by outcome"),
-            sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
-            orders: metrics.counters("egret_orders", "Orders to engines by answer"),
-            resumptions: metrics.counters(
-                "egret_resumptions",
-                "Requests that resume a stream, by what is known of its software version",
-            ),
-            streams_without_target: metrics.counter(
-                "egret_streams_without_target",
-                "Streams that found no target of their software version",
-            ),
-            update_bytes: metrics.counters(
-                "egret_update_bytes",
-                "Bytes of updates exchanged with other hosts, by direction and content",
-            ),
-            first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
-            load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
-        }
-    }
-}
-
-impl Counts {
-    /// Counts an update of `bytes` bytes, `direction` is `sent` or `received`.
-    pub(crate) fn record_update_bytes(
-        &self,
-        direction: &'static str,
-        has_routes: bool,
-        bytes: usize,
-    ) {
-        let content = if has_routes { "routes" } else { "targets" };
-        let labels = vec![("direction", direction.to_owned()), ("content", content.to_owned())];
-        self.update_bytes.get_or_create(&labels).inc_by(bytes as u64);
-    }
-}
-
 /// This host's requests at one target, and the target's health as their answers show it.
 #[derive(Debug, Default)]
 pub(crate) struct TargetActivity {
