Log what listings of targets change, and from whom

DRAIN: a target that comes back by a listing, of the store or of another host, left no log line, so a forgotten notice and a late one looked alike. E1016 to E1018 now name the source, the position in the registry and the target's start, for listings too. The first listing of a process is not logged, since it makes all targets known. No decision changes.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -263,7 +263,10 @@
         message.age_ms,
         update.targets.len()
     ));
-    edge.fleet.write().apply_listing(now(), message.registry_offset, update.targets);
+    let mut fleet = edge.fleet.write();
+    watch::log_listing(&fleet, &update.targets, host, message.registry_offset);
+    fleet.apply_listing(now(), message.registry_offset, update.targets);
+    drop(fleet);
     stream_origins::observe_versions(edge);
     edge.state_changed.notify_one();
     send_updates(edge);
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -3,7 +3,7 @@
 use {
     super::backoff::{StreamBackoff, call_deadline},
     crate::{peers, state::Edge},
-    egret_core::{Target, TargetState, Time},
+    egret_core::{Fleet, Target, TargetState, Time},
     egret_platform::{Page, Record, StoreError, Topic, parse_target},
     egret_runtime::{events, now},
     faststr::FastStr,
@@ -105,14 +105,14 @@
             continue;
         }
         let Some(value) = &record.value else {
-            events::TARGET_UNREGISTERED.info(format_args!("target={}", record.key));
+            log_removal(&record.key, "log", record.offset);
             fleet.handle_removed_entry(now, &record.key);
             continue;
         };
         match parse_target(&record.key, value) {
             Ok(target) if is_listing => listed.push(target),
             Ok(target) => {
-                log_state_change(fleet.get(&target.id).map(|t| &**t), &target);
+                log_state_change(&fleet, &target, "log", record.offset);
                 fleet.apply_entry(target);
             }
             Err(e) => {
@@ -124,24 +124,50 @@
     }
     if is_listing {
         events::REGISTRY_READ.info(format_args!("targets={}", listed.len()));
+        log_listing(&fleet, &listed, "listing", page.end_offset);
         fleet.apply_listing(now, page.end_offset, listed);
     } else {
         fleet.advance_position(page.next_offset);
     }
 }
 
-fn log_state_change(before: Option<&Target>, target: &Target) {
+/// Logs what a complete listing from `source` changes. The first one is not logged, since it makes
+/// all targets known.
+pub(crate) fn log_listing(fleet: &Fleet, listed: &[Target], source: &str, position: u64) {
+    if fleet.all().next().is_none() {
+        return;
+    }
+    let listed_ids: IndexSet<&FastStr> = listed.iter().map(|target| &target.id).collect();
+    for target in fleet.all_listed().filter(|target| !listed_ids.contains(&target.id)) {
+        log_removal(&target.id, source, position);
+    }
+    for target in listed {
+        log_state_change(fleet, target, source, position);
+    }
+}
+
+fn log_removal(target: &str, source: &str, position: u64) {
+    events::TARGET_UNREGISTERED
+        .info(format_args!("target={target} source={source} position={position}"));
+}
+
+fn log_state_change(fleet: &Fleet, target: &Target, source: &str, position: u64) {
     let is_same = |before: &Target| {
-        before.state == target.state && before.software_version == target.software_version
+        before.state == target.state
+            && before.software_version == target.software_version
+            && before.started_unix_ms == target.started_unix_ms
     };
-    if before.is_some_and(is_same) {
+    if fleet.get(&target.id).is_some_and(|before| is_same(before)) {
         return;
     }
     match target.state {
         TargetState::Ready => events::TARGET_READY.info(format_args!(
-            "target={} address={} version={}",
-            target.id, target.address, target.software_version
+            "target={} address={} version={} started={} source={source} position={position}",
+            target.id, target.address, target.software_version, target.started_unix_ms
+        )),
+        TargetState::Leaving => events::TARGET_LEAVING.info(format_args!(
+            "target={} started={} source={source} position={position}",
+            target.id, target.started_unix_ms
         )),
-        TargetState::Leaving => events::TARGET_LEAVING.info(format_args!("target={}", target.id)),
     }
 }
