Failing tests: targets that had left are used again

DRAIN: callers' requests reach a target that had left, once the store comes back from a copy of before it said so (core: ready again; over HTTP 250 requests in 2 s), when it never said so in the registry (242), at a host that has started since (166), and once more for each loss of the entry when it said so in answers, at the host that was told and at the others.

--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod hosts;
+mod leaving;
 mod load;
 mod requests;
 mod resumption;
