Remember which targets have left beyond their entries

DRAIN: callers' requests reached targets that had left. What a target had said was kept in its registry entry (state) and in the host's activity (leaving_start); both went with the entry, so a store back from a copy of before, or a late entry, made the target ready again.

Fleet now keeps departures: id, start, whether the target said so itself (registry or answer) or only lost its entry, and the position of that end. A start that has said so is never ready again; a target that only lost its entry is used once it has written a new one, which a restored store can't fake, since entries before the end of its first listing are distrusted. Unknown starts (0) count as new once registered again. The digest of heartbeats goes by readiness, so hosts that know less get the next update.

Ruled out: banning every removed start (a target cut off from the store would stay out for ever); ordering entries by their seq (plain services do not count it).

Where else: what answers say is now one state with the registry's, so the check after a load sees it too.

--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -1,6 +1,7 @@
 //! Targets as registered by themselves.
 
 use {
+    super::departures::{Departure, Departures},
     crate::Time,
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -56,12 +57,20 @@
     /// Unix time of the target's start, 0 if unknown.
     #[serde(rename = "born_ms")]
     pub started_unix_ms: u64,
+    /// Position in the registry of an entry of the target. Later entries that change nothing else
+    /// may follow it.
+    #[serde(default)]
+    pub registered_at: u64,
     /// Resident base models, if the target is an engine.
     pub models: Vec<RegisteredModel>,
 }
 
 /// Targets by id.
 ///
+/// What a target has said about leaving holds for all its entries of the same start, also for one
+/// that comes after it: the registry may come back from an older copy, and other hosts may know
+/// less. A target whose entry ended is used again once it has written a new one.
+///
 /// An entry that vanishes around an outage of the registry may have lapsed only because the target
 /// could not renew it. Such a target stays in use until `lapse_ms` after the registry is back,
 /// unless it had announced that it leaves.
@@ -71,6 +80,7 @@
     // all registry records before this offset are applied
     position: u64,
     removals_trusted_from: Time,
+    departures: Departures,
 }
 
 #[derive(Clone, Debug)]
@@ -99,18 +109,30 @@
         self.position = self.position.max(position);
     }
 
+    /// Records that all registry records before `position` may be older than what is known, since
+    /// the registry has come back from a copy.
+    pub fn distrust_entries_before(&mut self, position: u64) {
+        self.departures.distrust_entries_before(position);
+    }
+
     /// Applies an entry. Entries of an earlier start of the same id are ignored, and a target that
-    /// leaves stays in that state until it starts again.
-    pub fn apply_entry(&mut self, mut target: Target) {
-        if let Some(entry) = self.targets.get(&target.id) {
-            if target.started_unix_ms < entry.target.started_unix_ms {
-                return;
-            }
-            if target.started_unix_ms == entry.target.started_unix_ms
-                && entry.target.state == TargetState::Leaving
-            {
-                target.state = TargetState::Leaving;
-            }
+    /// leaves accepts no new work until it starts again.
+    pub fn apply_entry(&mut self, target: Target) {
+        if let Some(entry) = self.targets.get(&target.id)
+            && target.started_unix_ms < entry.target.started_unix_ms
+        {
+            return;
+        }
+        if self.departures.admit(&target) {
+            self.departures.forget(&target.id);
+        }
+        if target.state == TargetState::Leaving {
+            self.departures.merge(Departure {
+                target: target.id.clone(),
+                started_unix_ms: target.started_unix_ms,
+                is_announced: true,
+                ended_before: None,
+            });
         }
         let entry = TargetEntry { target: Arc::new(target), usable_until: None };
         self.targets.insert(entry.target.id.clone(), entry);
@@ -121,13 +143,56 @@
         let Some(entry) = self.targets.get_mut(id) else {
             return;
         };
-        if entry.target.state == TargetState::Leaving || now >= self.removals_trusted_from {
-            self.targets.swap_remove(id);
+        if now >= self.removals_trusted_from || !self.departures.admit(&entry.target) {
+            self.remove(id);
         } else {
             entry.usable_until = Some(self.removals_trusted_from);
         }
     }
 
+    fn remove(&mut self, id: &str) {
+        if let Some(entry) = self.targets.swap_remove(id) {
+            self.departures.merge(Departure {
+                target: entry.target.id.clone(),
+                started_unix_ms: entry.target.started_unix_ms,
+                is_announced: false,
+                ended_before: Some(self.position),
+            });
+        }
+    }
+
+    /// Records that the start `started_unix_ms` of the target `id` has said in an answer that it
+    /// leaves. Returns true if that was not known.
+    pub fn record_leaving(&mut self, now: Time, id: &FastStr, started_unix_ms: u64) -> bool {
+        let is_news = self.merge_departure(Departure {
+            target: id.clone(),
+            started_unix_ms,
+            is_announced: true,
+            ended_before: None,
+        });
+        if is_news {
+            self.departures.repeat(now, id);
+        }
+        is_news
+    }
+
+    /// Merges a departure that another host knows. Returns true if it is news.
+    pub fn merge_departure(&mut self, departure: Departure) -> bool {
+        let entry = self.targets.get(&departure.target);
+        let is_registered_again = entry.is_some_and(|entry| departure.admits(&entry.target));
+        !is_registered_again && self.departures.merge(departure)
+    }
+
+    /// Departures that are remembered.
+    pub fn departures(&self) -> impl Iterator<Item = &Departure> {
+        self.departures.all()
+    }
+
+    /// Departures that this host has learned from answers in the last seconds.
+    pub fn recent_departures(&self, now: Time) -> impl Iterator<Item = &Departure> {
+        self.departures.repeated(now)
+    }
+
     /// Removes the target `id`, whose entry is unreadable or was replaced by another writer.
     pub fn remove_unreadable(&mut self, id: &str) {
         self.targets.swap_remove(id);
@@ -152,15 +217,28 @@
         true
     }
 
-    /// Removes targets whose entries did not come back in time.
+    /// Removes targets whose entries did not come back in time, and forgets departures of long ago.
     pub fn remove_expired(&mut self, now: Time) {
-        self.targets.retain(|_, entry| entry.usable_until.is_none_or(|at| now < at));
+        let is_expired = |entry: &TargetEntry| entry.usable_until.is_some_and(|at| now >= at);
+        let expired = self.targets.iter().filter(|(_, entry)| is_expired(entry));
+        let expired: Vec<FastStr> = expired.map(|(id, _)| id.clone()).collect();
+        for id in expired {
+            self.remove(&id);
+        }
+        let targets = &self.targets;
+        self.departures.remove_expired(now, |id| targets.contains_key(id));
+    }
+
+    /// True if `target` accepts new work by its entry and by what is known of it otherwise.
+    #[must_use]
+    pub fn is_ready(&self, target: &Target) -> bool {
+        target.state == TargetState::Ready && self.departures.admit(target)
     }
 
     /// The target `id`, if it accepts new work.
     #[must_use]
     pub fn ready(&self, id: &str) -> Option<&Arc<Target>> {
-        self.get(id).filter(|t| t.state == TargetState::Ready)
+        self.get(id).filter(|t| self.is_ready(t))
     }
 
     /// The target `id`.
@@ -172,7 +250,7 @@
     /// Targets that accept new work.
     pub fn all_ready(&self) -> impl Iterator<Item = &Arc<Target>> {
         let targets = self.targets.values().map(|entry| &entry.target);
-        targets.filter(|t| t.state == TargetState::Ready)
+        targets.filter(|t| self.is_ready(t))
     }
 
     /// Targets with an entry in the registry, without those that may come back.
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -124,6 +124,7 @@
         slots: 4,
         state,
         started_unix_ms,
+        registered_at: 0,
         models: Vec::new(),
     }
 }
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -152,18 +152,18 @@
 
 // records what a target says of itself; the registry tells it later, and not while the store is away
 fn record_notice(edge: &Edge, target: &Target, notice: TargetNotice) {
-    if notice == TargetNotice::default() {
-        return;
-    }
-    let mut activity = edge.target_activity.lock();
-    let entry = activity.entry(target.id.clone()).or_default();
     if let Some(pause_ms) = notice.pause_ms {
+        let mut activity = edge.target_activity.lock();
+        let entry = activity.entry(target.id.clone()).or_default();
         entry.health.record_pause(now().after_ms(pause_ms));
     }
-    if notice.is_leaving && entry.leaving_start != Some(target.started_unix_ms) {
-        entry.leaving_start = Some(target.started_unix_ms);
-        drop(activity);
-        events::TARGET_LEAVING.info(format_args!("target={} source=answer", target.id));
+    if notice.is_leaving {
+        let started = target.started_unix_ms;
+        if edge.fleet.write().record_leaving(now(), &target.id, started) {
+            events::TARGET_LEAVING
+                .info(format_args!("target={} started={started} source=answer", target.id));
+            edge.state_changed.notify_one();
+        }
     }
 }
 
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -192,18 +192,17 @@
         .collect();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
-        let (running, failing_milli, is_left_out) = {
+        let (running, failing_milli, is_down) = {
             let activity = edge.target_activity.lock();
             activity.get(&target.id).map_or((0, 0, false), |entry| {
                 (
                     u64::from(entry.running),
                     entry.health.failure_rate_milli(now),
-                    entry.health.is_down(now)
-                        || entry.leaving_start == Some(target.started_unix_ms),
+                    entry.health.is_down(now),
                 )
             })
         };
-        if is_left_out {
+        if is_down {
             continue;
         }
         let running = {
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -16,7 +16,6 @@
         watch,
     },
     egret_core::{Target, rendezvous_weight},
-    egret_platform::generation,
     egret_runtime::{Body, PlatformSnapshotMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -145,11 +144,14 @@
         hash.update(adapter.as_bytes());
         hash.update(&version.to_le_bytes());
     }
-    let mut targets: Vec<Arc<Target>> = edge.fleet.read().all_listed().cloned().collect();
-    targets.sort_by(|a, b| a.id.cmp(&b.id));
-    for target in targets {
+    let mut targets: Vec<(Arc<Target>, bool)> = {
+        let fleet = edge.fleet.read();
+        fleet.all_listed().map(|target| (target.clone(), fleet.is_ready(target))).collect()
+    };
+    targets.sort_by(|(a, _), (b, _)| a.id.cmp(&b.id));
+    for (target, is_ready) in targets {
         hash.update(target.id.as_bytes());
-        hash.update(&[u8::from(target.state == egret_core::TargetState::Ready)]);
+        hash.update(&[u8::from(is_ready)]);
         hash.update(&target.started_unix_ms.to_le_bytes());
     }
     hash.digest()
@@ -252,9 +254,6 @@
         return;
     }
     watch::extend_grace_after_gap(edge);
-    if generation(message.registry_offset) != generation(edge.fleet.read().position()) {
-        watch::extend_grace(edge);
-    }
     let mut own_read_at = edge.registry_read_at.lock();
     *own_read_at = time_from_age(message.age_ms).max(*own_read_at);
     drop(own_read_at);
@@ -263,10 +262,7 @@
         message.age_ms,
         update.targets.len()
     ));
-    let mut fleet = edge.fleet.write();
-    watch::log_listing(&fleet, &update.targets, host, message.registry_offset);
-    fleet.apply_listing(now(), message.registry_offset, update.targets);
-    drop(fleet);
+    watch::apply_listing(edge, host, message.registry_offset, update.targets);
     stream_origins::observe_versions(edge);
     edge.state_changed.notify_one();
     send_updates(edge);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -35,9 +35,6 @@
     pub(crate) running: u32,
     pub(crate) adapters: IndexMap<FastStr, u32>,
     pub(crate) health: Health,
-    /// Start of the target's process that has said in an answer that it leaves, in Unix
-    /// milliseconds.
-    pub(crate) leaving_start: Option<u64>,
 }
 
 /// Position up to which a stream of the store was read.
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -3,8 +3,8 @@
 use {
     super::backoff::{StreamBackoff, call_deadline},
     crate::{peers, state::Edge},
-    egret_core::{Fleet, Target, TargetState, Time},
-    egret_platform::{Page, Record, StoreError, Topic, parse_target},
+    egret_core::{Fleet, Target, Time},
+    egret_platform::{Page, Record, StoreError, Topic, generation, parse_target},
     egret_runtime::{events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -93,47 +93,58 @@
 }
 
 fn apply_page(edge: &Edge, page: &Page, is_listing: bool) {
-    let now = now();
-    let mut listed = Vec::new();
-    let mut fleet = edge.fleet.write();
-    // updates from other hosts may include some of these records already
-    let applied_offset = fleet.position();
     // only the last record of each target counts, since it supersedes earlier ones
     let latest: IndexMap<&FastStr, &Record> = page.records.iter().map(|r| (&r.key, r)).collect();
-    for record in latest.into_values() {
-        if !is_listing && record.offset < applied_offset {
-            continue;
-        }
-        let Some(value) = &record.value else {
+    if is_listing {
+        let listed: Vec<Target> =
+            latest.into_values().filter_map(|record| parse_entry(edge, record)).collect();
+        events::REGISTRY_READ.info(format_args!("targets={}", listed.len()));
+        apply_listing(edge, "listing", page.end_offset, listed);
+        return;
+    }
+    // updates from other hosts may include some of these records already
+    let applied_offset = edge.fleet.read().position();
+    for record in latest.into_values().filter(|record| record.offset >= applied_offset) {
+        if record.value.is_none() {
             log_removal(&record.key, "log", record.offset);
-            fleet.handle_removed_entry(now, &record.key);
-            continue;
-        };
-        match parse_target(&record.key, value) {
-            Ok(target) if is_listing => listed.push(target),
-            Ok(target) => {
-                log_state_change(&fleet, &target, "log", record.offset);
-                fleet.apply_entry(target);
-            }
-            Err(e) => {
-                events::LOG_RECORD_UNKNOWN
-                    .warn(format_args!("key={} offset={} problem={e}", record.key, record.offset));
-                fleet.remove_unreadable(&record.key);
-            }
+            edge.fleet.write().handle_removed_entry(now(), &record.key);
+        } else if let Some(target) = parse_entry(edge, record) {
+            let mut fleet = edge.fleet.write();
+            log_state_change(&fleet, &target, "log", record.offset);
+            fleet.apply_entry(target);
         }
     }
-    if is_listing {
-        events::REGISTRY_READ.info(format_args!("targets={}", listed.len()));
-        log_listing(&fleet, &listed, "listing", page.end_offset);
-        fleet.apply_listing(now, page.end_offset, listed);
-    } else {
-        fleet.advance_position(page.next_offset);
+    edge.fleet.write().advance_position(page.next_offset);
+}
+
+// an unreadable entry names no target to use
+fn parse_entry(edge: &Edge, record: &Record) -> Option<Target> {
+    let value = record.value.as_ref()?;
+    match parse_target(&record.key, value, record.offset) {
+        Ok(target) => Some(target),
+        Err(e) => {
+            events::LOG_RECORD_UNKNOWN
+                .warn(format_args!("key={} offset={} problem={e}", record.key, record.offset));
+            edge.fleet.write().remove_unreadable(&record.key);
+            None
+        }
+    }
+}
+
+/// Applies a complete listing from `source`, which reflects the registry's records before
+/// `position`.
+pub(crate) fn apply_listing(edge: &Edge, source: &str, position: u64, listed: Vec<Target>) {
+    let mut fleet = edge.fleet.write();
+    if fleet.position() > 0 && generation(position) != generation(fleet.position()) {
+        fleet.extend_grace_period(now().after_ms(edge.cfg.store.lapse_ms));
+        fleet.distrust_entries_before(position);
     }
+    log_listing(&fleet, &listed, source, position);
+    fleet.apply_listing(now(), position, listed);
 }
 
-/// Logs what a complete listing from `source` changes. The first one is not logged, since it makes
-/// all targets known.
-pub(crate) fn log_listing(fleet: &Fleet, listed: &[Target], source: &str, position: u64) {
+// the first listing is not logged, since it makes all targets known
+fn log_listing(fleet: &Fleet, listed: &[Target], source: &str, position: u64) {
     if fleet.all().next().is_none() {
         return;
     }
@@ -160,14 +171,16 @@
     if fleet.get(&target.id).is_some_and(|before| is_same(before)) {
         return;
     }
-    match target.state {
-        TargetState::Ready => events::TARGET_READY.info(format_args!(
+    if fleet.is_ready(target) {
+        events::TARGET_READY.info(format_args!(
             "target={} address={} version={} started={} source={source} position={position}",
             target.id, target.address, target.software_version, target.started_unix_ms
-        )),
-        TargetState::Leaving => events::TARGET_LEAVING.info(format_args!(
-            "target={} started={} source={source} position={position}",
-            target.id, target.started_unix_ms
-        )),
+        ));
+    } else {
+        // an entry that says otherwise is older than what is known
+        events::TARGET_LEAVING.info(format_args!(
+            "target={} started={} entry={:?} source={source} position={position}",
+            target.id, target.started_unix_ms, target.state
+        ));
     }
 }
