Tell other hosts which targets have left

DRAIN: what a target had said stayed with the host that knew it.

Heartbeats now repeat for 3 s what a target has told this host in an answer; the first heartbeat of a link and each update name all departures that are remembered. They are merged before the positions of the two hosts are compared, since a host that has read further may still know less of them. A departure that the receiver's own entry supersedes is dropped.

Ruled out: a message to each host for each notice (lost with a broken link; all hosts hear the same target at about the same time). Cost: 30 to 60 bytes a target in the heartbeats of 3 s, by the message's fields.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -8,6 +8,7 @@
 
 use {
     super::{
+        departures,
         peer_table::{Peer, Peers, time_from_age},
         routes, stream_origins,
     },
@@ -15,7 +16,7 @@
         state::{Edge, ReadPosition},
         watch,
     },
-    egret_core::{Target, rendezvous_weight},
+    egret_core::{Departure, Target, rendezvous_weight},
     egret_runtime::{Body, PlatformSnapshotMsg, events, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -36,6 +37,8 @@
 struct StoreUpdate {
     versions: IndexMap<FastStr, u64>,
     targets: Vec<Target>,
+    #[serde(default)]
+    departures: Vec<Departure>,
 }
 
 /// Number of live hosts ranked before this one. The host of rank 0 does the work that one host
@@ -184,9 +187,11 @@
         return;
     }
     let revision = edge.routing().revision;
-    let update = StoreUpdate {
-        versions: edge.versions.read().clone(),
-        targets: edge.fleet.read().all_listed().map(|target| without_adapters(target)).collect(),
+    let versions = edge.versions.read().clone();
+    let update = {
+        let fleet = edge.fleet.read();
+        let targets = fleet.all_listed().map(|target| without_adapters(target)).collect();
+        StoreUpdate { versions, targets, departures: fleet.departures().cloned().collect() }
     };
     let json = serde_json::to_vec(&update).expect("targets serialize to JSON");
     let age_ms = now().ms_since(read_at);
@@ -250,6 +255,7 @@
         // without its routes, this host has not applied all records before that offset
         edge.operator_position.lock().advance(message.operator_offset, false);
     }
+    departures::merge(edge, host, update.departures);
     if message.registry_offset <= edge.fleet.read().position() {
         return;
     }
--- a/crates/edge/src/peers/heartbeat.rs
+++ b/crates/edge/src/peers/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         adapter_deltas::{AdapterDeltas, EngineState},
-        gossip, send_history,
+        departures, gossip, send_history,
     },
     crate::{
         dispatch,
@@ -113,6 +113,7 @@
             // the host may have restarted
             let sends = edge.peers.lock().all().get(&host).map(|peer| peer.sends.messages());
             message.earlier_sends = sends.unwrap_or_default();
+            message.departures = departures::all(&edge);
             link.notify(Body::HostHeartbeat(message));
             // the host may also have missed crashes while it was cut off
             if let Some(crashes) = dispatch::crashes_message(&edge) {
@@ -154,6 +155,7 @@
         target_loads: loads,
         send_totals: send_history::own_totals(edge),
         earlier_sends: Vec::new(),
+        departures: departures::recent(edge),
     }
 }
 
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::{gossip, routes, send_history, stream_origins},
+    super::{departures, gossip, routes, send_history, stream_origins},
     crate::{
         dispatch,
         orders::{self, AdapterRequest},
@@ -34,6 +34,8 @@
         match body {
             Body::HostHeartbeat(mut heartbeat) => {
                 send_history::resume(&edge, std::mem::take(&mut heartbeat.earlier_sends));
+                let known = std::mem::take(&mut heartbeat.departures);
+                departures::merge_messages(&edge, &hello.host, known);
                 let revision = heartbeat.revision;
                 let reported = edge.peers.lock().apply_heartbeat(hello.incarnation, heartbeat);
                 let mut copies = edge.local_copies.lock();
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! own.
 
 mod adapter_deltas;
+mod departures;
 mod gossip;
 mod heartbeat;
 mod messages;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,7 +24,7 @@
 pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
-    AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg,
+    AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg, DepartureMsg,
     EarlierSendsMsg, EngineStateMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame,
     GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool,
     LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg,
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -465,6 +465,27 @@
     /// includes them.
     #[prost(message, repeated, tag = "14")]
     pub earlier_sends: Vec<EarlierSendsMsg>,
+    /// Targets that have told the sender in the last seconds that they leave. The first heartbeat of
+    /// a link names all targets that the sender knows to have left.
+    #[prost(message, repeated, tag = "15")]
+    pub departures: Vec<DepartureMsg>,
+}
+
+/// A start of a target that has left, or is about to.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct DepartureMsg {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Unix time of the start, in milliseconds; 0 if unknown.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// True if the target has said so itself.
+    #[prost(bool, tag = "3")]
+    pub is_announced: bool,
+    /// Position in the registry before which its entry ended, if it has ended.
+    #[prost(uint64, optional, tag = "4")]
+    pub ended_before: Option<u64>,
 }
 
 /// Sends of a host to one service since its start.
