Check again that a target takes requests after the wait for a load

After a load the target's health is now checked as well, and a target that takes no requests any more is left out and another one chosen, instead of refusing at once.

Measured: pause_requests_that_waited_for_a_load failed before (2 requests reached the engine, allowed 1) and passes; 69 tests of requests, hosts, load, silence and leaving pass.

--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -55,6 +55,23 @@
     eligibility: Eligibility<'_>,
     waiting_since: Time,
 ) -> Placement {
+    let mut left_out = eligibility.tried.to_vec();
+    loop {
+        let eligibility = Eligibility { tried: &left_out, ..eligibility };
+        match try_select_target(edge, out, eligibility, waiting_since).await {
+            Ok(placement) => return placement,
+            Err(unavailable) => left_out.push(unavailable),
+        }
+    }
+}
+
+// the error names a target that takes no requests any more, chosen before that was known
+async fn try_select_target(
+    edge: &Arc<Edge>,
+    out: &OutgoingRequest,
+    eligibility: Eligibility<'_>,
+    waiting_since: Time,
+) -> Result<Placement, FastStr> {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let version = adapter.and_then(|adapter| edge.newest_version(adapter));
     let candidates = collect_candidates(edge, out, adapter, version, eligibility);
@@ -73,13 +90,10 @@
         edge.remote_requests.lock().record_request(now(), adapter);
     }
     let (id, needs_load) = match chosen {
-        TargetChoice::NoTarget => return Placement::NoTarget,
+        TargetChoice::NoTarget => return Ok(Placement::NoTarget),
         TargetChoice::Direct(candidate) => (candidate.id.clone(), false),
         TargetChoice::AfterLoad(candidate) => (candidate.id.clone(), true),
     };
-    let Some(target) = edge.fleet.read().ready(&id).cloned() else {
-        return Placement::NoTarget;
-    };
     if let (true, Some(adapter)) = (needs_load, adapter) {
         let load_started = now();
         let due_at = waiting_since.after_ms(out.selected.route.latency_goal_ms);
@@ -103,7 +117,7 @@
                 out.head.id,
                 now().ms_since(load_started)
             ));
-            return Placement::AdapterNotLoaded(id);
+            return Ok(Placement::AdapterNotLoaded(id));
         }
         // all requests that waited for this load continue at the same time, and the adapter may
         // have been loaded on other engines meanwhile
@@ -113,15 +127,16 @@
             TargetChoice::Direct(candidate) => candidate.id.clone(),
             TargetChoice::AfterLoad(_) | TargetChoice::NoTarget => id,
         };
-        // the target may have started draining during the load
-        return edge
-            .fleet
-            .read()
-            .ready(&id)
-            .cloned()
-            .map_or(Placement::NoTarget, Placement::Target);
+        return accepting_target(edge, &id).map(Placement::Target).ok_or(id);
     }
-    Placement::Target(target)
+    accepting_target(edge, &id).map(Placement::Target).ok_or(id)
+}
+
+// the target, unless it leaves or wants no requests
+fn accepting_target(edge: &Edge, id: &FastStr) -> Option<Arc<Target>> {
+    let is_down =
+        edge.target_activity.lock().get(id).is_some_and(|entry| entry.health.is_down(now()));
+    edge.fleet.read().ready(id).filter(|_| !is_down).cloned()
 }
 
 /// Time until which a request waits for adapter loads, if its caller has been waiting since
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -281,6 +281,28 @@
     edge.call_until(200, || request(Method::GET, "/safe/a", &[])).await;
 }
 
+// A request that had waited for an adapter was sent to its engine although the engine had asked for a
+// pause meanwhile.
+#[tokio::test]
+async fn pause_requests_that_waited_for_a_load() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engine = d.start_engine("e-1", 8).await;
+    let edge = d.start_ready_edge(1).await;
+    edge.call_until(200, || stream_request("stream", "a0")).await;
+    engine.set_fault(TargetFault::FullFor(3000));
+    let call = |adapter| edge.call(stream_request("stream", adapter));
+    // the load takes 60 ms, and the refusal a few
+    let (waited, refused) = tokio::join!(call("a1"), async {
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        call("a0").await
+    });
+    assert_eq!(waited.unwrap().status, 503);
+    assert_eq!(refused.unwrap().status, 503);
+    assert!(engine.adapters().contains(&"a1".to_owned()), "the load was not awaited");
+    assert_eq!(engine.refused_requests(), 1);
+}
+
 // a target that said in its answers that it leaves got further requests
 #[tokio::test]
 async fn leave_out_target_whose_answer_says_so() {
