--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -12,6 +12,7 @@
 pub(crate) struct Counts {
     pub(crate) answers: Family<Labels, Counter>,
     pub(crate) sends_failed: Family<Labels, Counter>,
+    pub(crate) sends_to_limited_targets: Counter,
     pub(crate) orders: Family<Labels, Counter>,
     pub(crate) resumptions: Family<Labels, Counter>,
     pub(crate) streams_without_target: Counter,
@@ -26,6 +27,10 @@
         Self {
             answers: metrics.counters("egret_answers", "Final answers by outcome"),
             sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
+            sends_to_limited_targets: metrics.counter(
+                "egret_sends_to_limited_targets",
+                "Requests sent to targets that had named a limit",
+            ),
             orders: metrics.counters("egret_orders", "Orders to engines by answer"),
             resumptions: metrics.counters(
                 "egret_resumptions",
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -35,6 +35,9 @@
     pub(crate) running: u32,
     pub(crate) adapters: IndexMap<FastStr, u32>,
     pub(crate) health: Health,
+    /// Requests that the target takes from all hosts, in thousandths a second, as its last answer
+    /// named them.
+    pub(crate) request_limit_milli: Option<u64>,
 }
 
 /// Position up to which a stream of the store was read.
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -105,6 +105,7 @@
     TARGET_READY = 1016 "target accepts new requests";
     TARGET_LEAVING = 1017 "target leaves";
     TARGET_UNREGISTERED = 1018 "target's registration ended";
+    TARGET_LIMITED = 1019 "target's limit of requests changed";
     CONFIG_APPLIED = 1020 "configuration applied";
     VERSION_ANNOUNCED = 1021 "new version of an adapter announced";
     SETTINGS_RELOADED = 1022 "settings read again";
