Failing test: requests beyond the limit that a target names

The stand-in's targets name a limit in all answers and keep the times of arrival; the test counts as the users do, from 3 s after the limit was first named. It also asks that the other target takes what the limit does not allow, and that most of the limit is used.

--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod hosts;
 mod leaving;
+mod limits;
 mod load;
 mod requests;
 mod resumption;
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -192,6 +192,10 @@
     framing: StreamFraming,
     crash_trigger: Option<CrashTrigger>,
     refused_requests: u64,
+    // requests a second that answers say the target takes
+    request_limit: Option<f64>,
+    // times at which requests arrived, whatever came of them
+    arrivals: Vec<Instant>,
     pub(super) executed_requests: Vec<ExecutedRequest>,
     pub(super) adapters: IndexMap<String, AdapterState>,
     // adapters and versions that were loaded before, of which the engine keeps copies
@@ -345,6 +349,17 @@
         self.shared.state.lock().framing = framing;
     }
 
+    /// Sets the limit of requests a second that all later answers name; it ends with a restart.
+    pub fn set_request_limit(&self, per_s: Option<f64>) {
+        self.shared.state.lock().request_limit = per_s;
+    }
+
+    /// Times at which requests arrived, whatever came of them.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.state.lock().arrivals.clone()
+    }
+
     /// Makes `version` the newest version of an adapter.
     pub fn set_version(&self, adapter: &str, version: u64) {
         self.shared.state.lock().newest_versions.insert(adapter.to_owned(), version);
@@ -419,6 +434,7 @@
         let mut state = self.state.lock();
         state.software_version = software_version;
         state.starts += 1;
+        state.request_limit = None;
         state.seq = 0;
         state.fence = 0;
         state.adapters = initial.iter().map(|name| (name.clone(), loaded)).collect();
@@ -431,6 +447,13 @@
         (state.framing, trigger.filter(|trigger| trigger.matches(request)))
     }
 
+    // returns the fault of the request, and the limit that its answer names
+    fn record_arrival(&self) -> (TargetFault, Option<String>) {
+        let mut state = self.state.lock();
+        state.arrivals.push(Instant::now());
+        (state.fault, state.request_limit.map(|per_s| per_s.to_string()))
+    }
+
     // returns the index of the record
     fn record_execution(&self, request: &RawRequest, request_id: &str) -> usize {
         let mut state = self.state.lock();
@@ -536,30 +559,42 @@
     }
 }
 
+// refuses a request that has not run; returns the connection if it can carry another one
+async fn refuse<'a>(
+    mut conn: RawConn,
+    status: u16,
+    id: &'a str,
+    more_headers: impl IntoIterator<Item = (&'a str, &'a str)>,
+) -> Option<RawConn> {
+    let mut headers = vec![("Request-Id", id), ("Not-Executed", "1")];
+    headers.extend(more_headers);
+    conn.write_response(status, &headers, b"").await.ok().map(|()| conn)
+}
+
 // returns the connection if it can carry another request
 async fn run_request(
     mut conn: RawConn,
     request: &RawRequest,
     shared: &Arc<Shared>,
 ) -> Option<RawConn> {
-    let fault = shared.state.lock().fault;
+    let (fault, limit) = shared.record_arrival();
+    let limit = limit.as_deref().map(|text| ("Server-Limit", text));
     let id = request.header("request-id").unwrap_or_default().to_owned();
     if let Some((status, retry_after)) = refusal(shared, request, fault) {
-        let mut headers = vec![("Request-Id", id.as_str()), ("Not-Executed", "1")];
-        headers.extend(retry_after.as_deref().map(|text| ("Retry-After", text)));
-        return conn.write_response(status, &headers, b"").await.ok().map(|()| conn);
+        let retry_after = retry_after.as_deref().map(|text| ("Retry-After", text));
+        return refuse(conn, status, &id, limit.into_iter().chain(retry_after)).await;
     }
     let sequence = shared.conf.engine.as_ref().map(|_| engine::submit(shared, request));
     // `Some(None)` for a plain service, which has no batch; `None` when an engine's batch refuses
     let Some(sequence) = sequence.map_or(Some(None), |sequence| sequence.map(Some)) else {
-        let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
-        return conn.write_response(503, &headers, b"").await.ok().map(|()| conn);
+        return refuse(conn, 503, &id, limit).await;
     };
     let index = shared.record_execution(request, &id);
     let seal = shared.next_seal();
     let echoed_id =
         if fault == TargetFault::WrongRequestId { "another".to_owned() } else { id.clone() };
     let mut headers = vec![("Request-Id", echoed_id.as_str())];
+    headers.extend(limit);
     if fault == TargetFault::Leaving {
         headers.push(("Server-Leaving", "1"));
     }
