Keep the request limits that targets name, over all hosts

Cause: nothing read the limit, and no part of the system knows the rate of all hosts at one target; each host bounds its own.

One host, the first live one in rendezvous order for the target, is the issuer: it hands out the target's rate as tokens, one for each send, so repeats, second sends and resumed streams count, and a share that one host does not use serves the others. Tokens start at none and save up one request and a quarter of a second. Limits go out with heartbeats and with each question; the newest answer of the latest start counts, and an answer without a limit ends it. An issuer hands out no more than the parts of the hosts it knows to be live; a host that it does not answer within 100 ms uses an even part, counted from then on. A host without a token leaves the target out until the next one is expected and chooses another, also for adapter loads; if none is left it refuses at once.

Ruled out: equal shares by live hosts (a quarter of the limit with one busy host); shares by demand in heartbeats (each host needs a whole request saved up, which at 23 hosts and 2.7 a second is more than the rule allows); treating it as unhealthy (its adapters and its rate would be lost).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 mod send;
 mod slots;
 mod stream_origins;
+mod target_rate_limits;
 mod time;
 
 pub use admission::CallerLimits;
@@ -88,4 +89,5 @@
     OriginReport, ResumePolicy, STREAM_LIFE_MAX_MS, StreamOrigin, StreamOriginRecord,
     StreamOrigins, VersionRecord, VersionSightings, decide_resumption,
 };
+pub use target_rate_limits::{HostCounts, TargetRateLimit, TargetRateLimits, TokenAnswer};
 pub use time::Time;
--- a/crates/core/src/load_balancing.rs
+++ b/crates/core/src/load_balancing.rs
@@ -30,7 +30,7 @@
 
 /// A target that can be chosen, as known to this host.
 #[derive(Clone, Debug)]
-#[allow(clippy::struct_excessive_bools)] // four independent facts
+#[allow(clippy::struct_excessive_bools)] // independent facts
 pub struct TargetCandidate {
     /// Target id.
     pub id: FastStr,
@@ -48,6 +48,8 @@
     pub has_local_copy: bool,
     /// True when the target can load adapters now.
     pub can_load: bool,
+    /// True when the target takes fewer requests than it has slots for, by a limit of its own.
+    pub is_rate_limited: bool,
 }
 
 impl TargetCandidate {
@@ -161,8 +163,12 @@
         candidates.iter().filter(can_load)
     };
     let only_same_data_centre = only_same_data_centre && loadable().any(|c| c.same_data_centre);
-    let engines: Vec<&TargetCandidate> =
+    let mut engines: Vec<&TargetCandidate> =
         loadable().filter(|c| c.same_data_centre || !only_same_data_centre).collect();
+    // an adapter on an engine that limits its rate would soon need a replica on another one
+    if engines.iter().any(|c| !c.is_rate_limited) {
+        engines.retain(|c| !c.is_rate_limited);
+    }
     // an engine with its own copy is preferred even if it is somewhat fuller than the others
     let with_local_copy =
         engines.iter().filter(|c| c.has_local_copy && c.fill_milli() < REPLICATION_FILL_MILLI);
--- a/crates/core/tests/edge.rs
+++ b/crates/core/tests/edge.rs
@@ -529,6 +529,7 @@
         is_resident: false,
         has_local_copy: false,
         can_load: true,
+        is_rate_limited: false,
     }
 }
 
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -12,7 +12,7 @@
 pub(crate) struct Counts {
     pub(crate) answers: Family<Labels, Counter>,
     pub(crate) sends_failed: Family<Labels, Counter>,
-    pub(crate) sends_to_limited_targets: Counter,
+    tokens: Family<Labels, Counter>,
     pub(crate) orders: Family<Labels, Counter>,
     pub(crate) resumptions: Family<Labels, Counter>,
     pub(crate) streams_without_target: Counter,
@@ -27,9 +27,9 @@
         Self {
             answers: metrics.counters("egret_answers", "Final answers by outcome"),
             sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
-            sends_to_limited_targets: metrics.counter(
-                "egret_sends_to_limited_targets",
-                "Requests sent to targets that had named a limit",
+            tokens: metrics.counters(
+                "egret_rate_limit_tokens",
+                "Tokens for requests to targets that limit their rate, by issuer and answer",
             ),
             orders: metrics.counters("egret_orders", "Orders to engines by answer"),
             resumptions: metrics.counters(
@@ -51,6 +51,13 @@
 }
 
 impl Counts {
+    /// Counts a token that was wanted. `issuer` is `self`, `other`, or `none` if it did not answer.
+    pub(crate) fn record_token(&self, issuer: &'static str, is_granted: bool) {
+        let answer = if is_granted { "granted" } else { "denied" };
+        let labels = vec![("issuer", issuer.to_owned()), ("answer", answer.to_owned())];
+        self.tokens.get_or_create(&labels).inc();
+    }
+
     /// Counts an update of `bytes` bytes, `direction` is `sent` or `received`.
     pub(crate) fn record_update_bytes(
         &self,
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -3,6 +3,7 @@
 use {
     super::{crash_suspects, placement, request::OutgoingRequest},
     crate::{
+        peers,
         pool::kept_connections_max,
         state::{Edge, RunningRequest},
     },
@@ -17,9 +18,6 @@
     std::sync::Arc,
 };
 
-/// A limit of requests that changes by less than one part in this many is not logged again.
-const LIMIT_LOG_PARTS: u64 = 4;
-
 /// An answer whose head was received. Dropping it closes the connection, which cancels the
 /// request at the target.
 #[derive(Debug)]
@@ -59,10 +57,6 @@
         }
     };
     let request = build_request(edge, out, &target, last_event);
-    if edge.target_activity.lock().get(&target.id).is_some_and(|t| t.request_limit_milli.is_some())
-    {
-        edge.counts.sends_to_limited_targets.inc();
-    }
     let answer = match conn.send(request, out.deadline).await {
         Ok(answer) => answer,
         Err(e @ HttpError::NotSent(_)) => {
@@ -83,7 +77,7 @@
     record_notice(edge, &target, notice);
     let check = verify_answer(head.status, &head.headers, &out.head.id);
     if matches!(check, AnswerCheck::Verified | AnswerCheck::Refused) {
-        record_limit(edge, &target, notice.request_limit_milli);
+        peers::observe_limit(edge, &target, notice.request_limit_milli);
     }
     match check {
         AnswerCheck::Verified => {}
@@ -179,26 +173,6 @@
     }
 }
 
-// records the limit that a target names in an answer; an answer without one ends it
-fn record_limit(edge: &Edge, target: &Target, limit_milli: Option<u64>) {
-    let mut activity = edge.target_activity.lock();
-    let entry = activity.entry(target.id.clone()).or_default();
-    let before = std::mem::replace(&mut entry.request_limit_milli, limit_milli);
-    drop(activity);
-    let is_near = |before: u64, limit: u64| before.abs_diff(limit) * LIMIT_LOG_PARTS <= before;
-    let is_logged = match (before, limit_milli) {
-        (None, None) => false,
-        (Some(before), Some(limit)) => !is_near(before, limit),
-        (Some(_), None) | (None, Some(_)) => true,
-    };
-    if is_logged {
-        events::TARGET_LIMITED.info(format_args!(
-            "target={} started={} milli_per_s={limit_milli:?} before={before:?}",
-            target.id, target.started_unix_ms
-        ));
-    }
-}
-
 /// Updates the health of `target`.
 pub(crate) fn record_health(edge: &Edge, target: &Target, signal: HealthSignal) {
     let mut activity = edge.target_activity.lock();
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -48,7 +48,8 @@
 }
 
 /// Chooses an eligible target and, if needed, waits until the adapter is loaded there. The caller has
-/// been waiting since `waiting_since`.
+/// been waiting since `waiting_since`. A target that limits its rate is chosen for one send, since a
+/// token is taken for it.
 pub(crate) async fn select_target(
     edge: &Arc<Edge>,
     out: &OutgoingRequest,
@@ -59,6 +60,9 @@
     loop {
         let eligibility = Eligibility { tried: &left_out, ..eligibility };
         match try_select_target(edge, out, eligibility, waiting_since).await {
+            Ok(Placement::Target(target)) if !peers::take_token(edge, &target).await => {
+                left_out.push(target.id.clone());
+            }
             Ok(placement) => return placement,
             Err(unavailable) => left_out.push(unavailable),
         }
@@ -153,6 +157,15 @@
     fleet.all_ready().any(|t| t.service == *service && t.software_version == *version)
 }
 
+/// True if a target of the request's service takes no further request for a while, by its rate limit.
+pub(crate) fn is_rate_limited(edge: &Edge, out: &OutgoingRequest) -> bool {
+    let service = &out.selected.service.name;
+    let ready: Vec<Arc<Target>> =
+        edge.fleet.read().all_ready().filter(|t| t.service == *service).cloned().collect();
+    let limits = edge.rate_limits.lock();
+    ready.iter().any(|t| limits.is_exhausted(now(), &t.id, t.started_unix_ms))
+}
+
 /// True if an eligible target can serve the request, now or after a load.
 pub(crate) fn has_alternative(
     edge: &Edge,
@@ -217,7 +230,12 @@
                 )
             })
         };
-        if is_down {
+        let (is_rate_limited, is_exhausted) = {
+            let limits = edge.rate_limits.lock();
+            let (id, start) = (&target.id, target.started_unix_ms);
+            (limits.limit(id, start).is_some(), limits.is_exhausted(now, id, start))
+        };
+        if is_down || is_exhausted {
             continue;
         }
         let running = {
@@ -247,6 +265,7 @@
                 .is_some_and(|a| edge.local_copies.lock().has_copy(&target.id, a)),
             // an older version in use can be replaced only after its requests have ended, so
             // another engine has the new version sooner
+            is_rate_limited,
             can_load: engine_residency.can_load
                 && !(engine_residency.has_older_version && is_serving(edge, &target.id, adapter)),
         });
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -190,6 +190,9 @@
                 self.edge.counts.streams_without_target.inc();
                 "no target of its software version"
             }
+            _ if placement::is_rate_limited(&self.edge, &self.out) => {
+                "no target takes it, and some are at their rate limits"
+            }
             _ => "no target takes it",
         }
     }
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -55,6 +55,16 @@
     is_first_among(edge, key, |_| true)
 }
 
+/// The first of the live hosts in the rendezvous order for `key`, unless it is this host.
+pub(super) fn first_other_host(edge: &Edge, key: &str) -> Option<FastStr> {
+    let peers = edge.peers.lock();
+    let own_weight = rendezvous_weight(key, &edge.cfg.host);
+    let others = peers.all().keys().filter(|host| peers.is_live(host));
+    let weighted = others.map(|host| (rendezvous_weight(key, host), host));
+    let first = weighted.filter(|(weight, _)| *weight >= own_weight).max();
+    first.map(|(_, host)| host.clone())
+}
+
 /// True if this host is the first live one of its data centre, which exchanges state with the other
 /// data centres.
 pub(super) fn is_first_of_data_centre(edge: &Edge) -> bool {
--- a/crates/edge/src/peers/heartbeat.rs
+++ b/crates/edge/src/peers/heartbeat.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         adapter_deltas::{AdapterDeltas, EngineState},
-        departures, gossip, send_history,
+        departures, gossip, rate_limits, send_history,
     },
     crate::{
         dispatch,
@@ -156,6 +156,7 @@
         send_totals: send_history::own_totals(edge),
         earlier_sends: Vec::new(),
         departures: departures::recent(edge),
+        rate_limits: rate_limits::recent(edge),
     }
 }
 
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::{departures, gossip, routes, send_history, stream_origins},
+    super::{departures, gossip, rate_limits, routes, send_history, stream_origins},
     crate::{
         dispatch,
         orders::{self, AdapterRequest},
@@ -36,6 +36,8 @@
                 send_history::resume(&edge, std::mem::take(&mut heartbeat.earlier_sends));
                 let known = std::mem::take(&mut heartbeat.departures);
                 departures::merge_messages(&edge, &hello.host, known);
+                let limits = std::mem::take(&mut heartbeat.rate_limits);
+                rate_limits::observe_messages(&edge, &hello.host, limits);
                 let revision = heartbeat.revision;
                 let reported = edge.peers.lock().apply_heartbeat(hello.incarnation, heartbeat);
                 let mut copies = edge.local_copies.lock();
@@ -79,6 +81,10 @@
             }
             Body::FetchRoutes(message) => Some(routes::answer_fetch(&edge, &hello.host, &message)),
             Body::FindStreamOrigin(message) => Some(stream_origins::answer_find(&edge, message)),
+            Body::TakeToken(message) => {
+                let answer = rate_limits::answer_take(&edge, &hello.host, message);
+                Some(answer.unwrap_or_else(refusal_message))
+            }
             // message types of other programs
             _ => Some(refusal_message()),
         }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod heartbeat;
 mod messages;
 mod peer_table;
+mod rate_limits;
 mod routes;
 mod send_history;
 mod stream_origins;
@@ -18,6 +19,7 @@
     },
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
+    rate_limits::{observe_limit, take_token},
     routes::RoutesExchange,
     stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -12,7 +12,7 @@
     egret_core::{
         BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests, EarlierSends,
         EngineClaim, EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryWindow, Routing,
-        StreamOrigins, Time, VersionRecord, VersionSightings,
+        StreamOrigins, TargetRateLimits, Time, VersionRecord, VersionSightings,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LinkPool, Metrics, now, unix_ms},
@@ -35,9 +35,6 @@
     pub(crate) running: u32,
     pub(crate) adapters: IndexMap<FastStr, u32>,
     pub(crate) health: Health,
-    /// Requests that the target takes from all hosts, in thousandths a second, as its last answer
-    /// named them.
-    pub(crate) request_limit_milli: Option<u64>,
 }
 
 /// Position up to which a stream of the store was read.
@@ -80,6 +77,7 @@
     // time at which the registry was last read to its end; zero before the first read
     pub(crate) registry_read_at: Mutex<Time>,
     pub(crate) target_activity: Mutex<IndexMap<FastStr, TargetActivity>>,
+    pub(crate) rate_limits: Mutex<TargetRateLimits>,
     pub(crate) engine_owners: Mutex<EngineOwners>,
     pub(crate) reconcilers: EngineReconcilers,
     pub(crate) load_limit: Mutex<ColdLoadLimit>,
@@ -137,6 +135,7 @@
             fleet: RwLock::default(),
             registry_read_at: Mutex::new(Time::ZERO),
             target_activity: Mutex::default(),
+            rate_limits: Mutex::default(),
             engine_owners: Mutex::new(EngineOwners::new(
                 own_claim,
                 cfg.orders.fencing,
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -88,6 +88,7 @@
     edge.fleet.write().remove_expired(now());
     let known: IndexSet<FastStr> = edge.fleet.read().all().map(|t| t.id.clone()).collect();
     edge.connections.remove_expired(|target| known.contains(target));
+    edge.rate_limits.lock().remove_expired(now(), |target| known.contains(target));
     edge.local_copies.lock().retain(|target| known.contains(target));
     edge.target_activity.lock().retain(|target, entry| entry.running > 0 || known.contains(target));
 }
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -69,7 +69,9 @@
         | Body::Ok(_)
         | Body::PermitLoans(_)
         | Body::FetchRoutes(_)
-        | Body::Routes(_) => None,
+        | Body::Routes(_)
+        | Body::TakeToken(_)
+        | Body::Token(_) => None,
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -27,10 +27,10 @@
     AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg, DepartureMsg,
     EarlierSendsMsg, EngineStateMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame,
     GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool,
-    LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ReadPositionMsg, RefuseMsg,
-    RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg, SendTotalsMsg, StatusMsg,
-    StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg,
-    TargetLoadMsg, TicketMsg, serve_links,
+    LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, RateLimitMsg,
+    ReadPositionMsg, RefuseMsg, RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg,
+    SendTotalsMsg, StatusMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg,
+    SuspectsMsg, TargetLoadMsg, TicketMsg, TokenMsg, serve_links,
 };
 pub use logs::init_logging;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -15,7 +15,7 @@
     /// Content of the frame.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<Body>,
 }
@@ -86,6 +86,12 @@
     /// Answer to that request.
     #[prost(message, tag = "22")]
     Routes(RoutesMsg),
+    /// Requests a token for a request to a target that limits its rate.
+    #[prost(message, tag = "23")]
+    TakeToken(RateLimitMsg),
+    /// Answer to that request.
+    #[prost(message, tag = "24")]
+    Token(TokenMsg),
 }
 
 /// Identifies the sender of a link's messages.
@@ -469,6 +475,35 @@
     /// a link names all targets that the sender knows to have left.
     #[prost(message, repeated, tag = "15")]
     pub departures: Vec<DepartureMsg>,
+    /// Rate limits that targets have named to the sender in the last second, or that have ended.
+    #[prost(message, repeated, tag = "16")]
+    pub rate_limits: Vec<RateLimitMsg>,
+}
+
+/// The requests that a target takes from all hosts together.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RateLimitMsg {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Unix time of the target's start, in milliseconds; 0 if unknown.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Requests in thousandths a second; none if the target names no limit any more.
+    #[prost(uint64, optional, tag = "3")]
+    pub milli_per_s: Option<u64>,
+    /// Milliseconds since the target named it.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
+/// Whether a request may be sent to a target that limits its rate.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TokenMsg {
+    /// Milliseconds for which the sender of the question may send no request to the target; 0 if it
+    /// may send the one that it asked for.
+    #[prost(uint64, tag = "1")]
+    pub wait_ms: u64,
 }
 
 /// A start of a target that has left, or is about to.
