Begin without tokens when a host takes over a target's rate

The entry now knows whether this host is the issuer and begins with an empty bucket when it becomes so; hosts look at that with each check of the registry, also without demand.

issue_token_after_takeover_starts_empty guards it. Ruled out: emptying the bucket after a pause of demand, which denies the first request of a rare caller. Tests of the core's limits (11) and of limits over HTTP (7) pass.

--- a/crates/core/src/target_rate_limits.rs
+++ b/crates/core/src/target_rate_limits.rs
@@ -96,8 +96,9 @@
 #[derive(Clone, Debug)]
 struct Entry {
     limit: TargetRateLimit,
-    // tokens that this host hands out as the issuer
+    // tokens that this host hands out as the issuer, and whether it is the issuer
     issued: TokenBucket,
+    is_issuer: bool,
     // hosts that were denied one since the last was granted
     denied_hosts: IndexSet<FastStr>,
     // this host's part of the rate, set while the issuer does not answer
@@ -127,6 +128,7 @@
             limit.milli_per_s?;
             let entry = Entry {
                 issued: TokenBucket::empty(now),
+                is_issuer: false,
                 denied_hosts: IndexSet::new(),
                 own_part: None,
                 denied_until: Time::ZERO,
@@ -168,6 +170,23 @@
             && self.by_target.get(target).is_some_and(|entry| now < entry.denied_until)
     }
 
+    /// Records whether this host is the issuer of `target` now. One that takes over begins without
+    /// tokens, since the issuer before it may have handed out those of the same time.
+    pub fn record_issuer(&mut self, now: Time, target: &str, is_self: bool) {
+        let Some(entry) = self.by_target.get_mut(target) else {
+            return;
+        };
+        if is_self && !entry.is_issuer {
+            entry.issued = TokenBucket::empty(now);
+        }
+        entry.is_issuer = is_self;
+    }
+
+    /// Targets that have named a limit.
+    pub fn targets(&self) -> impl Iterator<Item = &FastStr> {
+        self.by_target.keys()
+    }
+
     /// Takes a token out of the rate of `target` for `host`, as its issuer. Of several hosts that are
     /// denied one, the later ones wait longer, so that they do not all ask again at once.
     pub fn issue_token(
@@ -183,6 +202,10 @@
         let Some(milli_per_s) = entry.limit.milli_per_s else {
             return TokenAnswer::Granted;
         };
+        if !entry.is_issuer {
+            entry.is_issuer = true;
+            entry.issued = TokenBucket::empty(now);
+        }
         let (milli_per_s, known) = (milli_per_s.max(RATE_MIN_MILLI), hosts.known.max(1));
         let rate = milli_per_s.saturating_mul(hosts.live.min(known)) / known;
         match entry.issued.take(now, rate, REQUEST_COST + milli_per_s * BURST_MS) {
--- a/crates/core/tests/target_rate_limits.rs
+++ b/crates/core/tests/target_rate_limits.rs
@@ -23,6 +23,14 @@
     FastStr::from_string(format!("host-{number}"))
 }
 
+// the limits of a host that is the issuer
+fn issuer(milli_per_s: u64) -> TargetRateLimits {
+    let mut limits = TargetRateLimits::default();
+    limits.observe(at(0), named(Some(milli_per_s), 1, 0));
+    limits.record_issuer(at(0), TARGET, true);
+    limits
+}
+
 const ALONE: HostCounts = HostCounts { live: 1, known: 1 };
 
 fn issue(limits: &mut TargetRateLimits, now_ms: u64, hosts: HostCounts) -> bool {
@@ -33,8 +41,7 @@
 #[test]
 fn issue_token_keeps_fractions() {
     for milli_per_s in [250, 900, 2700, 17_300] {
-        let mut limits = TargetRateLimits::default();
-        limits.observe(at(0), named(Some(milli_per_s), 1, 0));
+        let mut limits = issuer(milli_per_s);
         let granted = (0..100_000).filter(|ms| issue(&mut limits, *ms, ALONE)).count() as u64;
         let wanted = milli_per_s / 10;
         assert!(granted <= wanted && granted + 2 >= wanted, "{granted} of {wanted}");
@@ -43,8 +50,7 @@
 
 #[test]
 fn issue_token_saves_little() {
-    let mut limits = TargetRateLimits::default();
-    limits.observe(at(0), named(Some(8000), 1, 0));
+    let mut limits = issuer(8000);
     let granted = (0..100).filter(|_| issue(&mut limits, 60_000, ALONE)).count();
     assert_eq!(granted, 3, "one and those of a quarter of a second");
 }
@@ -52,26 +58,35 @@
 // An issuer that was cut off from the others must not hand out the whole rate.
 #[test]
 fn issue_token_counts_hosts_that_are_missing() {
-    let mut limits = TargetRateLimits::default();
-    limits.observe(at(0), named(Some(8000), 1, 0));
+    let mut limits = issuer(8000);
     let hosts = HostCounts { live: 1, known: 4 };
     let granted = (0..20_000).filter(|ms| issue(&mut limits, *ms, hosts)).count();
     assert!((38..=40).contains(&granted), "{granted}");
 }
 
+// A host that took over from another issuer had saved up tokens that the other one had handed out.
+#[test]
+fn issue_token_after_takeover_starts_empty() {
+    let mut limits = issuer(8000);
+    assert!(!issue(&mut limits, 0, ALONE));
+    assert!(issue(&mut limits, 1000, ALONE));
+    limits.record_issuer(at(1000), TARGET, false);
+    limits.record_issuer(at(60_000), TARGET, true);
+    assert!(!issue(&mut limits, 60_000, ALONE));
+    assert!(issue(&mut limits, 60_200, ALONE));
+}
+
 // A target that names 0 is asked now and then, since only an answer tells that the limit has ended.
 #[test]
 fn issue_token_at_limit_zero() {
-    let mut limits = TargetRateLimits::default();
-    limits.observe(at(0), named(Some(0), 1, 0));
+    let mut limits = issuer(0);
     let granted = (0..40_000).filter(|ms| issue(&mut limits, *ms, ALONE)).count();
     assert!((9..=10).contains(&granted), "{granted}");
 }
 
 #[test]
 fn issue_token_spreads_hosts_that_are_denied() {
-    let mut limits = TargetRateLimits::default();
-    limits.observe(at(0), named(Some(1000), 1, 0));
+    let mut limits = issuer(1000);
     let waits = (0..8).map(|number| {
         match limits.issue_token(at(10), TARGET, &host(number), HostCounts { live: 8, known: 8 }) {
             TokenAnswer::Granted => panic!("nothing was saved up"),
@@ -206,6 +221,16 @@
         }
     }
 
+    fn observe_issuers(&mut self, now: u64) {
+        for number in 0..self.hosts.len() {
+            let is_self = self.issuer(number, now) == number;
+            let host = &mut self.hosts[number];
+            if !host.is_frozen {
+                host.limits.record_issuer(at(now), TARGET, is_self);
+            }
+        }
+    }
+
     fn wants_token(&mut self, number: usize, now: u64) -> bool {
         let counts = self.counts(number, now);
         let issuer = self.issuer(number, now);
@@ -244,6 +269,7 @@
     fn step(&mut self, now: u64) {
         if now.is_multiple_of(HEARTBEAT_MS) {
             self.exchange_heartbeats(now);
+            self.observe_issuers(now);
         }
         for number in 0..self.hosts.len() {
             let demand = self.hosts[number].demand;
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -19,7 +19,7 @@
     },
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
-    rate_limits::{observe_limit, take_token},
+    rate_limits::{observe_issuers, observe_limit, take_token},
     routes::RoutesExchange,
     stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
--- a/crates/edge/src/peers/rate_limits.rs
+++ b/crates/edge/src/peers/rate_limits.rs
@@ -87,6 +87,15 @@
     edge.rate_limits.lock().take_own_token(now(), &target.id, hosts)
 }
 
+/// Records of which targets this host is the issuer.
+pub(crate) fn observe_issuers(edge: &Edge) {
+    let targets: Vec<FastStr> = edge.rate_limits.lock().targets().cloned().collect();
+    for target in targets {
+        let is_self = gossip::first_other_host(edge, &target).is_none();
+        edge.rate_limits.lock().record_issuer(now(), &target, is_self);
+    }
+}
+
 async fn ask_if_due(edge: &Edge, issuer: &str, limit: &TargetRateLimit) -> Option<TokenAnswer> {
     if !edge.rate_limits.lock().may_ask(now(), &limit.target) {
         return None;
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -85,6 +85,7 @@
 // removes targets that no longer exist, and state that is kept for them
 fn remove_gone_targets(edge: &Edge) {
     peers::observe_versions(edge);
+    peers::observe_issuers(edge);
     edge.fleet.write().remove_expired(now());
     let known: IndexSet<FastStr> = edge.fleet.read().all().map(|t| t.id.clone()).collect();
     edge.connections.remove_expired(|target| known.contains(target));
