Wait for the second check before a request with a crash suspect is moved on

A request of which something was on a crash now waits for the second check, 100 ms later, before it may be sent again; others still wait for the first one only.

Ruled out: waiting for the second check after each broken connection, which delays the resumption of every stream that a network fault breaks by more than a pause may last.

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -197,6 +197,13 @@
         self.first_refused(suspects).is_some()
     }
 
+    /// True if one of these suspects was on a crash, and nothing has shown since that it is sound.
+    #[must_use]
+    pub fn is_suspected(&self, now: Time, suspects: &[Suspect]) -> bool {
+        let mut current = self.crashes.values().filter(|crash| now < crash.expires_at);
+        current.any(|crash| suspects.iter().any(|suspect| crash.suspects.contains(suspect)))
+    }
+
     /// The refused suspects, each with the number of crashes that it was on.
     pub fn refused(&self) -> impl Iterator<Item = (Suspect, usize)> {
         self.refused.keys().map(|suspect| (*suspect, self.crashes_with(*suspect).count()))
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -35,8 +35,14 @@
 #[derive(Debug)]
 struct Check {
     started_at: Time,
-    // the result of the first connection: true if it was refused
-    is_down: Shared<oneshot::Receiver<bool>>,
+    results: CheckResults,
+}
+
+// results of the two connections of a check: true if the connection was refused
+#[derive(Clone, Debug)]
+struct CheckResults {
+    first: Shared<oneshot::Receiver<bool>>,
+    second: Shared<oneshot::Receiver<bool>>,
 }
 
 /// Reason of a refusal.
@@ -159,7 +165,8 @@
 
 /// Records that the connection of a request broke off, and checks whether its target accepts
 /// connections: waiting for the next request would find a crash late or never. Returns once the
-/// first check has ended.
+/// first connection has shown it, or the second one if something of the request was on a crash
+/// before: it may not be sent to another target unless this one still runs.
 pub(crate) async fn handle_broken_connection(
     edge: &Arc<Edge>,
     out: &OutgoingRequest,
@@ -174,32 +181,43 @@
         out.head.shared_prompt_parts.join(",")
     ));
     edge.broken_connections.lock().record_broken(now(), &target.id, out.suspects.clone());
-    if check(edge, target).await == Ok(true) {
+    let results = check(edge, target);
+    let mut is_down = results.first.await == Ok(true);
+    if !is_down && edge.crash_reports.lock().is_suspected(now(), &out.suspects) {
+        is_down = results.second.await == Ok(true);
+    }
+    if is_down {
         // the connection of this request may have broken after the check had ended
         record_target_down(edge, target);
     }
 }
 
 // starts a check, or returns the one that was started before
-fn check(edge: &Arc<Edge>, target: &Arc<Target>) -> Shared<oneshot::Receiver<bool>> {
+fn check(edge: &Arc<Edge>, target: &Arc<Target>) -> CheckResults {
     let mut checks = edge.crash_checks.by_target.lock();
     checks.retain(|_, check| now() < check.started_at.after_ms(CHECK_VALID_MS));
     if let Some(check) = checks.get(&target.id) {
-        return check.is_down.clone();
+        return check.results.clone();
     }
-    let (tx, rx) = oneshot::channel();
-    let is_down = rx.shared();
-    let check = Check { started_at: now(), is_down: is_down.clone() };
+    let (first_tx, first_rx) = oneshot::channel();
+    let (second_tx, second_rx) = oneshot::channel();
+    let results = CheckResults { first: first_rx.shared(), second: second_rx.shared() };
+    let check = Check { started_at: now(), results: results.clone() };
     checks.insert(target.id.clone(), check);
     drop(checks);
     // a task of its own, since the caller of the request may leave
-    tokio::spawn(run_check(edge.clone(), target.clone(), tx));
-    is_down
+    tokio::spawn(run_check(edge.clone(), target.clone(), first_tx, second_tx));
+    results
 }
 
-async fn run_check(edge: Arc<Edge>, target: Arc<Target>, first_result: oneshot::Sender<bool>) {
+async fn run_check(
+    edge: Arc<Edge>,
+    target: Arc<Target>,
+    first_result: oneshot::Sender<bool>,
+    second_result: oneshot::Sender<bool>,
+) {
     let mut is_down = refuses_connections(&target).await;
-    // the requests that waited for the result may have ended
+    // the requests that waited for the results may have ended
     let _ = first_result.send(is_down);
     if !is_down {
         tokio::time::sleep(Duration::from_millis(SECOND_CHECK_PAUSE_MS)).await;
@@ -209,6 +227,7 @@
         attempt::record_health(&edge, &target, HealthSignal::Unreachable);
         record_target_down(&edge, &target);
     }
+    let _ = second_result.send(is_down);
 }
 
 // a target that does not answer at all may be cut off
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -137,6 +137,16 @@
 // refused elsewhere.
 #[tokio::test]
 async fn refused_content_is_not_moved() {
+    send_content_that_crashes_two_engines(Duration::ZERO).await;
+}
+
+// The listener of an engine outlived its connections, so it did not look crashed at once.
+#[tokio::test]
+async fn refused_content_is_not_moved_while_listener_is_open() {
+    send_content_that_crashes_two_engines(Duration::from_millis(40)).await;
+}
+
+async fn send_content_that_crashes_two_engines(listener_time: Duration) {
     let d = Deployment::new().await;
     d.configure(7);
     // the first crash is that of the only engine
@@ -146,6 +156,9 @@
     assert_eq!(crashes(&engines), 1);
     wait_until("crash known", || d.log(1).contains("contents became crash suspects")).await;
     engines.extend(start_engines(&d, 2..=4, 1).await);
+    for engine in &engines {
+        engine.set_crash_listener_time(listener_time);
+    }
     for number in 2..=4 {
         let ready = format!("target accepts new requests target=e-{number}");
         wait_until("engines known", || d.log(1).contains(&ready)).await;
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -191,6 +191,8 @@
     pub(super) fault: TargetFault,
     framing: StreamFraming,
     crash_trigger: Option<CrashTrigger>,
+    // time for which the listener stays open after a crash has closed all connections
+    crash_listener_time: Duration,
     refused_requests: u64,
     // requests a second that answers say the target takes
     request_limit: Option<f64>,
@@ -338,6 +340,12 @@
         self.shared.state.lock().crash_trigger = Some(trigger);
     }
 
+    /// Makes the listener of a crashing target stay open for this long after its connections have
+    /// closed, as the system may do when a process ends.
+    pub fn set_crash_listener_time(&self, time: Duration) {
+        self.shared.state.lock().crash_listener_time = time;
+    }
+
     /// Number of crashes so far.
     #[must_use]
     pub fn crashes(&self) -> u64 {
@@ -493,7 +501,14 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shared.crash.notified() => return,
+            () = shared.crash.notified() => {
+                let listener_time = shared.state.lock().crash_listener_time;
+                if !listener_time.is_zero() {
+                    drop(conns);
+                    tokio::time::sleep(listener_time).await;
+                }
+                return;
+            }
         };
         let Ok((stream, _)) = accepted else {
             return;
