Wait for the second check once two connections of a request have broken off

BUDGET: requests that share a crashing part of their prompts crashed six or seven targets before the part was refused, five expected at most, when the targets' listeners outlived their connections by a millisecond. Each request was moved on while no check had ended, so it crashed as many targets as its route allows. A request of which a second connection breaks off now waits for the second check of that target.

One broken connection costs no more time than before.

--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -166,7 +166,8 @@
 /// Records that the connection of a request broke off, and checks whether its target accepts
 /// connections: waiting for the next request would find a crash late or never. Returns once the
 /// first connection has shown it, or the second one if something of the request was on a crash
-/// before: it may not be sent to another target unless this one still runs.
+/// before, or if another of its connections has broken off: it may then not be sent to a further
+/// target unless this one still runs.
 pub(crate) async fn handle_broken_connection(
     edge: &Arc<Edge>,
     out: &OutgoingRequest,
@@ -183,7 +184,10 @@
     edge.broken_connections.lock().record_broken(now(), &target.id, out.suspects.clone());
     let results = check(edge, target);
     let mut is_down = results.first.await == Ok(true);
-    if !is_down && edge.crash_reports.lock().is_suspected(now(), &out.suspects) {
+    let has_broken_before = out.record_broken_send() > 1;
+    let is_suspected =
+        has_broken_before || edge.crash_reports.lock().is_suspected(now(), &out.suspects);
+    if !is_down && is_suspected {
         is_down = results.second.await == Ok(true);
     }
     if is_down {
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -19,7 +19,7 @@
         fmt,
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
     },
 };
@@ -55,6 +55,8 @@
     pub(crate) is_crash_test: bool,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
+    // sends whose connections broke off
+    broken_sends: AtomicU32,
     // set once the answer has ended, completely or not
     is_finished: AtomicBool,
 }
@@ -129,6 +131,7 @@
             is_crash_test: false,
             arrived_at: arrived,
             deadline,
+            broken_sends: AtomicU32::new(0),
             is_finished: AtomicBool::new(false),
         })
     }
@@ -154,6 +157,11 @@
         resumed.filter(|_| self.head.last_event_id.is_some()).unwrap_or(&self.head.id)
     }
 
+    /// Counts a send whose connection broke off. Returns how many there are.
+    pub(crate) fn record_broken_send(&self) -> u32 {
+        self.broken_sends.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Records that the answer has ended, completely or not.
     pub(crate) fn mark_finished(&self) {
         self.is_finished.store(true, Ordering::Relaxed);
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -193,9 +193,22 @@
 // engine after the other.
 #[tokio::test]
 async fn prompt_part_that_crashes_engines_is_refused() {
+    send_parts_that_crash_engines(Duration::ZERO).await;
+}
+
+// Each request crashed as many engines as its route allows, since none of them looked crashed at once.
+#[tokio::test]
+async fn prompt_part_that_crashes_engines_is_refused_while_listeners_are_open() {
+    send_parts_that_crash_engines(Duration::from_millis(1)).await;
+}
+
+async fn send_parts_that_crash_engines(listener_time: Duration) {
     let d = Deployment::new().await;
     d.configure(7);
     let engines = start_engines(&d, 1..=12, 1).await;
+    for engine in &engines {
+        engine.set_crash_listener_time(listener_time);
+    }
     let edges = start_ready_edges(&d, 2).await;
     for number in 0..4 {
         let answer = edges[number % 2].call(request_with_part("50f7", number)).await.unwrap();
