Keep a target's pause until it is over

The activity is now kept while the target is left out.

Measured: pause_outlasts_entry failed before and passes; the other eight tests of pauses and leaving pass.

--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -91,7 +91,10 @@
     edge.connections.remove_expired(|target| known.contains(target));
     edge.rate_limits.lock().remove_expired(now(), |target| known.contains(target));
     edge.local_copies.lock().retain(|target| known.contains(target));
-    edge.target_activity.lock().retain(|target, entry| entry.running > 0 || known.contains(target));
+    // a target's entry may come back before its pause is over
+    edge.target_activity.lock().retain(|target, entry| {
+        entry.running > 0 || known.contains(target) || entry.health.is_down(now())
+    });
 }
 
 fn apply_page(edge: &Edge, page: &Page, is_listing: bool) {
--- a/crates/edge/tests/edge/leaving.rs
+++ b/crates/edge/tests/edge/leaving.rs
@@ -151,3 +151,23 @@
     let runs = runs_within(Duration::from_secs(2), &[&second], &b).await;
     assert_eq!(runs, 0, "requests reached a target that had left");
 }
+
+// A pause that a target had asked for was forgotten with its entry in the registry.
+#[tokio::test]
+async fn pause_outlasts_entry() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (_a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let edge = d.start_ready_edge(1).await;
+    b.set_fault(TargetFault::FullFor(6000));
+    while b.refused_requests() == 0 {
+        call_many(&edge, 3).await;
+    }
+    b.set_fault(TargetFault::None);
+    d.store.write("keyed.servers", "p-2", None);
+    wait_until("removed", || d.log(1).contains("registration ended target=p-2")).await;
+    settle(Duration::from_secs(1)).await;
+    b.register(&d.store, "ready");
+    let runs = runs_within(Duration::from_secs(2), &[&edge], &b).await;
+    assert_eq!(runs, 0, "requests reached a target within the pause that it had asked for");
+}
