Keep a target's rate limit while its entry is away

LIMIT: a target's limit was dropped when its entry in the registry lapsed, and hosts sent freely until the first answer after its return. It is now kept for 10 s after the target last named it. limit_outlasts_entry failed before and passes, with the other tests of the core's limits.

--- a/crates/core/src/target_rate_limits.rs
+++ b/crates/core/src/target_rate_limits.rs
@@ -26,8 +26,9 @@
 /// hosts may change meanwhile.
 const DENIAL_MAX_MS: u64 = 4000;
 
-/// Time for which the end of a limit is remembered, so that older reports of it do not bring it back.
-const END_RETENTION_MS: u64 = 10_000;
+/// Time for which a limit is remembered after its end, so that older reports do not bring it back, and
+/// without an entry of the target in the registry, which may come back.
+const RETENTION_MS: u64 = 10_000;
 
 /// A limit as a target has named it in an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -275,9 +276,8 @@
     /// Forgets the limits of targets that are not known any more, and limits that ended long ago.
     pub fn remove_expired(&mut self, now: Time, is_known: impl Fn(&str) -> bool) {
         self.by_target.retain(|target, entry| {
-            let is_remembered = entry.limit.milli_per_s.is_some()
-                || now < entry.limit.named_at.after_ms(END_RETENTION_MS);
-            is_remembered && is_known(target)
+            let is_in_force = entry.limit.milli_per_s.is_some() && is_known(target);
+            is_in_force || now < entry.limit.named_at.after_ms(RETENTION_MS)
         });
     }
 }
--- a/crates/core/tests/target_rate_limits.rs
+++ b/crates/core/tests/target_rate_limits.rs
@@ -118,6 +118,18 @@
     assert_eq!(limits.named_after(Time::ZERO).count(), 0);
 }
 
+// The limit of a target was forgotten when its entry lapsed for a moment.
+#[test]
+fn limit_outlasts_entry() {
+    let mut limits = issuer(2700);
+    limits.remove_expired(at(5000), |_| false);
+    assert!(limits.limit(TARGET, 1).is_some());
+    limits.remove_expired(at(15_000), |_| true);
+    assert!(limits.limit(TARGET, 1).is_some());
+    limits.remove_expired(at(15_000), |_| false);
+    assert!(limits.limit(TARGET, 1).is_none());
+}
+
 // A host that the issuer does not answer uses its own part, and nothing that was saved up.
 #[test]
 fn take_own_token_is_an_even_part() {
