Test requests with several refused suspects as well

A request with more than one refused suspect was never tested, and each refusal put off the expiry of the crashes, so sound requests with both parts were never served again.

Such a request is now tested too, half a first interval later than one with a single refused suspect: that one tells which of them is sound, so it keeps its turn. When the joint test runs well, all of its suspects are cleared.

Ruled out: to let refusals expire while requests keep coming, which lets a crashing part run again at each host.

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -29,6 +29,10 @@
 /// Sound suspects kept; the oldest are dropped beyond that.
 const SOUND_MAX: usize = 16_384;
 
+/// A request with several refused suspects is tested this part of the first interval later than one
+/// with one of them.
+const JOINT_TEST_DELAY_PARTS: u64 = 2;
+
 /// Highest number of doublings of the time between two tests.
 const TEST_DOUBLINGS_MAX: u32 = 5;
 
@@ -172,16 +176,23 @@
                 crash.expires_at = now.after_ms(RETENTION_MS);
             }
         }
-        let next_test_at = refused.iter().map(|s| self.refused[s].next_test_at).max();
-        let next_test_at = next_test_at.unwrap_or(now);
-        // a test of several at once would not tell which one is sound
-        if refused.len() > 1 || now < next_test_at || !is_tester {
+        let mut next_test_at = self.refused[first].next_test_at;
+        if refused.len() > 1 {
+            // requests with one of them alone go first: they tell which one is sound
+            let due = refused.iter().map(|s| {
+                self.refused[s].next_test_at.after_ms(s.first_test_ms() / JOINT_TEST_DELAY_PARTS)
+            });
+            next_test_at = due.max().unwrap_or(next_test_at);
+        }
+        if now < next_test_at || !is_tester {
             return CrashVerdict::Refused(next_test_at.max(now));
         }
-        let refusal = &mut self.refused[first];
-        refusal.tests += 1;
-        let factor = 1 << refusal.tests.min(TEST_DOUBLINGS_MAX);
-        refusal.next_test_at = now.after_ms(first.first_test_ms() * factor);
+        for suspect in &refused {
+            let refusal = &mut self.refused[suspect];
+            refusal.tests += 1;
+            let factor = 1 << refusal.tests.min(TEST_DOUBLINGS_MAX);
+            refusal.next_test_at = now.after_ms(suspect.first_test_ms() * factor);
+        }
         CrashVerdict::Test
     }
 
--- a/crates/core/tests/crash_reports.rs
+++ b/crates/core/tests/crash_reports.rs
@@ -178,3 +178,46 @@
     assert_eq!(recurring.len(), 3);
     assert!(recurring.iter().all(|(_, suspects)| *suspects == [part(1)]));
 }
+
+// Two parts that all crashed requests had were refused without end, since no request with both of
+// them was ever tested.
+#[test]
+fn crash_reports_parts_that_come_together_are_tested() {
+    let mut reports = CrashReports::default();
+    for number in 0..3 {
+        crash(&mut reports, number, number, &[part(1), part(2), content(number)]);
+    }
+    let suspects = |number: u64| [part(1), part(2), content(100 + number)];
+    let mut tests = Vec::new();
+    for seconds in 1..60 {
+        if reports.judge(at(seconds * 1000), &suspects(seconds), true) == CrashVerdict::Test {
+            tests.push(seconds);
+            // it crashes targets
+            crash(&mut reports, seconds * 1000 + 100, 100 + seconds, &suspects(seconds));
+        }
+    }
+    // the first one within two intervals of 5 s
+    assert_eq!(tests, [8, 21, 44]);
+    // it runs well at last
+    reports.record_sound(at(60_000), suspects(60));
+    assert_eq!(reports.judge(at(60_001), &suspects(61), false), CrashVerdict::Allowed);
+}
+
+// Requests with both parts must not take all tests, since those with a sound part alone clear it.
+#[test]
+fn crash_reports_part_alone_is_tested_first() {
+    let mut reports = CrashReports::default();
+    for number in 0..3 {
+        crash(&mut reports, number, number, &[part(1), part(2), content(number)]);
+    }
+    for seconds in 1..8 {
+        let both = [part(1), part(2), content(100 + seconds)];
+        let verdict = reports.judge(at(seconds * 1000), &both, true);
+        assert_ne!(verdict, CrashVerdict::Test, "after {seconds} s");
+        let alone = [part(2), content(200 + seconds)];
+        let is_tested = reports.judge(at(seconds * 1000), &alone, true) == CrashVerdict::Test;
+        assert_eq!(is_tested, seconds == 6, "after {seconds} s");
+    }
+    reports.record_sound(at(8000), [part(2), content(206)]);
+    assert!(!reports.is_refused(&[part(2)]) && reports.is_refused(&[part(1)]));
+}
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -4,7 +4,7 @@
     crate::support::{Deployment, EdgeProcess, stream_request, wait_until, whole_stream},
     bytes::Bytes,
     egret_runtime::now,
-    egret_standin::platform::{StreamFraming, Target},
+    egret_standin::platform::{StreamFraming, Target, TargetFault},
     http::Request,
     http_body_util::Full,
     nix::sys::signal::Signal,
@@ -264,3 +264,66 @@
     let answer = edge.call(request_with_part("50f7", 7)).await.unwrap();
     assert_eq!(answer.body, whole_stream());
 }
+
+// Engines of a rack that lost power were taken for crashed by the two parts that all prompts shared, and
+// requests with both were refused without end.
+#[tokio::test]
+async fn sound_parts_are_served_again_after_engines_ended_together() {
+    // two test intervals
+    const SERVED_WITHIN: Duration = Duration::from_secs(10);
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = Vec::new();
+    for number in 1..=5 {
+        let pause = Duration::from_millis(80);
+        let engine = d.start_engine_of_version(&format!("e-{number}"), "v1", &["a1"], pause).await;
+        engines.push(engine);
+    }
+    let edges = start_ready_edges(&d, 2).await;
+    let request = |number| {
+        let mut req = request_with_part("aa:10,50f7", number);
+        *req.uri_mut() = "/frail/x".parse().unwrap();
+        req
+    };
+    // none of them runs to its end, on the other engines either
+    for engine in &engines[3..] {
+        engine.set_fault(TargetFault::CutAfter(1));
+    }
+    let mut running = Vec::new();
+    for number in 0..40 {
+        let mut conn = edges[number % 2].connect().await;
+        let deadline = now().after_ms(9000);
+        running.push(tokio::spawn(async move {
+            let _ = conn.call(request(number), deadline).await;
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    for engine in &engines[..3] {
+        engine.crash();
+    }
+    for request in running {
+        let _ = request.await;
+    }
+    let ended_at = Instant::now();
+    for engine in &engines[3..] {
+        engine.set_fault(TargetFault::None);
+    }
+    let (mut served, mut refused) = (0, 0);
+    let mut last_refused_at = Duration::ZERO;
+    let mut number = 100;
+    while ended_at.elapsed() < SERVED_WITHIN + Duration::from_secs(2) {
+        for edge in &edges {
+            let answer = edge.call(request(number)).await.unwrap();
+            if answer.status == 200 {
+                served += 1;
+            } else {
+                refused += 1;
+                last_refused_at = ended_at.elapsed();
+            }
+            number += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(refused > 0, "the parts were not suspected");
+    assert!(last_refused_at < SERVED_WITHIN, "{served} served, {refused} refused");
+}
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -340,6 +340,11 @@
         self.shared.state.lock().crash_trigger = Some(trigger);
     }
 
+    /// Crashes the target: all connections close and new ones are refused until a restart.
+    pub fn crash(&self) {
+        self.shared.begin_crash();
+    }
+
     /// Makes the listener of a crashing target stay open for this long after its connections have
     /// closed, as the system may do when a process ends.
     pub fn set_crash_listener_time(&self, time: Duration) {
