Keep the counts of crash suspects as crashes change

Each suspect now has the set of crashes that it was on, in 256 bits, and those on several crashes are kept apart; what is refused is found among these alone. A request that has run to its end looks up its own suspects instead of all crashes, and judging a refused one touches only its crashes.

Ruled out: updating refusals later or in a task of their own, since a refusal has to hold for the next request.

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -80,12 +80,41 @@
 
 #[derive(Clone, Debug)]
 struct Crash {
+    id: CrashId,
     suspects: IndexSet<Suspect>,
     // those that have proved sound since, which late reports of other hosts may still hold
     cleared: IndexSet<Suspect>,
     expires_at: Time,
 }
 
+// a set of crashes, by their slots
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct SlotSet([u64; SLOT_WORDS]);
+
+const SLOT_WORDS: usize = CRASHES_MAX / 64;
+
+impl SlotSet {
+    fn insert(&mut self, slot: usize) {
+        self.0[slot / 64] |= 1 << (slot % 64);
+    }
+
+    fn remove(&mut self, slot: usize) {
+        self.0[slot / 64] &= !(1 << (slot % 64));
+    }
+
+    fn len(self) -> usize {
+        self.0.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
+    fn without(self, other: Self) -> Self {
+        Self(std::array::from_fn(|word| self.0[word] & !other.0[word]))
+    }
+
+    fn iter(self) -> impl Iterator<Item = usize> {
+        (0..CRASHES_MAX).filter(move |slot| self.0[slot / 64] & (1 << (slot % 64)) != 0)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     tests: u32,
@@ -95,7 +124,14 @@
 /// Crash reports of all hosts, as known to one of them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashReports {
-    crashes: IndexMap<CrashId, Crash>,
+    // the slot of each crash, in the order in which they became known
+    slot_of: IndexMap<CrashId, usize>,
+    crashes: Vec<Option<Crash>>,
+    // the crashes that each suspect was on, kept as they change: counting them again at each report
+    // takes time on the path of all requests
+    on_crashes: IndexMap<Suspect, SlotSet>,
+    // suspects that were on several crashes
+    recurring: IndexSet<Suspect>,
     // when each was last known to have run to its end
     sound: IndexMap<Suspect, Time>,
     refused: IndexMap<Suspect, Refusal>,
@@ -110,25 +146,86 @@
         id: CrashId,
         suspects: impl IntoIterator<Item = Suspect>,
     ) -> Vec<Suspect> {
-        self.crashes.retain(|_, crash| now < crash.expires_at);
-        let is_cleared = |suspect: &Suspect| {
-            self.crashes.get(&id).is_some_and(|crash| crash.cleared.contains(suspect))
-        };
-        let (sound, unknown): (Vec<Suspect>, Vec<Suspect>) = suspects
-            .into_iter()
-            .partition(|suspect| self.is_sound(now, *suspect) || is_cleared(suspect));
-        let expires_at = now.after_ms(RETENTION_MS);
-        let new = || Crash { suspects: IndexSet::new(), cleared: IndexSet::new(), expires_at };
-        let crash = self.crashes.entry(id).or_insert_with(new);
-        let free = SUSPECTS_PER_CRASH_MAX.saturating_sub(crash.suspects.len());
-        crash.suspects.extend(unknown.into_iter().take(free));
-        while self.crashes.len() > CRASHES_MAX {
-            self.crashes.shift_remove_index(0);
+        let all = self.crashes.iter().flatten();
+        let expired: Vec<CrashId> =
+            all.filter(|crash| now >= crash.expires_at).map(|crash| crash.id.clone()).collect();
+        for id in &expired {
+            self.remove_crash(id);
+        }
+        let slot = self.slot_of.get(&id).copied();
+        let slot = slot.unwrap_or_else(|| self.add_crash(now, id));
+        let mut sound = Vec::new();
+        for suspect in suspects {
+            let Some(crash) = self.crashes[slot].as_mut() else {
+                continue;
+            };
+            let last_sound_at = self.sound.get(&suspect);
+            let is_sound = last_sound_at.is_some_and(|at| now < at.after_ms(SOUND_MS));
+            if is_sound || crash.cleared.contains(&suspect) {
+                sound.push(suspect);
+            } else if crash.suspects.len() < SUSPECTS_PER_CRASH_MAX
+                && crash.suspects.insert(suspect)
+            {
+                let slots = self.on_crashes.entry(suspect).or_default();
+                slots.insert(slot);
+                if slots.len() > 1 {
+                    self.recurring.insert(suspect);
+                }
+            }
         }
         self.update_refusals(now);
         sound
     }
 
+    // returns the slot of the new crash
+    fn add_crash(&mut self, now: Time, id: CrashId) -> usize {
+        if self.slot_of.len() >= CRASHES_MAX
+            && let Some(oldest) = self.slot_of.keys().next().cloned()
+        {
+            self.remove_crash(&oldest);
+        }
+        let expires_at = now.after_ms(RETENTION_MS);
+        let crash = Crash {
+            id: id.clone(),
+            suspects: IndexSet::new(),
+            cleared: IndexSet::new(),
+            expires_at,
+        };
+        let free = self.crashes.iter().position(Option::is_none);
+        let slot = free.unwrap_or(self.crashes.len());
+        if free.is_none() {
+            self.crashes.push(None);
+        }
+        self.crashes[slot] = Some(crash);
+        self.slot_of.insert(id, slot);
+        slot
+    }
+
+    fn remove_crash(&mut self, id: &CrashId) {
+        let slot = self.slot_of.shift_remove(id);
+        let Some((slot, crash)) = slot.and_then(|slot| Some((slot, self.crashes[slot].take()?)))
+        else {
+            return;
+        };
+        for suspect in crash.suspects {
+            self.remove_from_crash(suspect, slot);
+        }
+    }
+
+    fn remove_from_crash(&mut self, suspect: Suspect, slot: usize) {
+        let Some(slots) = self.on_crashes.get_mut(&suspect) else {
+            return;
+        };
+        slots.remove(slot);
+        let count = slots.len();
+        if count < 2 {
+            self.recurring.swap_remove(&suspect);
+        }
+        if count == 0 {
+            self.on_crashes.swap_remove(&suspect);
+        }
+    }
+
     /// Records that a request with these suspects has run to its end. Returns those that were on a
     /// target that crashed.
     pub fn record_sound(
@@ -146,16 +243,17 @@
         let mut cleared = Vec::new();
         for suspect in suspects {
             self.sound.insert(suspect, now);
-            let mut was_suspected = false;
-            for crash in self.crashes.values_mut() {
-                if crash.suspects.swap_remove(&suspect) {
+            let Some(slots) = self.on_crashes.swap_remove(&suspect) else {
+                continue;
+            };
+            self.recurring.swap_remove(&suspect);
+            for slot in slots.iter() {
+                if let Some(crash) = &mut self.crashes[slot] {
+                    crash.suspects.swap_remove(&suspect);
                     crash.cleared.insert(suspect);
-                    was_suspected = true;
                 }
             }
-            if was_suspected {
-                cleared.push(suspect);
-            }
+            cleared.push(suspect);
         }
         if !cleared.is_empty() {
             self.update_refusals(now);
@@ -171,9 +269,11 @@
         let Some(first) = refused.first() else {
             return CrashVerdict::Allowed;
         };
-        for crash in self.crashes.values_mut() {
-            if refused.iter().any(|suspect| crash.suspects.contains(suspect)) {
-                crash.expires_at = now.after_ms(RETENTION_MS);
+        for slots in refused.iter().filter_map(|suspect| self.on_crashes.get(suspect)) {
+            for slot in slots.iter() {
+                if let Some(crash) = &mut self.crashes[slot] {
+                    crash.expires_at = now.after_ms(RETENTION_MS);
+                }
             }
         }
         let mut next_test_at = self.refused[first].next_test_at;
@@ -211,79 +311,63 @@
     /// True if one of these suspects was on a crash, and nothing has shown since that it is sound.
     #[must_use]
     pub fn is_suspected(&self, now: Time, suspects: &[Suspect]) -> bool {
-        let mut current = self.crashes.values().filter(|crash| now < crash.expires_at);
-        current.any(|crash| suspects.iter().any(|suspect| crash.suspects.contains(suspect)))
+        let mut slots = suspects.iter().filter_map(|suspect| self.on_crashes.get(suspect));
+        let is_current =
+            |slot: usize| self.crashes[slot].as_ref().is_some_and(|crash| now < crash.expires_at);
+        slots.any(|slots| slots.iter().any(is_current))
     }
 
     /// The refused suspects, each with the number of crashes that it was on.
     pub fn refused(&self) -> impl Iterator<Item = (Suspect, usize)> {
-        self.refused.keys().map(|suspect| (*suspect, self.crashes_with(*suspect).count()))
+        self.refused.keys().map(|suspect| (*suspect, self.crash_count(*suspect)))
+    }
+
+    fn crash_count(&self, suspect: Suspect) -> usize {
+        self.on_crashes.get(&suspect).map_or(0, |slots| slots.len())
     }
 
     /// The crashes with those of their suspects that were on several ones, for a host that does not
     /// know them.
     #[must_use]
     pub fn recurring(&self, now: Time) -> Vec<(&CrashId, Vec<Suspect>)> {
-        let counts = count_suspects(self.crashes.values());
         let recurring = |crash: &Crash| -> Vec<Suspect> {
-            let suspects = crash.suspects.iter().filter(|suspect| counts[*suspect] > 1);
+            let suspects =
+                crash.suspects.iter().filter(|suspect| self.recurring.contains(*suspect));
             suspects.copied().take(REPORTED_SUSPECTS_MAX).collect()
         };
-        let current = self.crashes.iter().filter(|(_, crash)| now < crash.expires_at);
-        let reports = current.map(|(id, crash)| (id, recurring(crash)));
+        let known = self.slot_of.values().filter_map(|slot| self.crashes[*slot].as_ref());
+        let current = known.filter(|crash| now < crash.expires_at);
+        let reports = current.map(|crash| (&crash.id, recurring(crash)));
         reports.filter(|(_, suspects)| !suspects.is_empty()).collect()
     }
 
-    fn is_sound(&self, now: Time, suspect: Suspect) -> bool {
-        self.sound.get(&suspect).is_some_and(|at| now < at.after_ms(SOUND_MS))
-    }
-
-    fn crashes_with(&self, suspect: Suspect) -> impl Iterator<Item = &CrashId> {
-        let with = self.crashes.iter().filter(move |(_, crash)| crash.suspects.contains(&suspect));
-        with.map(|(id, _)| id)
-    }
-
     // Refuses the suspects that explain the crashes: the one which most crashes have in common, then
     // that of the crashes left.
     fn update_refusals(&mut self, now: Time) {
-        let mut unexplained: IndexMap<&CrashId, &Crash> = self.crashes.iter().collect();
+        // a suspect on one crash is never refused
+        let recurring = self.recurring.iter();
+        let mut left: Vec<(Suspect, SlotSet)> =
+            recurring.map(|suspect| (*suspect, self.on_crashes[suspect])).collect();
         let mut refused = IndexMap::new();
         loop {
-            let mut counts = count_suspects(unexplained.values().copied());
-            counts.retain(|suspect, count| *count >= suspect.crashes_to_refuse());
-            let Some((best, count)) = counts
-                .iter()
-                .map(|(suspect, count)| (*suspect, *count))
-                .max_by_key(|(s, c)| (*c, *s))
-            else {
+            left.retain(|(suspect, slots)| slots.len() >= suspect.crashes_to_refuse());
+            let best = left.iter().max_by_key(|(suspect, slots)| (slots.len(), *suspect)).copied();
+            let Some((best, explained)) = best else {
                 break;
             };
-            let is_alike = |other: &Suspect| {
-                let mut with = unexplained.values().filter(|crash| crash.suspects.contains(&best));
-                std::mem::discriminant(other) == std::mem::discriminant(&best)
-                    && with.all(|crash| crash.suspects.contains(other))
-            };
-            let alike: Vec<Suspect> = counts
-                .iter()
-                .filter(|(s, c)| **c == count && is_alike(s))
-                .map(|(s, _)| *s)
-                .collect();
-            unexplained.retain(|_, crash| !crash.suspects.contains(&best));
-            for suspect in alike {
-                let first_test_at = now.after_ms(suspect.first_test_ms());
-                let new = Refusal { tests: 0, next_test_at: first_test_at };
-                refused.insert(suspect, self.refused.get(&suspect).copied().unwrap_or(new));
+            let is_same_kind =
+                |other: Suspect| std::mem::discriminant(&other) == std::mem::discriminant(&best);
+            for (suspect, slots) in &left {
+                if *slots == explained && is_same_kind(*suspect) {
+                    let first_test_at = now.after_ms(suspect.first_test_ms());
+                    let new = Refusal { tests: 0, next_test_at: first_test_at };
+                    refused.insert(*suspect, self.refused.get(suspect).copied().unwrap_or(new));
+                }
+            }
+            for (_, slots) in &mut left {
+                *slots = slots.without(explained);
             }
         }
         self.refused = refused;
     }
 }
-
-// on how many of the crashes each suspect was
-fn count_suspects<'a>(crashes: impl Iterator<Item = &'a Crash>) -> IndexMap<Suspect, usize> {
-    let mut counts = IndexMap::new();
-    for suspect in crashes.flat_map(|crash| &crash.suspects) {
-        *counts.entry(*suspect).or_default() += 1;
-    }
-    counts
-}
--- a/crates/core/tests/crash_reports.rs
+++ b/crates/core/tests/crash_reports.rs
@@ -1,8 +1,12 @@
 //! What requests have in common that crash their targets.
 
+mod naive;
+
 use {
     egret_core::{CrashReports, CrashVerdict, Fingerprint, Suspect, Time},
     faststr::FastStr,
+    naive::NaiveCrashReports,
+    quickcheck::{Gen, QuickCheck},
 };
 
 fn at(ms: u64) -> Time {
@@ -221,3 +225,52 @@
     reports.record_sound(at(8000), [part(2), content(206)]);
     assert!(!reports.is_refused(&[part(2)]) && reports.is_refused(&[part(1)]));
 }
+
+// The counts that are kept as crashes change differ from those counted anew.
+#[test]
+fn crash_reports_random_commands_match_naive_counts() {
+    #[expect(clippy::needless_pass_by_value, reason = "as quickcheck calls it")]
+    fn holds(commands: Vec<(u8, u8, u16)>) -> bool {
+        let (mut fast, mut naive) = (CrashReports::default(), NaiveCrashReports::default());
+        let mut now_ms = 0;
+        commands.iter().all(|(kind, number, bits)| {
+            now_ms += u64::from(bits % 200);
+            let bit = |index: u64| bits & (1 << index) != 0;
+            let parts = (0..5).filter(|index| bit(*index)).map(part);
+            let contents = (5..10).filter(|index| bit(*index)).map(content);
+            let suspects: Vec<Suspect> = parts.chain(contents).collect();
+            let now = at(now_ms);
+            let is_equal = match kind % 8 {
+                0..=3 => {
+                    let id = (FastStr::from_string(format!("t-{number}")), u64::from(kind / 128));
+                    let reported = suspects.iter().copied();
+                    fast.record_crash(now, id.clone(), reported.clone())
+                        == naive.record_crash(now, id, reported)
+                }
+                4 => {
+                    let sound = suspects.iter().copied().take(2);
+                    fast.record_sound(now, sound.clone()) == naive.record_sound(now, sound)
+                }
+                5 => {
+                    now_ms += 1000 * u64::from(*number);
+                    true
+                }
+                _ => {
+                    let is_tester = number % 2 == 0;
+                    fast.judge(now, &suspects, is_tester) == naive.judge(now, &suspects, is_tester)
+                        && fast.is_suspected(now, &suspects) == naive.is_suspected(now, &suspects)
+                }
+            };
+            let sorted = |refused: &mut dyn Iterator<Item = (Suspect, usize)>| {
+                let mut refused: Vec<_> = refused.collect();
+                refused.sort();
+                refused
+            };
+            is_equal && sorted(&mut fast.refused()) == sorted(&mut naive.refused())
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(700, 20_261_204))
+        .tests(100)
+        .quickcheck(holds as fn(Vec<(u8, u8, u16)>) -> bool);
+}
