--- a/crates/core/src/fleet/departures.rs
+++ b/crates/core/src/fleet/departures.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     departure: Departure,
-    // set while the target has no entry in the registry
+    // set while the target has no entry in the registry: when the departure is forgotten
     forget_at: Option<Time>,
     repeat_until: Time,
 }
@@ -61,7 +61,7 @@
 
 impl Departures {
     /// False if `target` has left with this start.
-    pub(super) fn admit(&self, target: &Target) -> bool {
+    pub(super) fn admits(&self, target: &Target) -> bool {
         self.by_target.get(&target.id).is_none_or(|entry| entry.departure.admits(target))
     }
 
@@ -87,7 +87,7 @@
         *known != before
     }
 
-    /// Repeats the departure of `target` to other hosts for a while.
+    /// Has the departure of `target` repeated to other hosts for a while.
     pub(super) fn repeat(&mut self, now: Time, target: &str) {
         if let Some(entry) = self.by_target.get_mut(target) {
             entry.repeat_until = now.after_ms(REPEAT_MS);
@@ -99,7 +99,7 @@
         self.by_target.swap_remove(target);
     }
 
-    /// Entries written before `position` may be older than the departures that are known.
+    /// Distrusts entries written before `position`, which may be older than what is known.
     pub(super) fn distrust_entries_before(&mut self, position: u64) {
         for entry in self.by_target.values_mut() {
             let ended_before = &mut entry.departure.ended_before;
--- a/crates/core/src/fleet/registry.rs
+++ b/crates/core/src/fleet/registry.rs
@@ -109,8 +109,8 @@
         self.position = self.position.max(position);
     }
 
-    /// Records that all registry records before `position` may be older than what is known, since
-    /// the registry has come back from a copy.
+    /// Distrusts registry records before `position`, since the registry has come back from a copy:
+    /// they may be older than what is known.
     pub fn distrust_entries_before(&mut self, position: u64) {
         self.departures.distrust_entries_before(position);
     }
@@ -123,7 +123,7 @@
         {
             return;
         }
-        if self.departures.admit(&target) {
+        if self.departures.admits(&target) {
             self.departures.forget(&target.id);
         }
         if target.state == TargetState::Leaving {
@@ -143,7 +143,7 @@
         let Some(entry) = self.targets.get_mut(id) else {
             return;
         };
-        if now >= self.removals_trusted_from || !self.departures.admit(&entry.target) {
+        if now >= self.removals_trusted_from || !self.departures.admits(&entry.target) {
             self.remove(id);
         } else {
             entry.usable_until = Some(self.removals_trusted_from);
@@ -232,7 +232,7 @@
     /// True if `target` accepts new work by its entry and by what is known of it otherwise.
     #[must_use]
     pub fn is_ready(&self, target: &Target) -> bool {
-        target.state == TargetState::Ready && self.departures.admit(target)
+        target.state == TargetState::Ready && self.departures.admits(target)
     }
 
     /// The target `id`, if it accepts new work.
--- a/crates/core/tests/naive/mod.rs
+++ b/crates/core/tests/naive/mod.rs
@@ -21,9 +21,9 @@
 /// Sound suspects kept; the oldest are dropped beyond that.
 const SOUND_MAX: usize = 16_384;
 
-/// A request with several refused suspects is tested this part of the first interval later than one
-/// with one of them.
-const JOINT_TEST_DELAY_PARTS: u64 = 2;
+/// A request with several refused suspects is tested later than one with a single one, by the first
+/// interval divided by this number.
+const JOINT_TEST_DELAY_DIVISOR: u64 = 2;
 
 /// Highest number of doublings of the time between two tests.
 const TEST_DOUBLINGS_MAX: u32 = 5;
@@ -149,7 +149,7 @@
         if refused.len() > 1 {
             // requests with one of them alone go first: they tell which one is sound
             let due = refused.iter().map(|s| {
-                self.refused[s].next_test_at.after_ms(first_test_ms(*s) / JOINT_TEST_DELAY_PARTS)
+                self.refused[s].next_test_at.after_ms(first_test_ms(*s) / JOINT_TEST_DELAY_DIVISOR)
             });
             next_test_at = due.max().unwrap_or(next_test_at);
         }
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -158,7 +158,7 @@
 }
 
 /// True if a target of the request's service takes no further request for a while, by its rate limit.
-pub(crate) fn is_rate_limited(edge: &Edge, out: &OutgoingRequest) -> bool {
+pub(crate) fn has_exhausted_target(edge: &Edge, out: &OutgoingRequest) -> bool {
     let service = &out.selected.service.name;
     let ready: Vec<Arc<Target>> =
         edge.fleet.read().all_ready().filter(|t| t.service == *service).cloned().collect();
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -190,7 +190,7 @@
                 self.edge.counts.streams_without_target.inc();
                 "no target of its software version"
             }
-            _ if placement::is_rate_limited(&self.edge, &self.out) => {
+            _ if placement::has_exhausted_target(&self.edge, &self.out) => {
                 "no target takes it, and some are at their rate limits"
             }
             _ => "no target takes it",
--- a/crates/edge/src/peers/rate_limits.rs
+++ b/crates/edge/src/peers/rate_limits.rs
@@ -15,7 +15,7 @@
 /// Pause before an issuer that did not answer is asked again, so that not every request waits.
 const ASK_PAUSE_MS: u64 = 400;
 
-/// Heartbeats name the limits of this time, so that each is in several of them.
+/// Heartbeats name the limits that were named within this time, so that each is in several of them.
 const REPEAT_MS: u64 = 1000;
 
 /// Highest number of limits in a heartbeat.
@@ -87,7 +87,7 @@
     edge.rate_limits.lock().take_own_token(now(), &target.id, hosts)
 }
 
-/// Records of which targets this host is the issuer.
+/// Looks up of which targets this host is the issuer now.
 pub(crate) fn observe_issuers(edge: &Edge) {
     let targets: Vec<FastStr> = edge.rate_limits.lock().targets().cloned().collect();
     for target in targets {
