Settings of the template may be fractions; links' listener pauses after a failed accept

Cause: the platform states bounds as whole numbers or fractions. Separately, serve_links asked its listener again at once after a failed accept: without file descriptors that is a loop that waits for nothing.

Change: lease_ms, window_s, ceiling_window_s, free and grace_s take fractions, rounded to the strict side; grace_ms becomes grace_s, since a template can't multiply.

--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -4,7 +4,7 @@
     egret_core::{Fencing, RetryBounds, Time},
     egret_runtime::LogSettings,
     faststr::FastStr,
-    serde::Deserialize,
+    serde::{Deserialize, Deserializer, de::Error},
     std::net::SocketAddr,
 };
 
@@ -71,9 +71,11 @@
     /// Whether engines refuse orders with an outdated fencing token.
     pub fencing: Fencing,
     /// Milliseconds that must pass between the orders of two hosts to one engine.
+    #[serde(deserialize_with = "rounded_up")]
     pub lease_ms: u64,
     /// Length of the window in which loads of base models are counted, in seconds.
-    pub ceiling_window_s: u64,
+    #[serde(deserialize_with = "not_negative")]
+    pub ceiling_window_s: f64,
     /// Loads allowed in that window by all hosts, as a multiple of the weight store's rate.
     pub ceiling_over: f64,
 }
@@ -83,21 +85,37 @@
 #[serde(deny_unknown_fields)]
 pub struct RetrySettings {
     /// Length of the sliding window in which repeated sends are counted, in seconds.
-    pub window_s: u64,
+    #[serde(deserialize_with = "not_negative")]
+    pub window_s: f64,
     /// Repeated sends allowed for each request.
     pub ratio: f64,
     /// Further repeated sends allowed in each window.
+    #[serde(deserialize_with = "rounded_down")]
     pub free: u64,
 }
 
+impl OrderSettings {
+    /// Length of the window in which loads of base models are counted, in milliseconds.
+    #[must_use]
+    pub fn ceiling_window_ms(&self) -> u64 {
+        whole_ms(self.ceiling_window_s)
+    }
+}
+
 impl RetrySettings {
+    /// Length of the sliding window in which repeated sends are counted, in milliseconds.
+    #[must_use]
+    pub fn window_ms(&self) -> u64 {
+        whole_ms(self.window_s)
+    }
+
     /// Limits that this host applies: nine tenths of the allowed values, since the windows of
     /// different hosts do not begin at the same time. This host may repeat from `repeats_from`.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn bounds(&self, repeats_from: Time) -> RetryBounds {
         RetryBounds {
-            window_ms: self.window_s * 1000,
+            window_ms: self.window_ms(),
             ratio_milli: (self.ratio * 900.0) as u64,
             fixed_repeats: self.free * 9 / 10,
             repeats_from,
@@ -113,8 +131,17 @@
     /// ready.
     #[serde(default = "default_notice_ms")]
     pub notice_ms: u64,
+    /// Seconds from the request to stop until the process is killed.
+    #[serde(deserialize_with = "not_negative")]
+    pub grace_s: f64,
+}
+
+impl StopSettings {
     /// Milliseconds from the request to stop until the process is killed.
-    pub grace_ms: u64,
+    #[must_use]
+    pub fn grace_ms(&self) -> u64 {
+        whole_ms(self.grace_s)
+    }
 }
 
 // the load balancer checks once a second and acts on the second failed check
@@ -122,6 +149,31 @@
     2300
 }
 
+// the platform states its bounds as whole numbers or fractions
+fn not_negative<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    if number.is_finite() && number >= 0.0 {
+        Ok(number)
+    } else {
+        Err(D::Error::custom(format_args!("{number}; give a number of at least 0")))
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn rounded_down<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    not_negative(deserializer).map(|number| number as u64)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn rounded_up<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    not_negative(deserializer).map(|number| number.ceil() as u64)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole_ms(seconds: f64) -> u64 {
+    (seconds * 1000.0).round() as u64
+}
+
 impl Settings {
     /// Invalid settings, as pairs of key and problem.
     #[must_use]
@@ -133,8 +185,9 @@
         if self.data_centre.is_empty() {
             faults.push(("data_centre", "empty; give this host's data centre".to_owned()));
         }
-        if self.retries.window_s == 0 {
-            faults.push(("retries.window_s", "0; give a time of at least 1 s".to_owned()));
+        if self.retries.window_s < 1.0 {
+            let problem = format!("{}; give a time of at least 1 s", self.retries.window_s);
+            faults.push(("retries.window_s", problem));
         }
         if !(0.0..=10.0).contains(&self.retries.ratio) {
             faults.push(("retries.ratio", "must be from 0 to 10".to_owned()));
@@ -142,9 +195,9 @@
         if !(0.0..=10.0).contains(&self.orders.ceiling_over) {
             faults.push(("orders.ceiling_over", "must be from 0 to 10".to_owned()));
         }
-        if self.stop.grace_ms <= self.stop.notice_ms {
+        if self.stop.grace_ms() <= self.stop.notice_ms {
             let problem = format!("must exceed stop.notice_ms, which is {}", self.stop.notice_ms);
-            faults.push(("stop.grace_ms", problem));
+            faults.push(("stop.grace_s", problem));
         }
         faults
     }
--- a/crates/edge/src/orders/reconciler.rs
+++ b/crates/edge/src/orders/reconciler.rs
@@ -148,7 +148,7 @@
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
 fn base_loads_max(orders: &OrderSettings, loads_per_s_milli: u64, hosts: u64) -> usize {
-    let rated = loads_per_s_milli as f64 / 1000.0 * orders.ceiling_window_s as f64;
+    let rated = loads_per_s_milli as f64 / 1000.0 * orders.ceiling_window_s;
     let all = (rated * orders.ceiling_over) as u64 + EXTRA_BASE_LOADS;
     usize::try_from(all / hosts).unwrap_or(1).max(1)
 }
@@ -242,7 +242,7 @@
             .saturating_sub(in_progress);
         let may_load_base = {
             let mut loads = edge.reconcilers.recent_base_loads.lock();
-            let window_ms = edge.cfg.orders.ceiling_window_s * 1000;
+            let window_ms = edge.cfg.orders.ceiling_window_ms();
             loads.retain(|at| now.ms_since(*at) <= window_ms);
             loads.len() < base_load_max
         };
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -35,7 +35,7 @@
     let started = now();
     let stop = edge.cfg.stop;
     let notice_end = started.after_ms(stop.notice_ms);
-    let stop_deadline = started.after_ms(stop.grace_ms.saturating_sub(KILL_MARGIN_MS));
+    let stop_deadline = started.after_ms(stop.grace_ms().saturating_sub(KILL_MARGIN_MS));
     edge.begin_stop();
     events::STOPPING.info(format_args!("open={}", edge.open_requests()));
     tokio::time::sleep(Duration::from_millis(now().ms_until(notice_end))).await;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -150,7 +150,7 @@
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_windows: Mutex::default(),
-            repeats_from: Mutex::new(now().after_ms(cfg.retries.window_s * 1000)),
+            repeats_from: Mutex::new(now().after_ms(cfg.retries.window_ms())),
             crash_reports: Mutex::default(),
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
--- a/crates/edge/tests/edge/support.rs
+++ b/crates/edge/tests/edge/support.rs
@@ -134,7 +134,7 @@
              [orders]\nfencing = \"checked\"\nlease_ms = 300\nceiling_window_s = 5\n\
              ceiling_over = 1.1\n\
              [retries]\nwindow_s = 2\nratio = 0.2\nfree = 60\n\
-             [stop]\nnotice_ms = 400\ngrace_ms = 6000\n\
+             [stop]\nnotice_ms = 400\ngrace_s = 6\n\
              [logs]\nto = \"{}\"\nformat = \"json\"\nlevel = \"debug\"\n",
             address(7000),
             address(7001),
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -10,7 +10,7 @@
     egret_core::{Time, hex_digest},
     futures::{SinkExt, StreamExt, future::BoxFuture},
     prost::Message,
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -25,6 +25,9 @@
 /// Timeout for the hello of a new connection, in milliseconds.
 const HELLO_TIMEOUT_MS: u64 = 2000;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Function that answers requests on links. The first argument identifies the peer.
 pub(super) type LinkHandler =
     Arc<dyn Fn(Arc<Hello>, Body) -> BoxFuture<'static, Option<Body>> + Send + Sync>;
@@ -42,8 +45,14 @@
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            continue;
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                // a listener without file descriptors fails at once, each time
+                events::ACCEPT_FAILED.warn(format_args!("problem={e}"));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let (secret, handler) = (secret.clone(), handler.clone());
         tokio::spawn(async move {
--- a/crates/scenarios/examples/edge.rs
+++ b/crates/scenarios/examples/edge.rs
@@ -100,7 +100,7 @@
          [orders]\nfencing = \"checked\"\nlease_ms = 3000\nceiling_window_s = 5\n\
          ceiling_over = 1.1\n\
          [retries]\nwindow_s = 10\nratio = 0.2\nfree = 54\n\
-         [stop]\ngrace_ms = 8000\n",
+         [stop]\ngrace_s = 8\n",
         (number - 1) % 3 + 1,
         address(0),
         address(1),
