--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -1,7 +1,7 @@
 //! Metrics of an edge host.
 
 use {
-    egret_runtime::Metrics,
+    egret_runtime::{Body, Metrics},
     prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
 };
 
@@ -17,6 +17,8 @@
     pub(crate) resumptions: Family<Labels, Counter>,
     pub(crate) streams_without_target: Counter,
     update_bytes: Family<Labels, Counter>,
+    link_bytes: Family<Labels, Counter>,
+    link_messages: Family<Labels, Counter>,
     pub(crate) first_part_ms: Histogram,
     pub(crate) load_stalls_ms: Histogram,
 }
@@ -44,6 +46,14 @@
                 "egret_update_bytes",
                 "Bytes of updates exchanged with other hosts, by direction and content",
             ),
+            link_bytes: metrics.counters(
+                "egret_link_bytes",
+                "Bytes of messages sent to other hosts, by kind and whether they leave the data centre",
+            ),
+            link_messages: metrics.counters(
+                "egret_link_messages",
+                "Messages sent to other hosts, by kind and whether they leave the data centre",
+            ),
             first_part_ms: metrics.latency_ms("egret_first_part_ms", "Time to the first part"),
             load_stalls_ms: metrics.latency_ms("egret_load_stall_ms", "Waits for an adapter load"),
         }
@@ -58,6 +68,29 @@
         self.tokens.get_or_create(&labels).inc();
     }
 
+    /// Counts a message of `bytes` bytes to another host.
+    pub(crate) fn record_link_bytes(&self, kind: &'static str, is_local: bool, bytes: usize) {
+        let to = if is_local { "same_data_centre" } else { "other_data_centre" };
+        let labels = vec![("kind", kind.to_owned()), ("to", to.to_owned())];
+        self.link_bytes.get_or_create(&labels).inc_by(bytes as u64);
+        self.link_messages.get_or_create(&labels).inc();
+    }
+
+    /// Name of a kind of message.
+    pub(crate) const fn kind_of(body: &Body) -> &'static str {
+        match body {
+            Body::Spread(_) => "spread",
+            Body::TargetLoads(_) => "target_loads",
+            Body::PlatformSnapshot(_) => "store_update",
+            Body::LoadAdapter(_) => "load_adapter",
+            Body::Suspects(_) => "suspects",
+            Body::StreamOrigins(_) | Body::FindStreamOrigin(_) => "stream_origins",
+            Body::FetchRoutes(_) | Body::Routes(_) => "routes",
+            Body::TakeToken(_) | Body::Token(_) => "tokens",
+            _ => "other",
+        }
+    }
+
     /// Counts an update of `bytes` bytes, `direction` is `sent` or `received`.
     pub(crate) fn record_update_bytes(
         &self,
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -91,10 +91,7 @@
     if suspects.is_empty() {
         return;
     }
-    let message = sound_message(suspects, false);
-    for link in edge.links.open_links() {
-        link.notify(Body::Suspects(message.clone()));
-    }
+    peers::report_crashes(edge, &sound_message(suspects, false));
 }
 
 fn sound_message(suspects: &[Suspect], is_reply: bool) -> SuspectsMsg {
@@ -159,7 +156,7 @@
         send_sound(edge, &cleared);
     }
     if !sound.is_empty() {
-        edge.links.notify(host, Body::Suspects(sound_message(&sound, true)));
+        peers::notify(edge, host, Body::Suspects(sound_message(&sound, true)));
     }
 }
 
@@ -267,7 +264,5 @@
     let unknown = suspects.iter().filter(|suspect| !sound.contains(suspect));
     let crash = crash_message(&id, unknown);
     let message = SuspectsMsg { crashes: vec![crash], ..SuspectsMsg::default() };
-    for link in edge.links.open_links() {
-        link.notify(Body::Suspects(message.clone()));
-    }
+    peers::report_crashes(edge, &message);
 }
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -238,10 +238,7 @@
         if is_down || is_exhausted {
             continue;
         }
-        let running = {
-            let peers = edge.peers.lock();
-            (running + peers.running_at(&target.id)).max(peers.total_running_at(&target.id))
-        };
+        let running = peers::running_at(edge, &target.id, running);
         let engine_residency = match (&service.engine, &out.head.base_model) {
             (Some(_), Some(base)) => residency(edge, &target, base, adapter, version),
             _ => Residency {
@@ -278,16 +275,17 @@
     let Some(adapter) = adapter else {
         return false;
     };
-    let used_here = edge
-        .target_activity
-        .lock()
-        .get(engine)
-        .is_some_and(|entry| entry.adapters.contains_key(adapter));
-    used_here || edge.peers.lock().uses_adapter(engine, adapter)
+    if peers::is_in_use(edge, engine, adapter) {
+        return true;
+    }
+    let owner = edge.engine_owners.lock().owner_host(engine).cloned();
+    let peers = edge.peers.lock();
+    let view = owner.and_then(|owner| peers.all().get(&owner)?.engines.get(engine));
+    view.is_some_and(|view| view.outdated_and_busy.contains(adapter))
 }
 
 // what an engine has loaded: from this host's own state if it is the owner, otherwise from the
-// heartbeats of the owner, otherwise from the registry entry, which is older
+// rows of the owner, otherwise from the registry entry, which is older
 #[allow(clippy::struct_excessive_bools)] // four independent facts
 struct Residency {
     has_base: bool,
--- a/crates/edge/src/peers/departures.rs
+++ b/crates/edge/src/peers/departures.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// Merges departures that `host` has reported in a heartbeat.
+/// Merges departures that `host` has told.
 pub(super) fn merge_messages(edge: &Edge, host: &str, messages: Vec<DepartureMsg>) {
     let departures = messages.into_iter().map(|message| Departure {
         target: FastStr::from_string(message.target),
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -1,15 +1,14 @@
 //! Gossip of the store's contents between hosts.
 //!
-//! One host reads the store often. The others compare their state with its digest, which
-//! heartbeats carry, and read the store themselves only if no host with a recent read has the same
-//! digest. A host that the store rejects stays current in the same way. Between data centres only
-//! the first host of each data centre gets updates and forwards them there. Routes are not part of
-//! the updates; a host fetches them when an update or a heartbeat names a newer revision.
+//! One host reads the store often. The others compare their state with its digest, which its rows
+//! carry, and read the store themselves only if no host with a recent read has the same digest. A
+//! host that the store rejects stays current in the same way. Updates go from contact to contact.
+//! Routes are not part of them; a host fetches those when an update or a row names a newer revision.
 
 use {
     super::{
-        departures,
-        peer_table::{Peer, Peers, time_from_age},
+        departures, links,
+        peer_table::{Peer, time_from_age},
         routes, stream_origins,
     },
     crate::{
@@ -19,7 +18,7 @@
     egret_core::{Departure, Target, rendezvous_weight},
     egret_runtime::{Body, PlatformSnapshotMsg, events, now},
     faststr::FastStr,
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
     xxhash_rust::xxh3::Xxh3,
@@ -55,6 +54,19 @@
     is_first_among(edge, key, |_| true)
 }
 
+/// The first live host of `data_centre` in the rendezvous order for `key`, or the first of all if none
+/// is live there.
+pub(super) fn first_host_of(edge: &Edge, data_centre: &str, key: &str) -> FastStr {
+    let peers = edge.peers.lock();
+    let is_local = |candidate: &FastStr| candidate == data_centre;
+    let own = (is_local(&edge.cfg.data_centre), &edge.cfg.host);
+    let live = peers.all().iter().filter(|(host, _)| peers.is_live(host));
+    let others = live.map(|(host, peer)| (is_local(&peer.record.data_centre), host));
+    let ranked =
+        others.chain([own]).map(|(local, host)| (local, rendezvous_weight(key, host), host));
+    ranked.max().map_or_else(|| edge.cfg.host.clone(), |(_, _, host)| host.clone())
+}
+
 /// The first of the live hosts in the rendezvous order for `key`, unless it is this host.
 pub(super) fn first_other_host(edge: &Edge, key: &str) -> Option<FastStr> {
     let peers = edge.peers.lock();
@@ -170,17 +182,17 @@
     hash.digest()
 }
 
-/// Sends this host's state to the hosts whose digest differs and that know no later records of the
-/// registry: those of its own data centre, and the first host of each other one.
+/// Sends this host's state to the contacts whose digest differs and that know no later records of the
+/// registry.
 pub(crate) fn send_updates(edge: &Edge) {
     let own_digest = digest(edge);
     let read_at = *edge.registry_read_at.lock();
     let position = edge.fleet.read().position();
     // taken before the state that it describes, which can only be newer
     let operator_end = edge.operator_position.lock().next_offset;
+    let receivers = edge.spread.contact_hosts();
     let behind: Vec<FastStr> = {
         let mut peers = edge.peers.lock();
-        let receivers = update_receivers(edge, &peers);
         let behind = peers.all_mut().filter(|(host, peer)| {
             let was_just_updated = now() < peer.last_update_at.after_ms(RESEND_INTERVAL_MS);
             let is_behind = peer.digest != own_digest && peer.registry_offset <= position;
@@ -214,28 +226,10 @@
             operator_offset: operator_end,
             revision,
         };
-        edge.links.notify(&host, Body::PlatformSnapshot(message));
+        links::notify(edge, &host, Body::PlatformSnapshot(message));
     }
 }
 
-// the hosts of this data centre, and the first live host of each other data centre
-fn update_receivers(edge: &Edge, peers: &Peers) -> IndexSet<FastStr> {
-    let mut receivers = IndexSet::new();
-    let mut first_hosts: IndexMap<&FastStr, (u64, &FastStr)> = IndexMap::new();
-    for (host, peer) in peers.all() {
-        let data_centre = &peer.record.data_centre;
-        if *data_centre == edge.cfg.data_centre {
-            receivers.insert(host.clone());
-        } else if peers.is_live(host) {
-            let ranked = (rendezvous_weight("reader", host), host);
-            let best = first_hosts.entry(data_centre).or_insert(ranked);
-            *best = ranked.max(*best);
-        }
-    }
-    receivers.extend(first_hosts.into_values().map(|(_, host)| host.clone()));
-    receivers
-}
-
 // loaded adapters change often, and the owners of the engines report them in heartbeats
 fn without_adapters(target: &Target) -> Target {
     let mut target = target.clone();
@@ -281,5 +275,8 @@
     watch::apply_listing(edge, host, message.registry_offset, update.targets);
     stream_origins::observe_versions(edge);
     edge.state_changed.notify_one();
+    if edge.fleet.read().position() == message.registry_offset {
+        edge.peers.lock().observe_digest(host, digest(edge), message.registry_offset);
+    }
     send_updates(edge);
 }
--- /dev/null
+++ b/crates/edge/src/peers/loads.rs
@@ -0,0 +1,158 @@
+//! How many requests of all hosts run at each target.
+//!
+//! One host keeps the total of a target: the owner of an engine, and the first live host of the data
+//! centre for any other target. The hosts report their requests to it, and it writes the total for
+//! all of them.
+
+use {
+    super::{gossip::first_host_of, links},
+    crate::state::Edge,
+    egret_core::Time,
+    egret_runtime::{Body, TargetLoadMsg, TargetLoadsMsg, now},
+    faststr::FastStr,
+    indexmap::IndexMap,
+    parking_lot::Mutex,
+    std::sync::Arc,
+};
+
+/// Time after which an unchanged report is sent again. The receiver drops it after three times as
+/// long.
+const REPEAT_INTERVAL_MS: u64 = 800;
+
+/// What this host has last reported, and who keeps the totals of targets without an owner.
+#[derive(Debug, Default)]
+pub(crate) struct LoadReports {
+    by_target: Mutex<IndexMap<FastStr, u32>>,
+    keepers: Mutex<IndexMap<FastStr, FastStr>>,
+}
+
+/// Reports on their way.
+#[derive(Debug, Default)]
+pub(super) struct SentReports {
+    by_host: IndexMap<FastStr, (Vec<TargetLoadMsg>, Time)>,
+}
+
+/// The host that keeps the total of `target`.
+fn keeper(edge: &Edge, target: &str) -> Option<FastStr> {
+    if let Some(owner) = edge.engine_owners.lock().owner_host(target) {
+        return Some(owner.clone());
+    }
+    edge.load_reports.keepers.lock().get(target).cloned()
+}
+
+/// Looks up who keeps the totals of targets without an owner.
+pub(super) fn choose_keepers(edge: &Edge) {
+    let routing = edge.routing();
+    let has_orders =
+        |service: &FastStr| routing.services().get(service).is_some_and(|s| s.engine.is_some());
+    let targets: Vec<(FastStr, FastStr)> = {
+        let fleet = edge.fleet.read();
+        let plain = fleet.all_ready().filter(|target| !has_orders(&target.service));
+        plain.map(|target| (target.id.clone(), target.data_centre.clone())).collect()
+    };
+    let keeper = |(target, data_centre): (FastStr, FastStr)| {
+        let host = first_host_of(edge, &data_centre, &target);
+        (target, host)
+    };
+    let keepers = targets.into_iter().map(keeper).collect();
+    *edge.load_reports.keepers.lock() = keepers;
+}
+
+/// Targets without an owner whose totals this host keeps.
+pub(super) fn kept_totals(edge: &Edge) -> Vec<FastStr> {
+    let keepers = edge.load_reports.keepers.lock();
+    let own = keepers.iter().filter(|(_, host)| **host == edge.cfg.host);
+    own.map(|(target, _)| target.clone()).collect()
+}
+
+/// Requests of all hosts at `target`, of which `own` are this host's.
+pub(crate) fn running_at(edge: &Edge, target: &FastStr, own: u64) -> u64 {
+    let Some(keeper) = keeper(edge, target) else {
+        return own;
+    };
+    if keeper == edge.cfg.host {
+        return own + edge.peers.lock().reported_running_at(target);
+    }
+    let Some(total) = edge.peers.lock().total_at(&keeper, target) else {
+        return own;
+    };
+    // the total has this host's requests as last reported
+    let reported = edge.load_reports.by_target.lock().get(target).copied().unwrap_or(0);
+    own.max((total + own).saturating_sub(u64::from(reported)))
+}
+
+/// True if a request that is known here uses `adapter` on `engine`.
+pub(crate) fn is_in_use(edge: &Edge, engine: &str, adapter: &str) -> bool {
+    let activity = edge.target_activity.lock();
+    let is_used_here =
+        activity.get(engine).is_some_and(|entry| entry.adapters.contains_key(adapter));
+    drop(activity);
+    is_used_here || edge.peers.lock().uses_adapter(engine, adapter)
+}
+
+/// Reports the requests of this host to the hosts that keep the totals, those of other data centres
+/// only if `includes_remote` is set.
+pub(super) fn report(edge: &Arc<Edge>, sent: &mut SentReports, includes_remote: bool) {
+    let mut reports: IndexMap<FastStr, Vec<TargetLoadMsg>> = IndexMap::new();
+    for load in own_loads(edge) {
+        if let Some(host) = keeper(edge, &load.target).filter(|host| *host != edge.cfg.host) {
+            reports.entry(host).or_default().push(load);
+        }
+    }
+    // an empty report ends an earlier one
+    let ended = sent.by_host.iter().filter(|(_, (loads, _))| !loads.is_empty());
+    let ended: Vec<FastStr> = ended.map(|(host, _)| host.clone()).collect();
+    for host in ended {
+        reports.entry(host).or_default();
+    }
+    sent.by_host.retain(|host, _| reports.contains_key(host));
+    for (host, loads) in reports {
+        let is_due = sent.by_host.get(&host).is_none_or(|(before, at)| {
+            *before != loads || now() >= at.after_ms(REPEAT_INTERVAL_MS)
+        });
+        let is_included = includes_remote || is_local(edge, &host);
+        if is_due && is_included {
+            send(edge, sent, host, loads);
+        }
+    }
+}
+
+fn own_loads(edge: &Edge) -> Vec<TargetLoadMsg> {
+    let activity = edge.target_activity.lock();
+    let running = activity.iter().filter(|(_, entry)| entry.running > 0);
+    let load = |(target, entry): (&FastStr, &crate::state::TargetActivity)| TargetLoadMsg {
+        target: target.to_string(),
+        running: entry.running,
+        adapters: entry.adapters.keys().map(ToString::to_string).collect(),
+    };
+    running.map(load).collect()
+}
+
+fn is_local(edge: &Edge, host: &str) -> bool {
+    let peers = edge.peers.lock();
+    peers.all().get(host).is_some_and(|peer| peer.record.data_centre == edge.cfg.data_centre)
+}
+
+fn send(edge: &Arc<Edge>, sent: &mut SentReports, host: FastStr, loads: Vec<TargetLoadMsg>) {
+    let Some(link) = edge.links.get(&host) else {
+        links::open(edge, host);
+        return;
+    };
+    let body = Body::TargetLoads(TargetLoadsMsg { loads: loads.clone() });
+    links::record_sent(edge, &host, &body);
+    if !link.try_notify(body) {
+        sent.by_host.swap_remove(&host);
+        return;
+    }
+    let mut reported = edge.load_reports.by_target.lock();
+    if let Some((before, _)) = sent.by_host.get(&host) {
+        for load in before {
+            reported.swap_remove(load.target.as_str());
+        }
+    }
+    for load in &loads {
+        reported.insert(FastStr::new(&load.target), load.running);
+    }
+    drop(reported);
+    sent.by_host.insert(host, (loads, now()));
+}
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages from other hosts, and sends requests for adapter loads to engine owners.
 
 use {
-    super::{departures, gossip, rate_limits, routes, send_history, stream_origins},
+    super::{gossip, links, rate_limits, routes, spread, stream_origins},
     crate::{
         dispatch,
         orders::{self, AdapterRequest},
@@ -9,7 +9,7 @@
     },
     egret_runtime::{Body, Hello, LoadAdapterMsg, StatusMsg, events, now, serve_links},
     faststr::FastStr,
-    futures::future::BoxFuture,
+    futures::future::{BoxFuture, ready},
     std::sync::Arc,
 };
 
@@ -30,22 +30,23 @@
     hello: Arc<Hello>,
     body: Body,
 ) -> BoxFuture<'static, Option<Body>> {
+    // rows have to be applied in the order of the messages, which tasks do not keep
+    let body = match body {
+        Body::Spread(message) => {
+            spread::receive(&edge, &hello, message);
+            return Box::pin(ready(None));
+        }
+        body => body,
+    };
     Box::pin(async move {
         match body {
-            Body::HostHeartbeat(mut heartbeat) => {
-                send_history::resume(&edge, std::mem::take(&mut heartbeat.earlier_sends));
-                let known = std::mem::take(&mut heartbeat.departures);
-                departures::merge_messages(&edge, &hello.host, known);
-                let limits = std::mem::take(&mut heartbeat.rate_limits);
-                rate_limits::observe_messages(&edge, &hello.host, limits);
-                let revision = heartbeat.revision;
-                let reported = edge.peers.lock().apply_heartbeat(hello.incarnation, heartbeat);
-                let mut copies = edge.local_copies.lock();
-                for (engine, adapters) in &reported {
-                    copies.record_resident(engine, adapters.iter());
-                }
-                drop(copies);
-                routes::observe_revision(&edge, &hello.host, revision);
+            Body::AskProgress(_) => Some(spread::own_progress(&edge)),
+            Body::Progress(message) => {
+                spread::resync(&edge, &hello.host, message);
+                None
+            }
+            Body::TargetLoads(message) => {
+                edge.peers.lock().apply_loads(&hello.host, message.loads);
                 None
             }
             Body::Suspects(message) => {
@@ -111,7 +112,7 @@
         remaining_ms: now().ms_until(request.deadline),
         reported_missing: false,
     };
-    let answer = edge.links.call(host, Body::LoadAdapter(message), request.deadline).await;
+    let answer = links::call(edge, host, Body::LoadAdapter(message), request.deadline).await;
     matches!(answer, Ok(Body::Ok(_)))
 }
 
@@ -123,5 +124,5 @@
         reported_missing: true,
         ..LoadAdapterMsg::default()
     };
-    edge.links.notify(host, Body::LoadAdapter(message));
+    links::notify(edge, host, Body::LoadAdapter(message));
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -1,15 +1,20 @@
-//! The other hosts: their records and load, and the adapters loaded on the engines that they
-//! own.
+//! The other hosts: what they have read of the store, the engines that they own and the adapters
+//! loaded there, and what is to be known everywhere at once.
+//!
+//! Each host writes rows, which spread over a few contacts (`egret_spread`). Messages that concern a
+//! single host go to it alone, over a link that is opened when it is needed.
 
-mod adapter_deltas;
 mod departures;
 mod gossip;
-mod heartbeat;
+mod links;
+mod loads;
 mod messages;
 mod peer_table;
 mod rate_limits;
 mod routes;
+mod rows;
 mod send_history;
+mod spread;
 mod stream_origins;
 
 pub(crate) use {
@@ -17,18 +22,34 @@
         ReadStatus, confirm_current, host_rank, is_first_for, is_reader, may_be_behind,
         read_status, send_updates,
     },
+    links::notify,
+    loads::{LoadReports, is_in_use, running_at},
     messages::{notify_missing_adapter, request_load},
     peer_table::{HostRecord, Peers},
     rate_limits::{observe_issuers, observe_limit, take_token},
     routes::RoutesExchange,
+    spread::Spread,
     stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
 
-use {crate::state::Edge, std::sync::Arc};
+use {crate::state::Edge, egret_runtime::SuspectsMsg, std::sync::Arc};
 
 /// Starts serving and sending messages between hosts.
 pub(crate) fn start(edge: &Arc<Edge>) {
     tokio::spawn(messages::serve(edge.clone()));
-    tokio::spawn(heartbeat::send_heartbeats(edge.clone()));
+    tokio::spawn(spread::run(edge.clone()));
     tokio::spawn(routes::fetch_newer(edge.clone()));
 }
+
+/// Applies the record of `host` in the host log, or its removal.
+pub(crate) fn apply_record(edge: &Edge, host: &str, record: Option<HostRecord>) {
+    edge.peers.lock().apply_record(&edge.cfg.host, host, record);
+    // rows of a host may arrive before its record is read
+    rows::apply_known(edge, &faststr::FastStr::new(host));
+}
+
+/// Sends a report of crashes to all hosts.
+pub(crate) fn report_crashes(edge: &Edge, message: &SuspectsMsg) {
+    rows::write_crashes(edge, message);
+    edge.spread.flush();
+}
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -1,24 +1,29 @@
-//! Table of the other hosts, from their records and heartbeats.
+//! Table of the other hosts, from their records and rows.
 
 use {
     super::send_history::SendHistory,
     crate::state::ReadPosition,
     egret_core::Time,
-    egret_runtime::{HostHeartbeatMsg, ReadPositionMsg, now},
+    egret_runtime::{
+        HostPositionsMsg, LoadCountsMsg, ReadPositionMsg, SendTotalsMsg, TargetLoadMsg, now,
+    },
     faststr::FastStr,
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
-/// Time without a heartbeat after which a host no longer counts as live. Three heartbeats between
-/// data centres may be lost.
+/// Time without a heartbeat after which a host no longer counts as live. It covers three heartbeats
+/// on the longest way between two hosts.
 const HEARTBEAT_TIMEOUT_MS: u64 = 2500;
 
 /// Time without a heartbeat after which a host no longer counts for shared budgets. It is longer
 /// than any window over which such a budget is counted.
 const BUDGET_RETENTION_MS: u64 = 30_000;
 
+/// Time after which a host's report of its requests no longer counts.
+const LOADS_VALID_MS: u64 = 2500;
+
 /// Added to the age of a read reported by another host. It exceeds the delay of a message between
 /// hosts, so that a host's own reads never look newer when they are reported back to it.
 const LINK_DELAY_MAX_MS: u64 = 50;
@@ -43,13 +48,15 @@
     pub(crate) running: u64,
     /// Loaded adapters with their versions.
     pub(crate) adapters: IndexMap<FastStr, u64>,
+    /// Those of them that are replaced by a newer version once their requests have ended.
+    pub(crate) outdated_and_busy: IndexSet<FastStr>,
 }
 
 /// Requests of another host at one target.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PeerTargetLoad {
-    pub(crate) running: u32,
-    pub(crate) adapters: Vec<FastStr>,
+struct ReportedLoad {
+    running: u32,
+    adapters: Vec<FastStr>,
 }
 
 /// Another host.
@@ -57,7 +64,11 @@
 pub(crate) struct Peer {
     pub(crate) record: HostRecord,
     pub(crate) last_heartbeat_at: Time,
-    pub(crate) loads: IndexMap<FastStr, PeerTargetLoad>,
+    // its requests at the targets whose totals this host keeps
+    loads: IndexMap<FastStr, ReportedLoad>,
+    loads_reported_at: Time,
+    /// Requests of all hosts at the targets without an owner whose totals it keeps.
+    totals: IndexMap<FastStr, u64>,
     pub(crate) engines: IndexMap<FastStr, EngineView>,
     /// Adapter loads in progress on its engines.
     pub(crate) loads_in_progress: usize,
@@ -86,10 +97,6 @@
     Time::from_millis(now().as_millis().saturating_sub(age_ms + LINK_DELAY_MAX_MS))
 }
 
-fn position_from_message(message: ReadPositionMsg) -> ReadPosition {
-    ReadPosition { next_offset: message.next_offset, caught_up_at: time_from_age(message.age_ms) }
-}
-
 /// The other hosts by name.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
@@ -135,6 +142,8 @@
             record,
             last_heartbeat_at: Time::ZERO,
             loads: IndexMap::new(),
+            loads_reported_at: Time::ZERO,
+            totals: IndexMap::new(),
             engines: IndexMap::new(),
             loads_in_progress: 0,
             loads_wanted: 0,
@@ -150,59 +159,118 @@
         self.all.insert(FastStr::new(host), peer);
     }
 
-    /// Applies a heartbeat of the process `incarnation`. Returns the newly reported adapters by engine.
-    pub(crate) fn apply_heartbeat(
+    /// Records a heartbeat of `host`.
+    pub(crate) fn record_beat(&mut self, host: &str, at: Time) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.last_heartbeat_at = peer.last_heartbeat_at.max(at);
+        }
+    }
+
+    /// Applies what `host` had of the platform's store at `written_at`.
+    pub(crate) fn apply_positions(
         &mut self,
-        incarnation: u64,
-        message: HostHeartbeatMsg,
-    ) -> Vec<(FastStr, Vec<FastStr>)> {
-        let Some(peer) = self.all.get_mut(message.host.as_str()) else {
-            return Vec::new();
+        host: &str,
+        written_at: Time,
+        message: &HostPositionsMsg,
+    ) {
+        let Some(peer) = self.all.get_mut(host) else {
+            return;
+        };
+        let before = |age_ms: u64| {
+            Time::from_millis(written_at.as_millis().saturating_sub(age_ms + LINK_DELAY_MAX_MS))
+        };
+        let position = |message: ReadPositionMsg| ReadPosition {
+            next_offset: message.next_offset,
+            caught_up_at: before(message.age_ms),
         };
-        peer.last_heartbeat_at = now();
-        peer.sends.record(incarnation, message.send_totals);
-        peer.loads = message
-            .target_loads
-            .into_iter()
-            .map(|load| {
-                let adapters = load.adapters.into_iter().map(FastStr::from_string).collect();
-                (
-                    FastStr::from_string(load.target),
-                    PeerTargetLoad { running: load.running, adapters },
-                )
-            })
-            .collect();
         peer.revision = message.revision;
         peer.digest = message.digest;
         peer.registry_offset = message.registry_offset;
-        peer.registry_read_at = time_from_age(message.registry_age_ms);
-        peer.operator_position = position_from_message(message.operator_position);
-        peer.host_log_position = position_from_message(message.host_log_position);
-        peer.loads_in_progress = usize::try_from(message.loads_in_progress).unwrap_or(0);
-        peer.loads_wanted = usize::try_from(message.loads_wanted).unwrap_or(0);
-        let mut previous = std::mem::take(&mut peer.engines);
-        let mut reported = Vec::new();
-        for engine in message.engines {
-            let name = FastStr::from_string(engine.engine);
-            let known = previous.swap_remove(&name).unwrap_or_default().adapters;
-            let mut resident = if engine.is_complete { IndexMap::new() } else { known };
-            for removed in &engine.removed_adapters {
-                resident.swap_remove(removed.as_str());
-            }
-            let new = engine
-                .resident_adapters
-                .into_iter()
-                .map(|adapter| (FastStr::from_string(adapter.name), adapter.version));
-            let new: Vec<(FastStr, u64)> = new.collect();
-            reported.push((name.clone(), new.iter().map(|(adapter, _)| adapter.clone()).collect()));
-            resident.extend(new);
-            let running = u64::from(engine.running);
-            peer.engines.insert(
-                name,
-                EngineView { can_load: engine.can_load, running, adapters: resident },
-            );
+        peer.registry_read_at = message.registry_age_ms.map_or(Time::ZERO, before);
+        peer.operator_position = position(message.operator_position);
+        peer.host_log_position = position(message.host_log_position);
+    }
+
+    /// Applies the adapter loads on the engines of `host`.
+    pub(crate) fn apply_load_counts(&mut self, host: &str, counts: LoadCountsMsg) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.loads_in_progress = usize::try_from(counts.in_progress).unwrap_or(0);
+            peer.loads_wanted = usize::try_from(counts.wanted).unwrap_or(0);
+        }
+    }
+
+    /// Changes the view of an engine that `host` owns.
+    pub(crate) fn update_engine(
+        &mut self,
+        host: &str,
+        engine: &str,
+        update: impl FnOnce(&mut EngineView),
+    ) {
+        if let Some(peer) = self.all.get_mut(host) {
+            update(peer.engines.entry(FastStr::new(engine)).or_default());
+        }
+    }
+
+    /// Forgets an engine that `host` no longer owns.
+    pub(crate) fn remove_engine(&mut self, host: &str, engine: &str) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.engines.swap_remove(engine);
+        }
+    }
+
+    /// Forgets an adapter that is no longer resident on an engine of `host`.
+    pub(crate) fn remove_adapter(&mut self, host: &str, engine: &str, adapter: &str) {
+        let engines = self.all.get_mut(host).map(|peer| &mut peer.engines);
+        if let Some(view) = engines.and_then(|engines| engines.get_mut(engine)) {
+            view.adapters.swap_remove(adapter);
+            view.outdated_and_busy.swap_remove(adapter);
+        }
+    }
+
+    /// Applies the requests of all hosts at `target` that `host` has counted; none if it no longer
+    /// counts them.
+    pub(crate) fn apply_total(&mut self, host: &str, target: &str, running: Option<u64>) {
+        let Some(peer) = self.all.get_mut(host) else {
+            return;
+        };
+        match running {
+            Some(running) => peer.totals.insert(FastStr::new(target), running),
+            None => peer.totals.swap_remove(target),
+        };
+    }
+
+    /// Applies the requests that `host` has at the targets whose totals this host keeps.
+    pub(crate) fn apply_loads(&mut self, host: &str, loads: Vec<TargetLoadMsg>) {
+        let Some(peer) = self.all.get_mut(host) else {
+            return;
+        };
+        let load = |load: TargetLoadMsg| {
+            let adapters = load.adapters.into_iter().map(FastStr::from_string).collect();
+            let reported = ReportedLoad { running: load.running, adapters };
+            (FastStr::from_string(load.target), reported)
+        };
+        peer.loads = loads.into_iter().map(load).collect();
+        peer.loads_reported_at = now();
+    }
+
+    /// Applies the sends of the process `incarnation` of `host` since its start.
+    pub(crate) fn record_sends(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        totals: Vec<SendTotalsMsg>,
+    ) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.sends.record(incarnation, totals);
+        }
+    }
+
+    /// Records that `host` has the state with this digest, after its update was applied.
+    pub(crate) fn observe_digest(&mut self, host: &str, digest: u64, registry_offset: u64) {
+        if let Some(peer) = self.all.get_mut(host) {
+            peer.digest = digest;
+            peer.registry_offset = peer.registry_offset.max(registry_offset);
         }
-        reported
     }
 
     /// Records that `host` has a revision of the routes in force.
@@ -256,35 +324,32 @@
         count as u64
     }
 
-    /// Requests of live hosts at `target`.
-    pub(crate) fn running_at(&self, target: &str) -> u64 {
-        let now = now();
-        let live = self
-            .all
-            .values()
-            .filter(|peer| now < peer.last_heartbeat_at.after_ms(HEARTBEAT_TIMEOUT_MS));
-        live.filter_map(|peer| peer.loads.get(target)).map(|load| u64::from(load.running)).sum()
+    /// Requests of other hosts at `target`, as they have reported to this host.
+    pub(crate) fn reported_running_at(&self, target: &str) -> u64 {
+        let loads = self.reported_loads().filter_map(|loads| loads.get(target));
+        loads.map(|load| u64::from(load.running)).sum()
     }
 
-    /// Requests of all hosts at `target`, as reported by its live owner.
-    pub(crate) fn total_running_at(&self, target: &str) -> u64 {
-        let now = now();
-        let live = self
-            .all
-            .values()
-            .filter(|peer| now < peer.last_heartbeat_at.after_ms(HEARTBEAT_TIMEOUT_MS));
-        live.filter_map(|peer| peer.engines.get(target)).map(|view| view.running).max().unwrap_or(0)
+    /// Requests of all hosts at `target`, as counted by `host`; none if it is not live or does not
+    /// count them.
+    pub(crate) fn total_at(&self, host: &str, target: &str) -> Option<u64> {
+        let peer = self.all.get(host).filter(|_| self.is_live(host))?;
+        let engine = peer.engines.get(target).map(|view| view.running);
+        engine.or_else(|| peer.totals.get(target).copied())
     }
 
-    /// True if a live host has a request for `adapter` at `target`.
+    /// True if another host has reported a request for `adapter` at `target` to this one.
     pub(crate) fn uses_adapter(&self, target: &str, adapter: &str) -> bool {
+        let mut loads = self.reported_loads().filter_map(|loads| loads.get(target));
+        loads.any(|load| load.adapters.iter().any(|a| a == adapter))
+    }
+
+    fn reported_loads(&self) -> impl Iterator<Item = &IndexMap<FastStr, ReportedLoad>> {
         let now = now();
-        let live = self
-            .all
-            .values()
-            .filter(|peer| now < peer.last_heartbeat_at.after_ms(HEARTBEAT_TIMEOUT_MS));
-        live.filter_map(|peer| peer.loads.get(target))
-            .any(|load| load.adapters.iter().any(|a| a == adapter))
+        let valid = self.all.values().filter(move |peer| {
+            now < peer.loads_reported_at.after_ms(LOADS_VALID_MS) && !peer.loads.is_empty()
+        });
+        valid.map(|peer| &peer.loads)
     }
 
     /// Adapter loads in progress on the engines of live hosts.
--- a/crates/edge/src/peers/rate_limits.rs
+++ b/crates/edge/src/peers/rate_limits.rs
@@ -2,7 +2,7 @@
 //! issues them to other hosts.
 
 use {
-    super::{gossip, peer_table::time_from_age},
+    super::{gossip, links, peer_table::time_from_age},
     crate::state::Edge,
     egret_core::{HostCounts, Target, TargetRateLimit, Time, TokenAnswer},
     egret_runtime::{Body, RateLimitMsg, TokenMsg, events, now},
@@ -15,10 +15,10 @@
 /// Pause before an issuer that did not answer is asked again, so that not every request waits.
 const ASK_PAUSE_MS: u64 = 400;
 
-/// Heartbeats name the limits that were named within this time, so that each is in several of them.
+/// The limits that were named within this time are told to the other hosts.
 const REPEAT_MS: u64 = 1000;
 
-/// Highest number of limits in a heartbeat.
+/// Highest number of limits that are told.
 const REPEATED_MAX: usize = 64;
 
 /// A limit that changes by less than one part in this many is not logged again.
@@ -113,7 +113,7 @@
 async fn ask(edge: &Edge, issuer: &str, limit: &TargetRateLimit) -> Option<TokenAnswer> {
     let question = Body::TakeToken(message(limit));
     let deadline = now().after_ms(ANSWER_TIMEOUT_MS);
-    match edge.links.call(issuer, question, deadline).await {
+    match links::call(edge, issuer, question, deadline).await {
         Ok(Body::Token(TokenMsg { wait_ms: 0 })) => Some(TokenAnswer::Granted),
         Ok(Body::Token(TokenMsg { wait_ms })) => {
             Some(TokenAnswer::Denied { until: now().after_ms(wait_ms) })
@@ -147,13 +147,13 @@
     HostCounts { live, known: known.max(live) }
 }
 
-/// Limits that were named lately, for heartbeats.
+/// Limits that were named lately, for the other hosts.
 pub(super) fn recent(edge: &Edge) -> Vec<RateLimitMsg> {
     let since = Time::from_millis(now().as_millis().saturating_sub(REPEAT_MS));
     edge.rate_limits.lock().named_after(since).take(REPEATED_MAX).map(message).collect()
 }
 
-/// Records the limits in a heartbeat of `host`.
+/// Records the limits that `host` has told.
 pub(super) fn observe_messages(edge: &Edge, host: &str, messages: Vec<RateLimitMsg>) {
     for message in messages {
         observe(edge, host, limit_from_message(message));
--- a/crates/edge/src/peers/routes.rs
+++ b/crates/edge/src/peers/routes.rs
@@ -5,7 +5,7 @@
 //! that fails it reads them from the store, which also serves when no peer has them.
 
 use {
-    super::gossip::is_first_of_data_centre,
+    super::{gossip::is_first_of_data_centre, links},
     crate::{state::Edge, watch},
     bytes::Bytes,
     egret_core::{Routing, RoutingChange, Time, rendezvous_weight},
@@ -91,6 +91,16 @@
     }
 }
 
+/// Fetches routes if a live peer has newer ones, also after a fetch that has failed.
+pub(super) fn fetch_if_behind(edge: &Edge) {
+    let own_revision = edge.routing().revision;
+    let peers = edge.peers.lock();
+    let mut all = peers.all().iter();
+    if all.any(|(host, peer)| peer.revision > own_revision && peers.is_live(host)) {
+        edge.routes_exchange.newer_seen.notify_one();
+    }
+}
+
 /// Fetches routes when a peer has newer ones.
 pub(super) async fn fetch_newer(edge: Arc<Edge>) {
     let mut failed: IndexMap<FastStr, Time> = IndexMap::new();
@@ -140,7 +150,7 @@
 async fn fetch_from(edge: &Edge, host: &str, base_revision: u64) -> Result<(), String> {
     let question = Body::FetchRoutes(FetchRoutesMsg { base_revision });
     let deadline = now().after_ms(FETCH_TIMEOUT_MS);
-    let answer = edge.links.call(host, question, deadline).await.map_err(|e| e.to_string())?;
+    let answer = links::call(edge, host, question, deadline).await.map_err(|e| e.to_string())?;
     let Body::Routes(message) = answer else {
         return Err("no routes in the answer".to_owned());
     };
--- a/crates/edge/src/peers/send_history.rs
+++ b/crates/edge/src/peers/send_history.rs
@@ -1,4 +1,4 @@
-//! First and repeated sends of another host, as its heartbeats report them.
+//! First and repeated sends of another host, as it tells its contacts.
 //!
 //! A host that restarts gets them back from the others, and so knows what its earlier process has
 //! used up of the retry budget.
@@ -29,14 +29,14 @@
 /// Sends of a host in the last seconds, by all its processes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SendHistory {
-    // the process of the last heartbeat, and its totals by service
+    // the process of the last message, and its totals by service
     incarnation: u64,
     totals: IndexMap<FastStr, SendTotals>,
     slots: VecDeque<Slot>,
 }
 
 impl SendHistory {
-    /// Applies the totals of a heartbeat.
+    /// Applies the totals of a message.
     pub(crate) fn record(&mut self, incarnation: u64, totals: Vec<SendTotalsMsg>) {
         if incarnation != self.incarnation {
             self.incarnation = incarnation;
@@ -84,7 +84,7 @@
     }
 }
 
-/// Totals of this host, for heartbeats.
+/// Totals of this host, for its contacts.
 pub(super) fn own_totals(edge: &Edge) -> Vec<SendTotalsMsg> {
     let windows = edge.retry_windows.lock();
     let message = |(service, sends): (&FastStr, SendTotals)| SendTotalsMsg {
--- a/crates/edge/src/peers/stream_origins.rs
+++ b/crates/edge/src/peers/stream_origins.rs
@@ -5,11 +5,11 @@
 //! the first event of its stream is passed on. While there is only one version, nothing is sent.
 
 use {
+    super::{links, peer_table::Peer},
     crate::state::Edge,
     egret_core::{OriginReport, StreamOrigin, StreamOriginRecord, Target, Time, rendezvous_weight},
     egret_runtime::{
-        Body, FindStreamOriginMsg, Link, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg,
-        now,
+        Body, FindStreamOriginMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, now,
     },
     faststr::FastStr,
     futures::{StreamExt, future::join_all, stream::FuturesUnordered},
@@ -34,16 +34,15 @@
 /// Longest delay of the first events of a stream until its origin is written to the links.
 const WRITE_TIMEOUT_MS: u64 = 20;
 
-/// Longest wait for a first link in the startup period of this host.
-const LINK_WAIT_MS: u64 = 500;
+/// Longest wait for a first answer in the startup period of this host.
+const ANSWER_WAIT_MS: u64 = 500;
 
-/// Pause between checks for a link.
-const LINK_CHECK_INTERVAL_MS: u64 = 25;
+/// Pause between questions.
+const ASK_INTERVAL_MS: u64 = 25;
 
-// another host with an open link
-struct LinkedHost {
+// another host that may have a copy
+struct OtherHost {
     name: FastStr,
-    link: Arc<Link>,
     is_local: bool,
 }
 
@@ -61,8 +60,8 @@
         let services = edge.routing().services_beside(&service);
         if has_several_versions(edge, &services) {
             let records = edge.stream_origins.lock().own_records(now(), &services);
-            for (link, message) in copies(edge, &records) {
-                link.notify(message);
+            for (host, message) in copies(edge, &records) {
+                links::notify(edge, &host, message);
             }
         }
     }
@@ -87,16 +86,19 @@
     }
     let deadline = now().after_ms(WRITE_TIMEOUT_MS);
     let copies = copies(edge, slice::from_ref(&record));
-    let sends = copies.into_iter().map(|(link, message)| async move {
-        link.notify_written(message, deadline).await;
+    let sends = copies.into_iter().map(|(host, message)| async move {
+        if let Some(link) = links::link_to(edge, &host, deadline).await {
+            links::record_sent(edge, &host, &message);
+            link.notify_written(message, deadline).await;
+        }
     });
     join_all(sends).await;
     true
 }
 
 // the messages with `records` for the hosts that get copies of them
-fn copies(edge: &Edge, records: &[StreamOriginRecord]) -> Vec<(Arc<Link>, Body)> {
-    let hosts = linked_hosts(edge);
+fn copies(edge: &Edge, records: &[StreamOriginRecord]) -> Vec<(FastStr, Body)> {
+    let hosts = other_hosts(edge);
     let mut by_host: IndexMap<usize, Vec<StreamOriginMsg>> = IndexMap::new();
     for record in records {
         for index in ranked_for(&hosts, &record.request_id).into_iter().take(COPIES) {
@@ -104,27 +106,26 @@
         }
     }
     let message = |(index, origins): (usize, Vec<StreamOriginMsg>)| {
-        (hosts[index].link.clone(), Body::StreamOrigins(StreamOriginsMsg { origins }))
+        (hosts[index].name.clone(), Body::StreamOrigins(StreamOriginsMsg { origins }))
     };
     by_host.into_iter().map(message).collect()
 }
 
-fn linked_hosts(edge: &Edge) -> Vec<LinkedHost> {
-    let known: Vec<(FastStr, bool)> = {
-        let peers = edge.peers.lock();
-        let is_local = |data_centre: &FastStr| *data_centre == edge.cfg.data_centre;
-        let all = peers.all().iter();
-        all.map(|(host, peer)| (host.clone(), is_local(&peer.record.data_centre))).collect()
+// The live hosts, or all if none is known to be live. The host that records an origin and the one
+// that looks for it choose among about the same ones.
+fn other_hosts(edge: &Edge) -> Vec<OtherHost> {
+    let peers = edge.peers.lock();
+    let host = |(name, peer): (&FastStr, &Peer)| OtherHost {
+        name: name.clone(),
+        is_local: peer.record.data_centre == edge.cfg.data_centre,
     };
-    let linked = known.into_iter().filter_map(|(name, is_local)| {
-        let link = edge.links.get(&name)?;
-        Some(LinkedHost { name, link, is_local })
-    });
-    linked.collect()
+    let live = peers.all().iter().filter(|(name, _)| peers.is_live(name));
+    let live: Vec<OtherHost> = live.map(host).collect();
+    if live.is_empty() { peers.all().iter().map(host).collect() } else { live }
 }
 
 // indices of `hosts` in the order in which they get the origin of the stream `request_id`
-fn ranked_for(hosts: &[LinkedHost], request_id: &str) -> Vec<usize> {
+fn ranked_for(hosts: &[OtherHost], request_id: &str) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..hosts.len()).collect();
     ranked.sort_by_cached_key(|index| Reverse(rendezvous_weight(request_id, &hosts[*index].name)));
     ranked
@@ -175,21 +176,21 @@
 }
 
 /// Asks other hosts about the stream that request `request_id` began on a route to `services`, until
-/// one of them knows its origin or all have answered. A host that has just started waits for its
-/// first link.
+/// one of them knows its origin or all have answered. A host that has just started asks
+/// again until one answers.
 pub(crate) async fn ask_for_origin(
     edge: &Edge,
     request_id: Option<&FastStr>,
     services: &[FastStr],
 ) -> Vec<OriginReport> {
     let is_starting = now() < edge.startup_ends_at;
-    let wait_until = if is_starting { now().after_ms(LINK_WAIT_MS) } else { now() };
+    let wait_until = if is_starting { now().after_ms(ANSWER_WAIT_MS) } else { now() };
     loop {
-        let reports = ask_linked_hosts(edge, request_id, services).await;
+        let reports = ask_hosts(edge, request_id, services).await;
         if !reports.is_empty() || now() >= wait_until || is_only_host(edge) {
             return reports;
         }
-        tokio::time::sleep(Duration::from_millis(LINK_CHECK_INTERVAL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(ASK_INTERVAL_MS)).await;
     }
 }
 
@@ -198,7 +199,7 @@
     has_read_hosts && edge.peers.lock().all().is_empty()
 }
 
-async fn ask_linked_hosts(
+async fn ask_hosts(
     edge: &Edge,
     request_id: Option<&FastStr>,
     services: &[FastStr],
@@ -208,10 +209,10 @@
         services: services.iter().map(ToString::to_string).collect(),
     };
     let deadline = now().after_ms(ANSWER_TIMEOUT_MS);
-    let hosts = hosts_to_ask(linked_hosts(edge), request_id);
+    let hosts = hosts_to_ask(other_hosts(edge), request_id);
     let calls = hosts.iter().map(|host| {
         let question = Body::FindStreamOrigin(question.clone());
-        async move { host.link.call(question, deadline).await }
+        async move { links::call(edge, &host.name, question, deadline).await }
     });
     let mut calls: FuturesUnordered<_> = calls.collect();
     let mut reports = Vec::new();
@@ -230,13 +231,13 @@
 }
 
 // first the hosts that have a copy of the origin, then those of this data centre, then the others
-fn hosts_to_ask(hosts: Vec<LinkedHost>, request_id: Option<&FastStr>) -> Vec<LinkedHost> {
+fn hosts_to_ask(hosts: Vec<OtherHost>, request_id: Option<&FastStr>) -> Vec<OtherHost> {
     let ranked = ranked_for(&hosts, request_id.map_or("", FastStr::as_str));
     let mut order = vec![0; hosts.len()];
     for (rank, index) in ranked.into_iter().enumerate() {
         order[index] = rank;
     }
-    let mut hosts: Vec<(usize, LinkedHost)> = order.into_iter().zip(hosts).collect();
+    let mut hosts: Vec<(usize, OtherHost)> = order.into_iter().zip(hosts).collect();
     hosts.sort_by_key(|(rank, host)| {
         (*rank >= ASKED_FOR_COPIES, *rank >= ASKED_FOR_COPIES && !host.is_local, *rank)
     });
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,7 +6,7 @@
         counts::Counts,
         dispatch::CrashChecks,
         orders::EngineReconcilers,
-        peers::{Peers, RoutesExchange},
+        peers::{LoadReports, Peers, RoutesExchange, Spread},
         pool::ConnectionPool,
     },
     egret_core::{
@@ -38,7 +38,7 @@
 }
 
 /// Position up to which a stream of the store was read.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ReadPosition {
     /// Offset of the first record that is not known yet.
     pub(crate) next_offset: u64,
@@ -76,6 +76,8 @@
     pub(crate) fleet: RwLock<Fleet>,
     // time at which the registry was last read to its end; zero before the first read
     pub(crate) registry_read_at: Mutex<Time>,
+    // the same for reads by this host itself
+    pub(crate) registry_own_read_at: Mutex<Time>,
     pub(crate) target_activity: Mutex<IndexMap<FastStr, TargetActivity>>,
     pub(crate) rate_limits: Mutex<TargetRateLimits>,
     pub(crate) engine_owners: Mutex<EngineOwners>,
@@ -84,7 +86,9 @@
     pub(crate) remote_requests: Mutex<CrossDataCentreRequests>,
     pub(crate) local_copies: Mutex<LocalCopies>,
     pub(crate) peers: Mutex<Peers>,
-    pub(crate) links: LinkPool,
+    pub(crate) links: Arc<LinkPool>,
+    pub(crate) spread: Spread,
+    pub(crate) load_reports: LoadReports,
     /// Hosts to which a link is being opened.
     pub(crate) connecting: Mutex<IndexSet<FastStr>>,
     pub(crate) connections: ConnectionPool,
@@ -134,6 +138,7 @@
             routes_exchange: RoutesExchange::default(),
             fleet: RwLock::default(),
             registry_read_at: Mutex::new(Time::ZERO),
+            registry_own_read_at: Mutex::new(Time::ZERO),
             target_activity: Mutex::default(),
             rate_limits: Mutex::default(),
             engine_owners: Mutex::new(EngineOwners::new(
@@ -146,7 +151,9 @@
             remote_requests: Mutex::default(),
             local_copies: Mutex::default(),
             peers: Mutex::default(),
-            links: LinkPool::new(hello),
+            links: Arc::new(LinkPool::new(hello)),
+            spread: Spread::new(cfg.host.clone(), incarnation),
+            load_reports: LoadReports::default(),
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_windows: Mutex::default(),
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -126,7 +126,7 @@
             if host == edge.cfg.host && value.as_ref() != Some(&own_record(edge)) {
                 edge.is_announced.store(false, Ordering::Release);
             }
-            edge.peers.lock().apply_record(&edge.cfg.host, host, value);
+            peers::apply_record(edge, host, value);
         } else if let Some(engine) = record.key.strip_prefix(ENGINE_PREFIX) {
             let value: Option<EngineClaim> = parse_value(record);
             edge.engine_owners.lock().apply_record(now(), engine, record.offset, value);
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -50,6 +50,7 @@
                 apply_page(&edge, &page, is_listing);
                 read_at = now();
                 *edge.registry_read_at.lock() = read_at;
+                *edge.registry_own_read_at.lock() = read_at;
                 peers::observe_versions(&edge);
                 edge.state_changed.notify_one();
                 peers::send_updates(&edge);
--- a/crates/edge/tests/edge/routes.rs
+++ b/crates/edge/tests/edge/routes.rs
@@ -2,9 +2,13 @@
 
 use {
     crate::support::{Deployment, config, request, wait_until},
-    egret_runtime::{Body, FetchRoutesMsg, Hello, HostHeartbeatMsg, Link, now, serve_links},
+    egret_runtime::{
+        Body, FetchRoutesMsg, Hello, HostPositionsMsg, Link, ProgressMsg, RowMsg, SourceDeltaMsg,
+        SpreadMsg, now, serve_links,
+    },
     egret_standin::platform::ROUTE_HOST,
     http::Method,
+    prost::Message,
     serde_json::json,
     std::{
         net::SocketAddr,
@@ -127,7 +131,8 @@
                 received.fetch_add(update.json.len(), Ordering::Relaxed);
                 None
             }
-            Body::HostHeartbeat(_) => None,
+            Body::Spread(_) | Body::TargetLoads(_) => None,
+            Body::AskProgress(_) => Some(Body::Progress(ProgressMsg::default())),
             _ => Some(Body::Ok(Hello::default())),
         };
         Box::pin(async move { answer }) as _
@@ -139,15 +144,26 @@
 // heartbeats of a host whose routes stay old
 async fn send_old_heartbeats(address: SocketAddr) {
     let link = connect_link(address).await;
+    let mut beat = 0;
     tokio::spawn(async move {
         loop {
-            let heartbeat = HostHeartbeatMsg {
+            beat += 1;
+            let positions = HostPositionsMsg { revision: 7, ..HostPositionsMsg::default() };
+            let row = RowMsg {
+                key: "p".to_owned(),
+                version: 1,
+                age_ms: 0,
+                value: Some(positions.encode_to_vec().into()),
+            };
+            let source = SourceDeltaMsg {
                 host: "host-9".to_owned(),
-                revision: 7,
-                registry_age_ms: 60_000,
-                ..HostHeartbeatMsg::default()
+                epoch: 1,
+                beat,
+                version: 1,
+                rows: vec![row],
+                ..SourceDeltaMsg::default()
             };
-            link.notify(Body::HostHeartbeat(heartbeat));
+            link.notify(Body::Spread(SpreadMsg { sources: vec![source], ..SpreadMsg::default() }));
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         }
     });
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -56,7 +56,10 @@
             Some(Body::Status(StatusMsg { json }))
         }
         // These are answers, or messages between edge hosts, and get no answer here.
-        Body::HostHeartbeat(_)
+        Body::Spread(_)
+        | Body::AskProgress(_)
+        | Body::Progress(_)
+        | Body::TargetLoads(_)
         | Body::LoadAdapter(_)
         | Body::PlatformSnapshot(_)
         | Body::StreamOrigins(_)
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,13 +24,14 @@
 pub use daemon::run_daemon;
 pub use event::{EVENTS, EventId, Fields, events};
 pub use link::{
-    AcquireMsg, AdapterVersionMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg, DepartureMsg,
-    EarlierSendsMsg, EngineStateMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame,
-    GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello, HostHeartbeatMsg, Link, LinkError, LinkPool,
-    LoadAdapterMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, RateLimitMsg,
-    ReadPositionMsg, RefuseMsg, RegisterTicketsMsg, ReleaseMsg, ResidentMsg, RoutesMsg,
-    SendTotalsMsg, StatusMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg,
-    SuspectsMsg, TargetLoadMsg, TicketMsg, TokenMsg, serve_links,
+    AcquireMsg, AskProgressMsg, AttemptKeyMsg, Body, BorrowPermitsMsg, CrashMsg, DepartureMsg,
+    EarlierSendsMsg, EngineStatusMsg, EngineViewMsg, FetchRoutesMsg, FindStreamOriginMsg, Frame,
+    GrantMsg, HeartbeatMsg, HeartbeatReplyMsg, Hello, HostPositionsMsg, Link, LinkError, LinkPool,
+    LoadAdapterMsg, LoadCountsMsg, PermitLoanMsg, PermitLoansMsg, PlatformSnapshotMsg, ProgressMsg,
+    RateLimitMsg, ReadPositionMsg, RefuseMsg, RegisterTicketsMsg, ReleaseMsg, ResidentAdapterMsg,
+    ResidentMsg, RoutesMsg, RowMsg, SendTotalsMsg, SourceDeltaMsg, SourceProgressMsg, SpreadMsg,
+    StatusMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg,
+    TargetLoadMsg, TargetLoadsMsg, TargetTotalMsg, TicketMsg, TokenMsg, serve_links,
 };
 pub use logs::init_logging;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -55,6 +55,8 @@
     pending_calls: PendingCalls,
     closed: AtomicBool,
     next_id: AtomicU64,
+    // time of the last message sent, in milliseconds
+    used_at: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -100,6 +102,7 @@
             pending_calls: Mutex::default(),
             closed: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
+            used_at: AtomicU64::new(crate::now().as_millis()),
         });
         let (tx, rx) = mpsc::channel(WRITE_QUEUE_FRAMES);
         let tasks = [
@@ -117,13 +120,30 @@
         self.state.closed.load(Ordering::Acquire)
     }
 
+    /// Number of frames that wait to be written.
+    #[must_use]
+    pub fn queued_frames(&self) -> usize {
+        self.tx.max_capacity() - self.tx.capacity()
+    }
+
+    /// Time of the last message on this link.
+    #[must_use]
+    pub fn last_used_at(&self) -> Time {
+        Time::from_millis(self.state.used_at.load(Ordering::Relaxed))
+    }
+
+    fn next_id(&self) -> u64 {
+        self.state.used_at.store(crate::now().as_millis(), Ordering::Relaxed);
+        self.state.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for the answer until `deadline`.
     ///
     /// # Errors
     ///
     /// When no answer arrives.
     pub async fn call(&self, body: Body, deadline: Time) -> Result<Body, LinkError> {
-        let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = self.next_id();
         let (answer_tx, answer_rx) = oneshot::channel();
         self.state.pending_calls.lock().insert(id, answer_tx);
         let guard = PendingCallGuard { state: &self.state, id };
@@ -144,7 +164,7 @@
     /// Sends a one-way message. Returns false if it was certainly not sent.
     #[must_use]
     pub fn try_notify(&self, body: Body) -> bool {
-        let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = self.next_id();
         self.tx.try_send(QueuedFrame::new(id, body)).is_ok()
     }
 
@@ -152,7 +172,7 @@
     /// the peer even if this process is killed then. Returns false if it is not written by
     /// `deadline`; it may be written later.
     pub async fn notify_written(&self, body: Body, deadline: Time) -> bool {
-        let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = self.next_id();
         let (written_tx, written_rx) = oneshot::channel();
         let frame = QueuedFrame { written: Some(written_tx), ..QueuedFrame::new(id, body) };
         let is_queued = self.tx.try_send(frame).is_ok();
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -2,6 +2,7 @@
 //! because the clocks of different hosts are unrelated.
 
 use {
+    ::bytes::Bytes,
     egret_core::{Fingerprint, SuspectRecord},
     prost::{Message, Oneof},
 };
@@ -15,7 +16,8 @@
     /// Content of the frame.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, \
+                27, 28"
     )]
     pub body: Option<Body>,
 }
@@ -62,9 +64,6 @@
     /// Announces crash suspects without waiting for a heartbeat.
     #[prost(message, tag = "14")]
     Suspects(SuspectsMsg),
-    /// Heartbeat between edge hosts.
-    #[prost(message, tag = "15")]
-    HostHeartbeat(HostHeartbeatMsg),
     /// Requests the load of an adapter from the host that owns the engine.
     #[prost(message, tag = "16")]
     LoadAdapter(LoadAdapterMsg),
@@ -92,6 +91,19 @@
     /// Answer to that request.
     #[prost(message, tag = "24")]
     Token(TokenMsg),
+    /// Rows of edge hosts that the receiver does not know yet.
+    #[prost(message, tag = "25")]
+    Spread(SpreadMsg),
+    /// Asks an edge host how far it knows the rows of each host.
+    #[prost(message, tag = "26")]
+    AskProgress(AskProgressMsg),
+    /// Answer to that question. An edge host also sends it if rows before those of a message are
+    /// missing there.
+    #[prost(message, tag = "27")]
+    Progress(ProgressMsg),
+    /// The sender's requests at targets whose total the receiver keeps.
+    #[prost(message, tag = "28")]
+    TargetLoads(TargetLoadsMsg),
 }
 
 /// Identifies the sender of a link's messages.
@@ -427,57 +439,173 @@
     pub json: String,
 }
 
-/// Heartbeat between edge hosts.
+/// Rows of edge hosts that a contact does not know yet.
 #[derive(Clone, PartialEq, Message)]
-pub struct HostHeartbeatMsg {
-    /// Host of the sender.
+pub struct SpreadMsg {
+    /// The rows by the host that wrote them.
+    #[prost(message, repeated, tag = "1")]
+    pub sources: Vec<SourceDeltaMsg>,
+    /// Sends of the sender since its start, by service.
+    #[prost(message, repeated, tag = "2")]
+    pub send_totals: Vec<SendTotalsMsg>,
+    /// Sends of the receiver's processes in the last seconds. Only the first message on a link
+    /// includes them.
+    #[prost(message, repeated, tag = "3")]
+    pub earlier_sends: Vec<EarlierSendsMsg>,
+    /// All targets that the sender knows to have left. Only the first message on a link names them.
+    #[prost(message, repeated, tag = "4")]
+    pub departures: Vec<DepartureMsg>,
+}
+
+/// Rows of one host.
+#[derive(Clone, PartialEq, Message)]
+pub struct SourceDeltaMsg {
+    /// Number that stands for the host and its epoch on this link.
+    #[prost(uint32, tag = "1")]
+    pub index: u32,
+    /// Name of the host, when the number is used for the first time.
+    #[prost(string, tag = "2")]
+    pub host: String,
+    /// Epoch of the host, when the number is used for the first time.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// Last heartbeat of the host.
+    #[prost(uint64, tag = "4")]
+    pub beat: u64,
+    /// Milliseconds since that heartbeat.
+    #[prost(uint64, tag = "5")]
+    pub beat_age_ms: u64,
+    /// Version that the receiver has to know already. This and `version` are 0 if no row is new.
+    #[prost(uint64, tag = "6")]
+    pub from: u64,
+    /// Version that the receiver knows then.
+    #[prost(uint64, tag = "7")]
+    pub version: u64,
+    /// True if these are all rows of the host.
+    #[prost(bool, tag = "8")]
+    pub is_complete: bool,
+    /// The rows that are new.
+    #[prost(message, repeated, tag = "9")]
+    pub rows: Vec<RowMsg>,
+}
+
+/// A row of a host.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RowMsg {
+    /// Name of the row.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Version of the host's rows at which it was written.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Milliseconds since it was written.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// The value; none if the row was removed.
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    pub value: Option<Bytes>,
+}
+
+/// Asks how far the receiver knows the rows of each host.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct AskProgressMsg {}
+
+/// How far the sender knows the rows of each host.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProgressMsg {
+    /// By host.
+    #[prost(message, repeated, tag = "1")]
+    pub sources: Vec<SourceProgressMsg>,
+}
+
+/// How far the rows of a host are known.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SourceProgressMsg {
+    /// Name of the host.
     #[prost(string, tag = "1")]
     pub host: String,
-    /// Revision of the routes in force at the sender.
+    /// Its epoch.
     #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    /// Milliseconds since the sender last read the registry.
+    pub epoch: u64,
+    /// Version up to which all rows are known.
     #[prost(uint64, tag = "3")]
-    pub registry_age_ms: u64,
-    /// Open requests of the sender, by target.
-    #[prost(message, repeated, tag = "4")]
-    pub target_loads: Vec<TargetLoadMsg>,
-    /// Engines that the sender owns.
-    #[prost(message, repeated, tag = "5")]
-    pub engines: Vec<EngineStateMsg>,
-    /// Adapter loads in progress on the engines that the sender owns.
-    #[prost(uint32, tag = "7")]
-    pub loads_in_progress: u32,
-    /// Digest of the routes, versions and targets that the sender knows.
-    #[prost(fixed64, tag = "8")]
+    pub version: u64,
+    /// Last heartbeat known.
+    #[prost(uint64, tag = "4")]
+    pub beat: u64,
+}
+
+/// Row of a host: what it has of the platform's store.
+#[derive(Clone, PartialEq, Message)]
+pub struct HostPositionsMsg {
+    /// Revision of the routes in force.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Digest of the routes, versions and targets that it knows.
+    #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// Offset of the registry up to which the sender knows the targets.
-    #[prost(uint64, tag = "9")]
+    /// Offset of the registry up to which it knows the targets.
+    #[prost(uint64, tag = "3")]
     pub registry_offset: u64,
-    /// Adapter loads from the weight store that are wanted on the sender's engines, including those
-    /// in progress.
-    #[prost(uint32, tag = "10")]
-    pub loads_wanted: u32,
-    /// How far the sender has read the operator's records.
-    #[prost(message, required, tag = "11")]
+    /// Milliseconds from its own last read of the registry to the write of the row, if it has read
+    /// the registry.
+    #[prost(uint64, optional, tag = "4")]
+    pub registry_age_ms: Option<u64>,
+    /// How far it has read the operator's records.
+    #[prost(message, required, tag = "5")]
     pub operator_position: ReadPositionMsg,
-    /// How far the sender has read the host log.
-    #[prost(message, required, tag = "12")]
+    /// How far it has read the host log.
+    #[prost(message, required, tag = "6")]
     pub host_log_position: ReadPositionMsg,
-    /// Sends of the sender since its start, by service.
-    #[prost(message, repeated, tag = "13")]
-    pub send_totals: Vec<SendTotalsMsg>,
-    /// Sends of the receiver's processes in the last seconds. Only the first heartbeat of a link
-    /// includes them.
-    #[prost(message, repeated, tag = "14")]
-    pub earlier_sends: Vec<EarlierSendsMsg>,
-    /// Targets that have told the sender in the last seconds that they leave. The first heartbeat of
-    /// a link names all targets that the sender knows to have left.
-    #[prost(message, repeated, tag = "15")]
-    pub departures: Vec<DepartureMsg>,
-    /// Rate limits that targets have named to the sender in the last second, or that have ended.
-    #[prost(message, repeated, tag = "16")]
-    pub rate_limits: Vec<RateLimitMsg>,
+}
+
+/// Row of a host: adapter loads on the engines that it owns.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LoadCountsMsg {
+    /// Loads in progress.
+    #[prost(uint32, tag = "1")]
+    pub in_progress: u32,
+    /// Loads from the weight store that are wanted, including those in progress.
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+}
+
+/// Row of a host: an engine that it owns.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct EngineStatusMsg {
+    /// True if the engine can load adapters now.
+    #[prost(bool, tag = "1")]
+    pub can_load: bool,
+    /// Requests of all hosts that run on the engine.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+}
+
+/// Row of a host: an adapter that is resident on an engine that it owns.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ResidentAdapterMsg {
+    /// Version of the adapter, 0 if unknown.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// True if a newer version is announced, and requests for this one still run.
+    #[prost(bool, tag = "2")]
+    pub is_outdated_and_busy: bool,
+}
+
+/// Row of a host: a target without orders whose total it keeps.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TargetTotalMsg {
+    /// Requests of all hosts that run at the target.
+    #[prost(uint32, tag = "1")]
+    pub running: u32,
+}
+
+/// The sender's requests at targets whose total the receiver keeps.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TargetLoadsMsg {
+    /// By target. The sender has no requests at the others.
+    #[prost(message, repeated, tag = "1")]
+    pub loads: Vec<TargetLoadMsg>,
 }
 
 /// The requests that a target takes from all hosts together.
@@ -621,41 +749,6 @@
     pub adapters: Vec<String>,
 }
 
-/// State of an engine, sent by the host that owns it.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct EngineStateMsg {
-    /// Id of the engine.
-    #[prost(string, tag = "1")]
-    pub engine: String,
-    /// True if the engine can load adapters now.
-    #[prost(bool, tag = "2")]
-    pub can_load: bool,
-    /// Adapters resident on the engine. Unless `is_complete` is set, only those that are new since
-    /// the last message.
-    #[prost(message, repeated, tag = "3")]
-    pub resident_adapters: Vec<AdapterVersionMsg>,
-    /// Requests of all hosts running on the engine, as far as the sender knows.
-    #[prost(uint32, tag = "4")]
-    pub running: u32,
-    /// True if `resident_adapters` is the complete list.
-    #[prost(bool, tag = "5")]
-    pub is_complete: bool,
-    /// Adapters from earlier messages that are no longer resident.
-    #[prost(string, repeated, tag = "6")]
-    pub removed_adapters: Vec<String>,
-}
-
-/// An adapter resident on an engine.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct AdapterVersionMsg {
-    /// Name of the adapter with its base model.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Version of the adapter, 0 if unknown.
-    #[prost(uint64, tag = "2")]
-    pub version: u64,
-}
-
 /// Requests the load of an adapter from the host that owns the engine.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct LoadAdapterMsg {
--- a/crates/runtime/src/link/pool.rs
+++ b/crates/runtime/src/link/pool.rs
@@ -8,6 +8,7 @@
     crate::now,
     egret_core::Time,
     faststr::FastStr,
+    futures::future::{BoxFuture, FutureExt, Shared},
     indexmap::IndexMap,
     parking_lot::Mutex,
     std::{net::SocketAddr, sync::Arc},
@@ -16,18 +17,22 @@
 /// Timeout for opening a link, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 800;
 
+type Connecting = Shared<BoxFuture<'static, Option<Arc<Link>>>>;
+
 /// Open links by peer host.
 #[derive(Debug)]
 pub struct LinkPool {
     hello: Hello,
     links: Mutex<IndexMap<FastStr, Arc<Link>>>,
+    // links that are being opened; all that need one wait for the same
+    connecting: Mutex<IndexMap<FastStr, Connecting>>,
 }
 
 impl LinkPool {
     /// Creates an empty pool. Each link sends `hello` first.
     #[must_use]
     pub fn new(hello: Hello) -> Self {
-        Self { hello, links: Mutex::default() }
+        Self { hello, links: Mutex::default(), connecting: Mutex::default() }
     }
 
     /// Returns the open link to `host`, if there is one.
@@ -43,17 +48,47 @@
         self.links.lock().values().filter(|link| !link.is_closed()).cloned().collect()
     }
 
+    /// Returns the hosts to which a link is open.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<FastStr> {
+        let links = self.links.lock();
+        links.iter().filter(|(_, link)| !link.is_closed()).map(|(host, _)| host.clone()).collect()
+    }
+
     /// Returns the open link to `host`, or connects to `address`. Returns
     /// `None` if connecting fails.
     pub async fn get_or_connect(&self, host: &FastStr, address: SocketAddr) -> Option<Arc<Link>> {
         if let Some(link) = self.get(host) {
             return Some(link);
         }
-        let link =
-            Link::connect(address, &self.hello, now().after_ms(CONNECT_TIMEOUT_MS)).await.ok()?;
-        let link = Arc::new(link);
-        self.links.lock().insert(host.clone(), link.clone());
-        Some(link)
+        let connecting = {
+            let mut connecting = self.connecting.lock();
+            let started = connecting.entry(host.clone()).or_insert_with(|| {
+                let hello = self.hello.clone();
+                let deadline = now().after_ms(CONNECT_TIMEOUT_MS);
+                // a task of its own, since those that wait for it may give up
+                let task = tokio::spawn(async move {
+                    Link::connect(address, &hello, deadline).await.ok().map(Arc::new)
+                });
+                task.map(|ended| ended.ok().flatten()).boxed().shared()
+            });
+            started.clone()
+        };
+        let link = connecting.clone().await;
+        let is_first_to_end = {
+            let mut all = self.connecting.lock();
+            let is_same = all.get(host).is_some_and(|current| current.ptr_eq(&connecting));
+            is_same && all.swap_remove(host).is_some()
+        };
+        if let Some(link) = link.as_ref().filter(|_| is_first_to_end) {
+            self.links.lock().insert(host.clone(), link.clone());
+        }
+        link
+    }
+
+    /// Closes the links for which `is_kept` is false.
+    pub fn retain(&self, is_kept: impl Fn(&str, &Link) -> bool) {
+        self.links.lock().retain(|host, link| !link.is_closed() && is_kept(host, link));
     }
 
     /// Closes the link to `host`, for instance because the peer does not answer.
