Few hosts read the store for all: turns, and the host log passed on

Change: the core decides whose turn it is (read_turns.rs, two load patterns): ranked hosts take turns, four try again soon, the others seldom. The host that reads for all writes the pages of the host log as rows; others apply them if nothing before them is missing, and read the store after 400 ms without. A state that was sent with a recent read counts as read then. Hosts no longer read the host log for themselves for 3 s after their start.

The position is now taken before the records are applied.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 mod ownership;
 mod permits;
 mod placement;
+mod read_turns;
 mod residency;
 mod retry;
 mod retry_window;
@@ -71,6 +72,7 @@
     Demand, EngineView, EngineViews, EvictionPolicy, PlacementPolicy, PlacementRequest, Weights,
     choose_engine,
 };
+pub use read_turns::ReadTurns;
 pub use residency::{
     AdapterOrder, EngineInventory, EngineReport, NextOrder, OrderAnswer, ResidentAdapter,
 };
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -96,8 +96,8 @@
     host_rank(edge) == 0
 }
 
-/// True if a live host that has read the store recently has the same state as this one. This
-/// host's state then counts as read at the same time.
+/// True if this host's state is that of a recent read, by itself or by a live host that has the same
+/// state or has sent it.
 pub(crate) fn confirm_current(edge: &Edge) -> bool {
     let own_digest = digest(edge);
     let read_at = {
@@ -106,12 +106,9 @@
             |(host, peer): &(&FastStr, &Peer)| peers.is_live(host) && peer.digest == own_digest;
         peers.all().iter().filter(same).map(|(_, peer)| peer.registry_read_at).max()
     };
-    let Some(read_at) = read_at.filter(|at| now().ms_since(*at) < CURRENT_AGE_MAX_MS) else {
-        return false;
-    };
     let mut own_read_at = edge.registry_read_at.lock();
-    *own_read_at = read_at.max(*own_read_at);
-    true
+    *own_read_at = read_at.map_or(*own_read_at, |read_at| read_at.max(*own_read_at));
+    now().ms_since(*own_read_at) < CURRENT_AGE_MAX_MS
 }
 
 /// True if other hosts may know targets that this one does not: a live host has read further in the
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -32,7 +32,10 @@
     stream_origins::{ask_for_origin, observe_versions, origin_report, record_stream_origin},
 };
 
-use {crate::state::Edge, egret_runtime::SuspectsMsg, std::sync::Arc};
+use {
+    crate::state::Edge, egret_platform::Page, egret_runtime::SuspectsMsg, faststr::FastStr,
+    std::sync::Arc,
+};
 
 /// Starts serving and sending messages between hosts.
 pub(crate) fn start(edge: &Arc<Edge>) {
@@ -43,9 +46,11 @@
 
 /// Applies the record of `host` in the host log, or its removal.
 pub(crate) fn apply_record(edge: &Edge, host: &str, record: Option<HostRecord>) {
-    edge.peers.lock().apply_record(&edge.cfg.host, host, record);
-    // rows of a host may arrive before its record is read
-    rows::apply_known(edge, &faststr::FastStr::new(host));
+    let is_new = edge.peers.lock().apply_record(&edge.cfg.host, host, record);
+    if is_new {
+        // the rows of a process may arrive before its record is read
+        rows::apply_known(edge, &FastStr::new(host));
+    }
 }
 
 /// Sends a report of crashes to all hosts.
@@ -53,3 +58,9 @@
     rows::write_crashes(edge, message);
     edge.spread.flush();
 }
+
+/// Passes on what this host has read of the host log, from the offset `from` on.
+pub(crate) fn pass_on_host_log(edge: &Edge, from: u64, page: &Page) {
+    rows::write_host_log(edge, from, page);
+    edge.spread.flush();
+}
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -111,24 +111,26 @@
         self.listening_since = now();
     }
 
-    /// Applies the record of `host`, or its removal. This host's own record is ignored.
+    /// Applies the record of `host`, or its removal. This host's own record is ignored. Returns true if
+    /// the process was not known before.
     pub(crate) fn apply_record(
         &mut self,
         own_host: &FastStr,
         host: &str,
         record: Option<HostRecord>,
-    ) {
+    ) -> bool {
         if own_host == host {
-            return;
+            return false;
         }
         let Some(record) = record else {
             self.all.swap_remove(host);
-            return;
+            return false;
         };
         if let Some(peer) = self.all.get_mut(host) {
-            if peer.record.incarnation != record.incarnation {
-                // the host has just restarted; its first heartbeat, which may have arrived
-                // already, reports the engines that it owns
+            let is_restarted = peer.record.incarnation != record.incarnation;
+            if is_restarted {
+                // the host has just restarted; its rows, which may have arrived already, report the
+                // engines that it owns
                 peer.last_heartbeat_at = now();
                 peer.loads.clear();
                 peer.revision = 0;
@@ -136,7 +138,7 @@
                 peer.host_log_position = ReadPosition::default();
             }
             peer.record = record;
-            return;
+            return is_restarted;
         }
         let peer = Peer {
             record,
@@ -157,6 +159,7 @@
             sends: SendHistory::default(),
         };
         self.all.insert(FastStr::new(host), peer);
+        true
     }
 
     /// Records a heartbeat of `host`.
--- a/crates/edge/src/peers/rows.rs
+++ b/crates/edge/src/peers/rows.rs
@@ -9,6 +9,7 @@
 //! | total of a target | the host that keeps it | when another host keeps it |
 //! | departure, rate limit | hosts that read it in an answer | after some seconds |
 //! | crashes | hosts that witnessed one | after some seconds |
+//! | page of the host log | the host that reads for all | after some seconds |
 
 use {
     super::{departures, loads, peer_table::EngineView, rate_limits, routes},
@@ -16,12 +17,14 @@
         dispatch,
         orders::{self, EngineReconciler},
         state::{Edge, ReadPosition},
+        watch,
     },
     bytes::Bytes,
     egret_core::Time,
+    egret_platform::{Page, Record},
     egret_runtime::{
-        EngineStatusMsg, HostPositionsMsg, LoadCountsMsg, ReadPositionMsg, ResidentAdapterMsg,
-        SuspectsMsg, TargetTotalMsg, events, now,
+        EngineStatusMsg, HostLogPageMsg, HostLogRecordMsg, HostPositionsMsg, LoadCountsMsg,
+        ReadPositionMsg, ResidentAdapterMsg, SuspectsMsg, TargetTotalMsg, events, now,
     },
     egret_spread::{Replica, RowChange},
     faststr::FastStr,
@@ -34,6 +37,9 @@
 /// Time for which a report of crashes is kept, for hosts that were cut off.
 const CRASHES_KEPT_MS: u64 = 15_000;
 
+/// Time for which a page of the host log is kept. A host that is further behind reads the store.
+const HOST_LOG_KEPT_MS: u64 = 3000;
+
 /// Interval in which a rate limit that is named again and again is written again.
 const RATE_LIMIT_INTERVAL_MS: u64 = 500;
 
@@ -54,6 +60,7 @@
     Departure(&'a str),
     RateLimit(&'a str),
     Crashes(&'a str),
+    HostLogPage(u64),
 }
 
 const ENGINE_PREFIX: &str = "e/";
@@ -62,6 +69,7 @@
 const DEPARTURE_PREFIX: &str = "d/";
 const RATE_LIMIT_PREFIX: &str = "r/";
 const CRASHES_PREFIX: &str = "c/";
+const HOST_LOG_PREFIX: &str = "h/";
 
 impl<'a> RowName<'a> {
     // none if the row is of a kind that this release does not know
@@ -79,6 +87,7 @@
             "d" => Self::Departure(rest),
             "r" => Self::RateLimit(rest),
             "c" => Self::Crashes(rest),
+            "h" => Self::HostLogPage(rest.parse().ok()?),
             _ => return None,
         })
     }
@@ -99,6 +108,7 @@
             Self::Departure(target) => write!(f, "{DEPARTURE_PREFIX}{target}"),
             Self::RateLimit(target) => write!(f, "{RATE_LIMIT_PREFIX}{target}"),
             Self::Crashes(number) => write!(f, "{CRASHES_PREFIX}{number}"),
+            Self::HostLogPage(from) => write!(f, "{HOST_LOG_PREFIX}{from}"),
         }
     }
 }
@@ -141,10 +151,12 @@
     write_totals(edge, written);
     write_departures(edge);
     write_rate_limits(edge);
-    let replica = &edge.spread.replica;
-    replica
-        .lock()
-        .retain(now(), CRASHES_PREFIX, |_, row| now() < row.written_at.after_ms(CRASHES_KEPT_MS));
+    let mut replica = edge.spread.replica.lock();
+    for (prefix, kept_ms) in
+        [(CRASHES_PREFIX, CRASHES_KEPT_MS), (HOST_LOG_PREFIX, HOST_LOG_KEPT_MS)]
+    {
+        replica.retain(now(), prefix, |_, row| now() < row.written_at.after_ms(kept_ms));
+    }
 }
 
 fn write_positions(edge: &Edge, written: &mut Written) {
@@ -283,6 +295,21 @@
     edge.spread.replica.lock().set(now(), &key, Bytes::from(message.encode_to_vec()));
 }
 
+/// Writes what this host has read of the host log, from the offset `from` on.
+pub(super) fn write_host_log(edge: &Edge, from: u64, page: &Page) {
+    let record = |record: &Record| HostLogRecordMsg {
+        offset: record.offset,
+        key: record.key.to_string(),
+        value: record.value.clone(),
+    };
+    let message = HostLogPageMsg {
+        from,
+        next_offset: page.next_offset,
+        records: page.records.iter().map(record).collect(),
+    };
+    set(&mut edge.spread.replica.lock(), &RowName::HostLogPage(from).key(), &message);
+}
+
 fn set(replica: &mut Replica, key: &FastStr, message: &impl Message) {
     replica.set(now(), key, Bytes::from(message.encode_to_vec()));
 }
@@ -305,7 +332,9 @@
         let Some(name) = RowName::parse(&change.key) else {
             continue;
         };
-        is_urgent |= matches!(name, RowName::Departure(_) | RowName::Crashes(_));
+        let is_urgent_kind =
+            matches!(name, RowName::Departure(_) | RowName::Crashes(_) | RowName::HostLogPage(_));
+        is_urgent |= is_urgent_kind && change.value.is_some();
         if apply_row(edge, source, name, change).is_err() {
             events::LINK_BROKEN
                 .warn(format_args!("source={source} row {} could not be decoded", change.key));
@@ -370,6 +399,16 @@
             limit.age_ms = now().ms_since(written_at);
             rate_limits::observe_messages(edge, source, vec![limit]);
         }
+        RowName::HostLogPage(from) => {
+            let page = HostLogPageMsg::decode(value)?;
+            let record = |record: HostLogRecordMsg| Record {
+                offset: record.offset,
+                key: FastStr::from_string(record.key),
+                value: record.value,
+            };
+            let records: Vec<Record> = page.records.into_iter().map(record).collect();
+            watch::apply_passed_on(edge, from, page.next_offset, &records);
+        }
         RowName::Crashes(_) => {
             dispatch::apply_suspects(edge, source, &SuspectsMsg::decode(value)?);
         }
@@ -387,7 +426,8 @@
         | RowName::LoadCounts
         | RowName::Departure(_)
         | RowName::RateLimit(_)
-        | RowName::Crashes(_) => {}
+        | RowName::Crashes(_)
+        | RowName::HostLogPage(_) => {}
     }
 }
 
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, StreamBackoff, call_deadline},
+        backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
         version_record,
     },
     crate::{
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     egret_core::{EngineClaim, Fencing, Time},
-    egret_platform::{Page, Record, StoreError, Topic},
+    egret_platform::{Page, Record, StoreError, Topic, generation},
     egret_runtime::{events, now},
     faststr::FastStr,
     serde::de::DeserializeOwned,
@@ -28,10 +28,6 @@
 /// Key of the record of software versions.
 pub(super) const VERSIONS_KEY: &str = "versions";
 
-/// Time after the start for which a host reads the stream itself, since hosts that could read it
-/// on its behalf are not known yet.
-const STARTUP_READ_MS: u64 = 3000;
-
 /// Pause after each read, so that records written in quick succession are read together.
 const READ_PAUSE_MS: u64 = 100;
 
@@ -41,33 +37,41 @@
 
 /// Follows the host log.
 pub(crate) async fn follow(edge: Arc<Edge>) {
-    let mut backoff = StreamBackoff::new("own", edge.incarnation);
-    let startup_end = now().after_ms(STARTUP_READ_MS);
+    let mut reads = StreamReads::new("own", edge.incarnation);
+    let mut lag = ReadLag::default();
     let mut has_snapshot = false;
     let mut is_first_read = true;
     loop {
         let position = *edge.host_log_position.lock();
         let mut wait_ms = READER_POLL_MS;
+        let mut needs_own_read = true;
         // if engines do not check fencing tokens, this host may give orders only as long as its own
         // last read is recent
-        let may_rely_on_peers = edge.cfg.orders.fencing == Fencing::Checked && now() >= startup_end;
+        let may_rely_on_peers = edge.cfg.orders.fencing == Fencing::Checked;
         let is_announced = edge.is_announced.load(Ordering::Acquire);
         if has_snapshot && may_rely_on_peers && is_announced && !peers::is_reader(&edge) {
             match peers::read_status(&edge, position, |peer| peer.host_log_position) {
                 ReadStatus::Current => {
-                    let interval = Duration::from_millis(CHECK_INTERVAL_MS);
-                    if tokio::time::timeout(interval, edge.host_log_read_requested.notified())
-                        .await
-                        .is_err()
-                    {
+                    reads.record_served();
+                    lag.end();
+                    if !is_read_requested(&edge, CHECK_INTERVAL_MS).await {
+                        continue;
+                    }
+                    wait_ms = 0;
+                }
+                ReadStatus::Behind if lag.awaits_update(position.next_offset) => {
+                    if !is_read_requested(&edge, CHECK_INTERVAL_MS / 4).await {
                         continue;
                     }
                     wait_ms = 0;
                 }
                 ReadStatus::Behind => wait_ms = 0,
-                ReadStatus::Unknown => {}
+                ReadStatus::Unknown => needs_own_read = false,
             }
         }
+        if !reads.is_due(&edge, needs_own_read).await {
+            continue;
+        }
         let started = now();
         let page = if has_snapshot {
             edge.store
@@ -78,12 +82,15 @@
         };
         match page {
             Ok(page) => {
-                backoff.record_success();
+                reads.record_answer();
+                lag.end();
                 if std::mem::take(&mut is_first_read) {
                     record_first_start(&edge, &page);
                 }
                 if !std::mem::replace(&mut has_snapshot, true) {
                     forget_lost_records(&edge, &page);
+                } else if peers::is_reader(&edge) && !page.records.is_empty() {
+                    peers::pass_on_host_log(&edge, position.next_offset, &page);
                 }
                 apply_page(&edge, &page, started);
                 if !edge.is_announced.load(Ordering::Acquire) {
@@ -93,11 +100,17 @@
                 tokio::time::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
             }
             Err(StoreError::Gone | StoreError::Restored) => has_snapshot = false,
-            Err(e) => backoff.back_off(&e).await,
+            Err(e) => reads.record_failure(&edge, &e),
         }
     }
 }
 
+// waits up to `wait_ms` until this host needs to read at once
+async fn is_read_requested(edge: &Edge, wait_ms: u64) -> bool {
+    let requested = edge.host_log_read_requested.notified();
+    tokio::time::timeout(Duration::from_millis(wait_ms), requested).await.is_ok()
+}
+
 // the settings may still say so when a process starts again; its record in the host log tells that
 fn record_first_start(edge: &Edge, page: &Page) {
     let own_key = host_key(&edge.cfg.host);
@@ -120,7 +133,33 @@
 }
 
 fn apply_page(edge: &Edge, page: &Page, started: Time) {
-    for record in &page.records {
+    apply_records(edge, &page.records);
+    if page.next_offset >= page.end_offset {
+        edge.engine_owners.lock().record_complete_read(started);
+    }
+    edge.host_log_position.lock().advance(page.next_offset, page.next_offset >= page.end_offset);
+    if !page.records.is_empty() {
+        edge.state_changed.notify_one();
+    }
+}
+
+/// Applies records from `from` to `next_offset` that another host has read, unless others before them
+/// are missing here.
+pub(crate) fn apply_passed_on(edge: &Edge, from: u64, next_offset: u64, records: &[Record]) {
+    let own = edge.host_log_position.lock().next_offset;
+    // a position says of which generation of the store it is, and 0 that nothing is known
+    if own == 0 || generation(own) != generation(next_offset) || own < from || own >= next_offset {
+        return;
+    }
+    let first_new = records.iter().position(|record| record.offset >= own);
+    // the rows of a host that becomes known may hold the same records
+    edge.host_log_position.lock().advance(next_offset, false);
+    apply_records(edge, &records[first_new.unwrap_or(records.len())..]);
+    edge.state_changed.notify_one();
+}
+
+fn apply_records(edge: &Edge, records: &[Record]) {
+    for record in records {
         if let Some(host) = record.key.strip_prefix(HOST_PREFIX) {
             let value: Option<HostRecord> = parse_value(record);
             if host == edge.cfg.host && value.as_ref() != Some(&own_record(edge)) {
@@ -134,13 +173,6 @@
             version_record::apply(edge, parse_value(record));
         }
     }
-    if page.next_offset >= page.end_offset {
-        edge.engine_owners.lock().record_complete_read(started);
-    }
-    edge.host_log_position.lock().advance(page.next_offset, page.next_offset >= page.end_offset);
-    if !page.records.is_empty() {
-        edge.state_changed.notify_one();
-    }
 }
 
 fn parse_value<T: DeserializeOwned>(record: &Record) -> Option<T> {
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -7,7 +7,7 @@
 mod version_record;
 
 pub(crate) use {
-    host_log::{append_if_unchanged, engine_key},
+    host_log::{append_if_unchanged, apply_passed_on, engine_key},
     operator::{apply_routing, apply_version},
     targets::{apply_listing, extend_grace_after_gap},
 };
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -1,49 +1,52 @@
 //! Follows the operator's records: routes and adapter versions.
 
 use {
-    super::backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, StreamBackoff, call_deadline},
+    super::backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
     crate::{
         peers::{self, ReadStatus},
         state::Edge,
     },
-    egret_core::{Routing, RoutingChange, Time},
+    egret_core::{Routing, RoutingChange},
     egret_platform::{Directive, Record, StoreError, Topic, parse_directive},
-    egret_runtime::{events, now},
+    egret_runtime::events,
     faststr::FastStr,
     std::{sync::Arc, time::Duration},
 };
 
-/// Time that a host waits for an update with records that another host has read, before it reads
-/// them from the store itself.
-const UPDATE_WAIT_MS: u64 = 400;
-
 /// Follows the operator's records.
 pub(crate) async fn follow(edge: Arc<Edge>) {
-    let mut backoff = StreamBackoff::new("operator", edge.incarnation);
+    let mut reads = StreamReads::new("operator", edge.incarnation);
     let mut has_snapshot = false;
-    // time since when this host is behind without an update, and its position then
-    let mut behind_since: Option<(u64, Time)> = None;
+    let mut lag = ReadLag::default();
     loop {
         let position = *edge.operator_position.lock();
         let mut wait_ms = READER_POLL_MS;
+        let mut needs_own_read = !has_snapshot;
         if has_snapshot && !peers::is_reader(&edge) {
             match peers::read_status(&edge, position, |peer| peer.operator_position) {
                 ReadStatus::Current => {
-                    behind_since = None;
+                    reads.record_served();
+                    lag.end();
                     tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
                     continue;
                 }
                 ReadStatus::Behind
                     if edge.routes_exchange.is_fetching()
-                        || awaits_update(&mut behind_since, position.next_offset) =>
+                        || lag.awaits_update(position.next_offset) =>
                 {
                     tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS / 4)).await;
                     continue;
                 }
-                ReadStatus::Behind => wait_ms = 0,
+                ReadStatus::Behind => {
+                    wait_ms = 0;
+                    needs_own_read = true;
+                }
                 ReadStatus::Unknown => {}
             }
         }
+        if !reads.is_due(&edge, needs_own_read).await {
+            continue;
+        }
         let page = if has_snapshot {
             edge.store
                 .read(Topic::Operator, position.next_offset, wait_ms, call_deadline(wait_ms))
@@ -53,9 +56,9 @@
         };
         match page {
             Ok(page) => {
-                backoff.record_success();
+                reads.record_answer();
                 has_snapshot = true;
-                behind_since = None;
+                lag.end();
                 for record in &page.records {
                     apply_record(&edge, record);
                 }
@@ -67,20 +70,11 @@
                 }
             }
             Err(StoreError::Gone | StoreError::Restored) => has_snapshot = false,
-            Err(e) => backoff.back_off(&e).await,
+            Err(e) => reads.record_failure(&edge, &e),
         }
     }
 }
 
-// true until no update has moved this host's position for too long
-fn awaits_update(behind_since: &mut Option<(u64, Time)>, next_offset: u64) -> bool {
-    let (offset, since) = behind_since.get_or_insert((next_offset, now()));
-    if *offset != next_offset {
-        (*offset, *since) = (next_offset, now());
-    }
-    now() < since.after_ms(UPDATE_WAIT_MS)
-}
-
 fn apply_record(edge: &Edge, record: &Record) {
     match parse_directive(record) {
         Ok(Some(Directive::Routing(routing))) => {
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -1,7 +1,7 @@
 //! Follows the registry of targets.
 
 use {
-    super::backoff::{StreamBackoff, call_deadline},
+    super::backoff::{StreamReads, call_deadline},
     crate::{peers, state::Edge},
     egret_core::{Fleet, Target, Time},
     egret_platform::{Page, Record, StoreError, Topic, generation, parse_target},
@@ -25,15 +25,19 @@
 
 /// Follows the registry.
 pub(crate) async fn follow(edge: Arc<Edge>) {
-    let mut backoff = StreamBackoff::new("targets", edge.incarnation);
+    let mut reads = StreamReads::new("targets", edge.incarnation);
     let mut next_offset = None;
     let mut read_at = now();
     loop {
         if next_offset.is_some() && !peers::is_reader(&edge) && peers::confirm_current(&edge) {
+            reads.record_served();
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             remove_gone_targets(&edge);
             continue;
         }
+        if !reads.is_due(&edge, next_offset.is_none()).await {
+            continue;
+        }
         if now().ms_since(read_at) > READ_GAP_MAX_MS {
             next_offset = None;
         }
@@ -43,7 +47,7 @@
         };
         match page {
             Ok(page) => {
-                backoff.record_success();
+                reads.record_answer();
                 extend_grace_after_gap(&edge);
                 let is_listing = next_offset.is_none();
                 next_offset = Some(page.next_offset);
@@ -62,7 +66,7 @@
                 extend_grace(&edge);
                 next_offset = None;
             }
-            Err(e) => backoff.back_off(&e).await,
+            Err(e) => reads.record_failure(&edge, &e),
         }
         remove_gone_targets(&edge);
     }
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -10,5 +10,6 @@
 mod routes;
 mod settings;
 mod silence;
+mod spread;
 mod support;
 mod versions;
--- /dev/null
+++ b/crates/edge/tests/edge/spread.rs
@@ -0,0 +1,118 @@
+//! A data centre in which not all hosts are contacts of each other: what one host learns reaches the
+//! others over several hops.
+
+use {
+    crate::support::{Deployment, EdgeProcess, request, stream_request, wait_until, whole_stream},
+    egret_standin::platform::{StoreFault, TargetFault},
+    http::Method,
+    std::time::{Duration, Instant},
+};
+
+/// Hosts of a deployment. Each has five contacts.
+const HOSTS: u64 = 8;
+
+/// Time within which a target that leaves gets no more requests, as the platform states it.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Time within which all hosts know of a crash.
+const NOTICE: Duration = Duration::from_millis(1500);
+
+async fn start_hosts(d: &Deployment) -> Vec<EdgeProcess> {
+    let mut edges = Vec::new();
+    for host in 1..=HOSTS {
+        edges.push(d.start_edge(host));
+    }
+    for edge in &edges {
+        edge.wait_until_ready().await;
+    }
+    settle(Duration::from_secs(3)).await;
+    edges
+}
+
+async fn settle(time: Duration) {
+    let since = Instant::now();
+    wait_until("hosts know each other", || since.elapsed() > time).await;
+}
+
+/// What a target said to one host reached only the hosts that had a link to it.
+#[tokio::test]
+async fn departure_reaches_hosts_that_are_no_contacts() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (_a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let edges = start_hosts(&d).await;
+    d.store.set_fault(StoreFault::Silent);
+    b.set_fault(TargetFault::Leaving);
+    let seen = || d.log(1).contains("target leaves target=p-2");
+    while !seen() {
+        edges[0].call(request(Method::POST, "/once/a", &[])).await.unwrap();
+    }
+    tokio::time::sleep(DRAIN).await;
+    let before = b.executed_requests().len();
+    for edge in &edges {
+        for _ in 0..6 {
+            let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    }
+    assert_eq!(b.executed_requests().len(), before);
+}
+
+/// A crash that one host witnessed was known only to the hosts that had a link to it.
+#[tokio::test]
+async fn crash_report_reaches_hosts_that_are_no_contacts() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = Vec::new();
+    for number in 1..=4 {
+        let pause = Duration::from_millis(15);
+        let engine = d.start_engine_of_version(&format!("e-{number}"), "v1", &["a1"], pause).await;
+        engine.crash_on("dead", 1, true);
+        engines.push(engine);
+    }
+    let crashing = || {
+        let mut req = stream_request("stream", "a1");
+        req.headers_mut().insert("prompt-prefix", "dead:10".parse().unwrap());
+        req
+    };
+    let edges = start_hosts(&d).await;
+    let _ = edges[0].call(crashing()).await;
+    let crashes = || engines.iter().map(egret_standin::platform::Target::crashes).sum::<u64>();
+    assert_eq!(crashes(), 2);
+    tokio::time::sleep(NOTICE).await;
+    for edge in &edges {
+        assert_eq!(edge.call(crashing()).await.unwrap().status, 503);
+    }
+    assert_eq!(crashes(), 2);
+    let sound = edges[7].call(stream_request("stream", "a1")).await.unwrap();
+    assert_eq!(sound.body, whole_stream());
+}
+
+/// Each restart of a host and each change of claims made all hosts read the store.
+#[tokio::test]
+async fn restart_is_read_by_one_host_for_all() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let _engines = (d.start_engine("e-1", 3).await, d.start_engine("e-2", 3).await);
+    let mut edges = start_hosts(&d).await;
+    let calls_in = |time: Duration| {
+        let before = d.store.calls();
+        let store = d.store.clone();
+        async move {
+            tokio::time::sleep(time).await;
+            store.calls() - before
+        }
+    };
+    let window = Duration::from_secs(4);
+    let idle = calls_in(window).await;
+    let mut last = edges.pop().unwrap();
+    last.process.kill();
+    let before = d.store.calls();
+    let restarted = d.start_ready_edge(HOSTS).await;
+    tokio::time::sleep(window).await;
+    let calls = d.store.calls() - before;
+    println!("{idle} calls idle, {calls} around a restart");
+    // its own start takes a listing of each stream, its record and some reads until it knows others
+    assert!(calls <= idle + 30, "{idle} calls idle, {calls} around a restart");
+    restarted.call_until(200, || stream_request("stream", "a1")).await;
+}
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -600,6 +600,34 @@
     pub running: u32,
 }
 
+/// Row of a host: records of the host log that it has read.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HostLogPageMsg {
+    /// Offset at which the read began.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Offset at which the next read begins.
+    #[prost(uint64, tag = "2")]
+    pub next_offset: u64,
+    /// The records in between.
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<HostLogRecordMsg>,
+}
+
+/// A record of the host log.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HostLogRecordMsg {
+    /// Its offset.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// Its key.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Its value; none if it deletes its key.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub value: Option<Bytes>,
+}
+
 /// The sender's requests at targets whose total the receiver keeps.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct TargetLoadsMsg {
