--- a/crates/edge/src/peers/links.rs
+++ b/crates/edge/src/peers/links.rs
@@ -5,7 +5,7 @@
     egret_core::Time,
     egret_runtime::{Body, Link, LinkError, now, with_deadline},
     faststr::FastStr,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
 };
 
 /// Time without a message after which a link to a host that is no contact is closed.
@@ -14,6 +14,9 @@
 /// Pause after a failed attempt to open a link to a host.
 const RECONNECT_PAUSE_MS: u64 = 400;
 
+/// Time after which the link of a call without an answer is probed.
+const SLOW_CALL_MS: u64 = 400;
+
 /// A link that does not answer a probe within this time is closed.
 const PROBE_TIMEOUT_MS: u64 = 900;
 
@@ -47,7 +50,13 @@
 ) -> Result<Body, LinkError> {
     let link = link_to(edge, &FastStr::new(host), deadline).await.ok_or(LinkError::NotConnected)?;
     record_sent(edge, host, &body);
-    link.call(body, deadline).await
+    let mut answer = pin!(link.call(body, deadline));
+    if let Some(answer) = with_deadline(now().after_ms(SLOW_CALL_MS), answer.as_mut()).await {
+        return answer;
+    }
+    // if the link is silent, the call ends with the probe
+    probe(edge, FastStr::new(host));
+    answer.await
 }
 
 /// Sends a one-way message to `host`. It is lost if the host cannot be reached.
@@ -94,7 +103,7 @@
 }
 
 /// Closes the link to `host` if it does not answer: it may deliver nothing without an error.
-pub(super) fn probe(edge: &Arc<Edge>, host: FastStr) {
+pub(super) fn probe(edge: &Edge, host: FastStr) {
     let links = edge.links.clone();
     tokio::spawn(async move {
         links.close_if_unresponsive(&host, now().after_ms(PROBE_TIMEOUT_MS)).await;
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -94,7 +94,7 @@
 
 /// Local time of an event that another host reports as `age_ms` ago.
 pub(crate) fn time_from_age(age_ms: u64) -> Time {
-    Time::from_millis(now().as_millis().saturating_sub(age_ms + LINK_DELAY_MAX_MS))
+    Time::from_millis(now().as_millis().saturating_sub(age_ms.saturating_add(LINK_DELAY_MAX_MS)))
 }
 
 /// The other hosts by name.
@@ -180,7 +180,8 @@
             return;
         };
         let before = |age_ms: u64| {
-            Time::from_millis(written_at.as_millis().saturating_sub(age_ms + LINK_DELAY_MAX_MS))
+            let age_ms = age_ms.saturating_add(LINK_DELAY_MAX_MS);
+            Time::from_millis(written_at.as_millis().saturating_sub(age_ms))
         };
         let position = |message: ReadPositionMsg| ReadPosition {
             next_offset: message.next_offset,
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         codec,
-        message::{Body, Frame, Hello},
+        message::{Body, Frame, Hello, StatusMsg},
     },
     crate::web::with_deadline,
     bytes::Bytes,
@@ -133,16 +133,31 @@
     }
 
     fn next_id(&self) -> u64 {
-        self.state.used_at.store(crate::now().as_millis(), Ordering::Relaxed);
         self.state.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    fn record_use(&self) {
+        self.state.used_at.store(crate::now().as_millis(), Ordering::Relaxed);
+    }
+
     /// Sends a request and waits for the answer until `deadline`.
     ///
     /// # Errors
     ///
     /// When no answer arrives.
     pub async fn call(&self, body: Body, deadline: Time) -> Result<Body, LinkError> {
+        self.record_use();
+        self.request(body, deadline).await
+    }
+
+    /// Returns true if the peer answers a status request before `deadline`. This does not count as a
+    /// use of the link.
+    pub async fn answers(&self, deadline: Time) -> bool {
+        let request = Body::Status(StatusMsg { json: String::new() });
+        self.request(request, deadline).await.is_ok()
+    }
+
+    async fn request(&self, body: Body, deadline: Time) -> Result<Body, LinkError> {
         let id = self.next_id();
         let (answer_tx, answer_rx) = oneshot::channel();
         self.state.pending_calls.lock().insert(id, answer_tx);
@@ -164,6 +179,7 @@
     /// Sends a one-way message. Returns false if it was certainly not sent.
     #[must_use]
     pub fn try_notify(&self, body: Body) -> bool {
+        self.record_use();
         let id = self.next_id();
         self.tx.try_send(QueuedFrame::new(id, body)).is_ok()
     }
@@ -172,6 +188,7 @@
     /// the peer even if this process is killed then. Returns false if it is not written by
     /// `deadline`; it may be written later.
     pub async fn notify_written(&self, body: Body, deadline: Time) -> bool {
+        self.record_use();
         let id = self.next_id();
         let (written_tx, written_rx) = oneshot::channel();
         let frame = QueuedFrame { written: Some(written_tx), ..QueuedFrame::new(id, body) };
--- a/crates/runtime/src/link/pool.rs
+++ b/crates/runtime/src/link/pool.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         client::{Link, LinkError},
-        message::{Body, Hello, StatusMsg},
+        message::{Body, Hello},
     },
     crate::now,
     egret_core::Time,
@@ -115,8 +115,7 @@
         let Some(link) = self.get(host) else {
             return;
         };
-        let request = Body::Status(StatusMsg { json: String::new() });
-        if link.call(request, deadline).await.is_err() {
+        if !link.answers(deadline).await {
             link.close();
         }
     }
--- a/crates/runtime/tests/links.rs
+++ b/crates/runtime/tests/links.rs
@@ -195,3 +195,28 @@
     link.close();
     assert!(!link.notify_written(status(), now().after_ms(5000)).await);
 }
+
+/// Requests of one moment to a host without a link each opened one of their own.
+#[tokio::test]
+async fn pool_opens_one_link_for_all() {
+    let address = start_server().await;
+    let pool = LinkPool::new(hello("right"));
+    let host = FastStr::from_static_str("h");
+    let links = (0..8).map(|_| pool.get_or_connect(&host, address));
+    let links: Vec<_> = futures::future::join_all(links).await.into_iter().flatten().collect();
+    assert_eq!(links.len(), 8);
+    assert!(links.iter().all(|link| Arc::ptr_eq(link, &links[0])));
+}
+
+/// Probes kept unused links open for good.
+#[tokio::test]
+async fn probe_is_no_use_of_link() {
+    let address = start_server().await;
+    let link = Link::connect(address, &hello("right"), now().after_ms(5000)).await.unwrap();
+    let opened_at = link.last_used_at();
+    tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+    assert!(link.answers(now().after_ms(5000)).await);
+    assert_eq!(link.last_used_at(), opened_at);
+    link.call(status(), now().after_ms(5000)).await.unwrap();
+    assert!(link.last_used_at() > opened_at);
+}
--- a/crates/spread/src/progress.rs
+++ b/crates/spread/src/progress.rs
@@ -51,9 +51,4 @@
     pub fn get(&self, source: &str) -> Progress {
         self.by_source.get(source).copied().unwrap_or_default()
     }
-
-    /// Forgets the sources for which `is_kept` is false.
-    pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
-        self.by_source.retain(|source, _| is_kept(source));
-    }
 }
--- a/crates/spread/src/replica.rs
+++ b/crates/spread/src/replica.rs
@@ -305,7 +305,7 @@
             && (delta.version > own.version || delta.beat > own.beat)
             || delta.epoch > own.epoch;
         if is_other_process {
-            own.epoch = delta.epoch + 1;
+            own.epoch = delta.epoch.saturating_add(1);
         }
     }
 }
@@ -346,5 +346,5 @@
 }
 
 fn written_at(now: Time, age_ms: u64) -> Time {
-    Time::from_millis(now.as_millis().saturating_sub(age_ms + HOP_DELAY_MS))
+    Time::from_millis(now.as_millis().saturating_sub(age_ms.saturating_add(HOP_DELAY_MS)))
 }
