--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
+        stream_reads::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
         version_record,
     },
     crate::{
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -1,8 +1,8 @@
 //! Follows the platform's store: routes and versions, targets, hosts and claims.
 
-mod backoff;
 mod host_log;
 mod operator;
+mod stream_reads;
 mod targets;
 mod version_record;
 
--- a/crates/edge/src/watch/operator.rs
+++ b/crates/edge/src/watch/operator.rs
@@ -1,7 +1,7 @@
 //! Follows the operator's records: routes and adapter versions.
 
 use {
-    super::backoff::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
+    super::stream_reads::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
     crate::{
         peers::{self, ReadStatus},
         state::Edge,
--- a/crates/edge/src/watch/targets.rs
+++ b/crates/edge/src/watch/targets.rs
@@ -1,7 +1,7 @@
 //! Follows the registry of targets.
 
 use {
-    super::backoff::{StreamReads, call_deadline},
+    super::stream_reads::{StreamReads, call_deadline},
     crate::{peers, state::Edge},
     egret_core::{Fleet, Target, Time},
     egret_platform::{Page, Record, StoreError, Topic, generation, parse_target},
--- a/crates/spread/tests/replica.rs
+++ b/crates/spread/tests/replica.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     egret_core::Time,
-    egret_spread::{Known, Progress, Replica, RowDelta, SourceDelta},
+    egret_spread::{Applied, Known, Progress, Replica, RowDelta, SourceDelta},
     faststr::FastStr,
 };
 
@@ -118,6 +118,15 @@
     assert!(rows(&b, "a").is_empty());
     send(&a, &mut b);
     assert_eq!(rows(&b, "a"), rows(&a, "a"));
+    // the same among rows of a process that is known already
+    set(&mut a, "z", "1");
+    drop(a.delta(at(1000), &mut known, BYTES_MAX));
+    set(&mut a, "x", "2");
+    for delta in a.delta(at(1000), &mut known, BYTES_MAX) {
+        assert!(b.apply(at(1000), delta).has_gap);
+    }
+    send(&a, &mut b);
+    assert_eq!(rows(&b, "a"), rows(&a, "a"));
 }
 
 #[test]
@@ -126,12 +135,17 @@
     set(&mut old, "x", "1");
     set(&mut old, "y", "1");
     send(&old, &mut b);
+    set(&mut old, "z", "1");
+    let late = news(&old, &b);
     let mut new = replica("a", 2);
     set(&mut new, "y", "2");
     send(&new, &mut b);
     assert_eq!(rows(&b, "a"), [("y".to_owned(), "2".to_owned())]);
     // what the old process sent comes late
-    send(&old, &mut b);
+    assert_eq!(late.len(), 1);
+    for delta in late {
+        assert_eq!(b.apply(at(1000), delta), Applied::default());
+    }
     assert_eq!(rows(&b, "a"), [("y".to_owned(), "2".to_owned())]);
 }
 
@@ -142,6 +156,8 @@
     let (mut old, mut b) = (replica("a", 9), replica("b", 1));
     set(&mut old, "x", "1");
     send(&old, &mut b);
+    set(&mut old, "z", "1");
+    let late = news(&old, &b);
     let mut new = replica("a", 2);
     set(&mut new, "x", "2");
     send(&new, &mut b);
