--- a/crates/spread/tests/simulation.rs
+++ b/crates/spread/tests/simulation.rs
@@ -469,3 +469,36 @@
         }
     }
 }
+
+/// Hops between the two hosts that are farthest from each other. The delay of a row grows with them.
+#[test]
+fn contacts_reach_all_in_few_hops() {
+    for (hosts, data_centres, hops_max) in [(16, 1, 3), (77, 5, 9), (100, 1, 6), (410, 9, 12)] {
+        let world = World::new(hosts, data_centres, 1);
+        let of = |host: usize| {
+            let others = world.members.iter().filter(|m| m.host != world.members[host].host);
+            let others: Vec<Member> = others.cloned().collect();
+            let own = contacts(&world.members[host], &others);
+            (0..hosts).filter(|o| own.contains(&world.members[*o].host)).collect::<Vec<usize>>()
+        };
+        let graph: Vec<Vec<usize>> = (0..hosts).map(of).collect();
+        let farthest = (0..hosts).map(|host| hops_from(host, &graph)).max().unwrap();
+        assert!(farthest <= hops_max, "{hosts} hosts: {farthest} hops");
+    }
+}
+
+// hops to the host that is farthest from `start`
+fn hops_from(start: usize, graph: &[Vec<usize>]) -> usize {
+    let mut hops = vec![usize::MAX; graph.len()];
+    hops[start] = 0;
+    let mut queue = VecDeque::from([start]);
+    while let Some(host) = queue.pop_front() {
+        for other in &graph[host] {
+            if hops[*other] == usize::MAX {
+                hops[*other] = hops[host] + 1;
+                queue.push_back(*other);
+            }
+        }
+    }
+    hops.into_iter().max().unwrap()
+}
