--- a/crates/edge/src/peers/loads.rs
+++ b/crates/edge/src/peers/loads.rs
@@ -1,8 +1,8 @@
 //! How many requests of all hosts run at each target.
 //!
-//! One host keeps the total of a target: the owner of an engine, and the first live host of the data
-//! centre for any other target. The hosts report their requests to it, and it writes the total for
-//! all of them.
+//! One host aggregates the requests at a target: the owner of an engine, and the first live host of the
+//! data centre for any other target. The hosts report theirs to it, and it writes the total for all of
+//! them.
 
 use {
     super::{gossip::first_host_of, links},
@@ -19,11 +19,11 @@
 /// long.
 const REPEAT_INTERVAL_MS: u64 = 800;
 
-/// What this host has last reported, and who keeps the totals of targets without an owner.
+/// What this host has last reported, and who aggregates the requests at targets without an owner.
 #[derive(Debug, Default)]
 pub(crate) struct LoadReports {
     by_target: Mutex<IndexMap<FastStr, u32>>,
-    keepers: Mutex<IndexMap<FastStr, FastStr>>,
+    aggregators: Mutex<IndexMap<FastStr, FastStr>>,
 }
 
 /// Reports on their way.
@@ -32,16 +32,16 @@
     by_host: IndexMap<FastStr, (Vec<TargetLoadMsg>, Time)>,
 }
 
-/// The host that keeps the total of `target`.
-fn keeper(edge: &Edge, target: &str) -> Option<FastStr> {
+/// The host that aggregates the requests at `target`.
+fn aggregator_of(edge: &Edge, target: &str) -> Option<FastStr> {
     if let Some(owner) = edge.engine_owners.lock().owner_host(target) {
         return Some(owner.clone());
     }
-    edge.load_reports.keepers.lock().get(target).cloned()
+    edge.load_reports.aggregators.lock().get(target).cloned()
 }
 
-/// Looks up who keeps the totals of targets without an owner.
-pub(super) fn choose_keepers(edge: &Edge) {
+/// Chooses the aggregators of targets without an owner.
+pub(super) fn choose_aggregators(edge: &Edge) {
     let routing = edge.routing();
     let has_orders =
         |service: &FastStr| routing.services().get(service).is_some_and(|s| s.engine.is_some());
@@ -50,30 +50,30 @@
         let plain = fleet.all_ready().filter(|target| !has_orders(&target.service));
         plain.map(|target| (target.id.clone(), target.data_centre.clone())).collect()
     };
-    let keeper = |(target, data_centre): (FastStr, FastStr)| {
+    let aggregator = |(target, data_centre): (FastStr, FastStr)| {
         let host = first_host_of(edge, &data_centre, &target);
         (target, host)
     };
-    let keepers = targets.into_iter().map(keeper).collect();
-    *edge.load_reports.keepers.lock() = keepers;
+    let aggregators = targets.into_iter().map(aggregator).collect();
+    *edge.load_reports.aggregators.lock() = aggregators;
 }
 
-/// Targets without an owner whose totals this host keeps.
-pub(super) fn kept_totals(edge: &Edge) -> Vec<FastStr> {
-    let keepers = edge.load_reports.keepers.lock();
-    let own = keepers.iter().filter(|(_, host)| **host == edge.cfg.host);
+/// Targets without an owner of which this host is the aggregator.
+pub(super) fn aggregated_targets(edge: &Edge) -> Vec<FastStr> {
+    let aggregators = edge.load_reports.aggregators.lock();
+    let own = aggregators.iter().filter(|(_, host)| **host == edge.cfg.host);
     own.map(|(target, _)| target.clone()).collect()
 }
 
 /// Requests of all hosts at `target`, of which `own` are this host's.
 pub(crate) fn running_at(edge: &Edge, target: &FastStr, own: u64) -> u64 {
-    let Some(keeper) = keeper(edge, target) else {
+    let Some(aggregator) = aggregator_of(edge, target) else {
         return own;
     };
-    if keeper == edge.cfg.host {
+    if aggregator == edge.cfg.host {
         return own + edge.peers.lock().reported_running_at(target);
     }
-    let Some(total) = edge.peers.lock().total_at(&keeper, target) else {
+    let Some(total) = edge.peers.lock().total_at(&aggregator, target) else {
         return own;
     };
     // the total has this host's requests as last reported
@@ -90,12 +90,12 @@
     is_used_here || edge.peers.lock().uses_adapter(engine, adapter)
 }
 
-/// Reports the requests of this host to the hosts that keep the totals, those of other data centres
-/// only if `includes_remote` is set.
+/// Reports the requests of this host to the aggregators, those of other data centres only if `includes_remote` is set.
 pub(super) fn report(edge: &Arc<Edge>, sent: &mut SentReports, includes_remote: bool) {
     let mut reports: IndexMap<FastStr, Vec<TargetLoadMsg>> = IndexMap::new();
     for load in own_loads(edge) {
-        if let Some(host) = keeper(edge, &load.target).filter(|host| *host != edge.cfg.host) {
+        if let Some(host) = aggregator_of(edge, &load.target).filter(|host| *host != edge.cfg.host)
+        {
             reports.entry(host).or_default().push(load);
         }
     }
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -64,10 +64,10 @@
 pub(crate) struct Peer {
     pub(crate) record: HostRecord,
     pub(crate) last_heartbeat_at: Time,
-    // its requests at the targets whose totals this host keeps
+    // its requests at the targets of which this host is the aggregator
     loads: IndexMap<FastStr, ReportedLoad>,
     loads_reported_at: Time,
-    /// Requests of all hosts at the targets without an owner whose totals it keeps.
+    // requests of all hosts at the targets without an owner of which it is the aggregator
     totals: IndexMap<FastStr, u64>,
     pub(crate) engines: IndexMap<FastStr, EngineView>,
     /// Adapter loads in progress on its engines.
@@ -243,7 +243,7 @@
         };
     }
 
-    /// Applies the requests that `host` has at the targets whose totals this host keeps.
+    /// Applies the requests that `host` has at the targets of which this host is the aggregator.
     pub(crate) fn apply_loads(&mut self, host: &str, loads: Vec<TargetLoadMsg>) {
         let Some(peer) = self.all.get_mut(host) else {
             return;
--- a/crates/edge/src/peers/rows.rs
+++ b/crates/edge/src/peers/rows.rs
@@ -6,7 +6,7 @@
 //! | positions | each host | never |
 //! | load counts | owners of engines | never |
 //! | engine, adapter | owner of the engine | when the owner loses it |
-//! | total of a target | the host that keeps it | when another host keeps it |
+//! | total of a target | its aggregator (`loads`) | when another host becomes the aggregator |
 //! | departure, rate limit | hosts that read it in an answer | after some seconds |
 //! | crashes | hosts that witnessed one | after some seconds |
 //! | page of the host log | the host that reads for all | after some seconds |
@@ -236,7 +236,7 @@
 
 fn write_totals(edge: &Edge, written: &mut Written) {
     let mut rows: IndexMap<FastStr, Bytes> = IndexMap::new();
-    for target in loads::kept_totals(edge) {
+    for target in loads::aggregated_targets(edge) {
         let running = total_running(edge, &target);
         let running = written.running(&target, running, slots(edge, &target));
         let message = TargetTotalMsg { running };
--- a/crates/edge/src/peers/spread.rs
+++ b/crates/edge/src/peers/spread.rs
@@ -143,7 +143,7 @@
         edge.spread.replica.lock().beat(now());
         edge.spread.replica.lock().forget_silent(now());
         choose_contacts(edge, round);
-        loads::choose_keepers(edge);
+        loads::choose_aggregators(edge);
         routes::fetch_if_behind(edge);
         gossip::send_updates(edge);
         let contacts = edge.spread.contact_hosts();
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -101,7 +101,7 @@
     /// missing there.
     #[prost(message, tag = "27")]
     Progress(ProgressMsg),
-    /// The sender's requests at targets whose total the receiver keeps.
+    /// The sender's requests at targets of which the receiver is the aggregator.
     #[prost(message, tag = "28")]
     TargetLoads(TargetLoadsMsg),
 }
@@ -592,7 +592,7 @@
     pub is_outdated_and_busy: bool,
 }
 
-/// Row of a host: a target without orders whose total it keeps.
+/// Row of a host: a target without an owner, of which it is the aggregator.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct TargetTotalMsg {
     /// Requests of all hosts that run at the target.
@@ -628,7 +628,7 @@
     pub value: Option<Bytes>,
 }
 
-/// The sender's requests at targets whose total the receiver keeps.
+/// The sender's requests at targets of which the receiver is the aggregator.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct TargetLoadsMsg {
     /// By target. The sender has no requests at the others.
