--- a/crates/edge/tests/edge/spread.rs
+++ b/crates/edge/tests/edge/spread.rs
@@ -34,7 +34,8 @@
     wait_until("hosts know each other", || since.elapsed() > time).await;
 }
 
-/// What a target said to one host reached only the hosts that had a link to it.
+/// Guards against a notice that stays with the contacts of the host that got it. Where all hosts have
+/// links to each other this cannot happen.
 #[tokio::test]
 async fn departure_reaches_hosts_that_are_no_contacts() {
     let d = Deployment::new().await;
@@ -58,7 +59,7 @@
     assert_eq!(b.executed_requests().len(), before);
 }
 
-/// A crash that one host witnessed was known only to the hosts that had a link to it.
+/// Guards against a report that stays with the contacts of the host that witnessed the crash.
 #[tokio::test]
 async fn crash_report_reaches_hosts_that_are_no_contacts() {
     let d = Deployment::new().await;
@@ -88,7 +89,8 @@
     assert_eq!(sound.body, whole_stream());
 }
 
-/// Each restart of a host and each change of claims made all hosts read the store.
+/// Guards against reads by each host after a restart. With eight hosts they are few on any design, so
+/// the simulation of `ReadTurns` covers large fleets.
 #[tokio::test]
 async fn restart_is_read_by_one_host_for_all() {
     let d = Deployment::new().await;
