review: two holders order one server after the store came back from a copy

Cause: claims that a restored store has lost are kept in the memory of running hosts only. A host that starts later takes the servers for ones without an owner, and the claim that it appends lets its owner order at once.

--- /dev/null
+++ b/review/harness/cases.rs
@@ -0,0 +1,13 @@
+//! The cases.
+
+mod one_holder;
+
+use std::{io, path::Path};
+
+/// Plays a case. Returns true if the rule held.
+pub fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
+    match case {
+        "one-holder" => one_holder::play(folder, trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
--- /dev/null
+++ b/review/harness/client.rs
@@ -0,0 +1,123 @@
+//! Clients of the hosts.
+
+use {
+    crate::{http::Conn, target::MODEL},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread::{self, JoinHandle},
+        time::{Duration, Instant},
+    },
+};
+
+/// Host name of all routes.
+pub const ROUTE_HOST: &str = "calls.example";
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// One request and what came of it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub path: String,
+    pub adapter: Option<String>,
+    pub host: String,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    /// Status of the answer; 0 without one.
+    pub status: u16,
+    pub is_whole: bool,
+    pub body: String,
+}
+
+/// Sends a request on a new connection and reads the answer.
+pub fn call(
+    host: &str,
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    adapter: Option<&str>,
+    deadline_ms: u64,
+) -> Call {
+    let id = format!("{:016x}", 0x9c41_0000_0000_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
+    let sent_at = Instant::now();
+    let exchange = || -> io::Result<_> {
+        let mut conn = Conn::open(address, Duration::from_secs(1))?;
+        conn.socket().set_read_timeout(Some(Duration::from_millis(deadline_ms + 1000)))?;
+        let deadline = deadline_ms.to_string();
+        let model = adapter.map(|adapter| format!("{MODEL}/{adapter}"));
+        let prefix = format!("5c1e07a2:100,{}:50", &id[8..]);
+        let mut headers =
+            vec![("Host", ROUTE_HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", &deadline)];
+        if let Some(model) = &model {
+            headers.extend([
+                ("Model", model.as_str()),
+                ("Token-Count", "150,24"),
+                ("Prompt-Prefix", prefix.as_str()),
+            ]);
+        }
+        let body: &[u8] = if method == "POST" { b"body" } else { b"" };
+        conn.request(method, path, &headers, body)?;
+        conn.read_answer()
+    };
+    let answer = exchange().ok();
+    Call {
+        path: path.to_owned(),
+        adapter: adapter.map(str::to_owned),
+        host: host.to_owned(),
+        sent_at,
+        ended_at: Instant::now(),
+        status: answer.as_ref().map_or(0, |answer| answer.status),
+        is_whole: answer.as_ref().is_some_and(|answer| answer.is_whole),
+        body: answer.map(|a| String::from_utf8_lossy(&a.body).into_owned()).unwrap_or_default(),
+        id,
+    }
+}
+
+/// Clients that send one request after the other until they are stopped.
+pub struct Load {
+    is_stopped: Arc<AtomicBool>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts `clients` clients at each host. `next` makes the request of a number: method, path
+    /// and adapter.
+    pub fn start(
+        hosts: &[(String, SocketAddr)],
+        clients: usize,
+        pause: Duration,
+        next: fn(u64) -> (&'static str, String, Option<String>),
+    ) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let numbers = Arc::new(AtomicU64::new(0));
+        let mut threads = Vec::new();
+        for (name, address) in hosts.iter().flat_map(|host| vec![host.clone(); clients]) {
+            let (is_stopped, calls, numbers) = (is_stopped.clone(), calls.clone(), numbers.clone());
+            threads.push(thread::spawn(move || {
+                while !is_stopped.load(Ordering::Relaxed) {
+                    let (method, path, adapter) = next(numbers.fetch_add(1, Ordering::Relaxed));
+                    let done = call(&name, address, method, &path, adapter.as_deref(), 4000);
+                    calls.lock().expect("no client panics").push(done);
+                    thread::sleep(pause);
+                }
+            }));
+        }
+        Self { is_stopped, calls, threads }
+    }
+
+    /// Stops the clients and returns their calls.
+    pub fn stop(mut self) -> Vec<Call> {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        std::mem::take(&mut *self.calls.lock().expect("no client panics"))
+    }
+}
--- /dev/null
+++ b/review/harness/target.rs
@@ -0,0 +1,338 @@
+//! Servers: model engines that take orders, and plain services.
+
+use {
+    crate::{
+        http::{Conn, Request},
+        json,
+        store::Store,
+    },
+    std::{
+        collections::BTreeMap,
+        io,
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Interval in which a server writes its entry.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// Time that an adapter takes to load.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+
+/// Adapters that may be in transit to a server at the same time.
+const IN_TRANSIT_MAX: usize = 4;
+
+/// Base model of all engines.
+pub const MODEL: &str = "base";
+
+/// What a server is.
+#[derive(Clone, Debug)]
+pub struct Conf {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    /// Places for adapters; none if the server is not an engine.
+    pub adapter_slots: Option<usize>,
+}
+
+/// An order as it arrived.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub at: Instant,
+    pub holder: String,
+    pub fence: u64,
+    pub what: String,
+    pub status: u16,
+}
+
+/// A request that ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Instant,
+    pub id: String,
+    pub target: String,
+}
+
+#[derive(Default)]
+struct State {
+    // end of the load by adapter
+    adapters: BTreeMap<String, Instant>,
+    seq: u64,
+    fence: u64,
+    orders: Vec<Order>,
+    runs: Vec<Run>,
+    connections: Vec<TcpStream>,
+}
+
+/// A running server.
+pub struct Target {
+    pub conf: Conf,
+    pub address: SocketAddr,
+    pub born: u64,
+    store: Arc<Store>,
+    state: Mutex<State>,
+    seals: AtomicU64,
+    is_draining: AtomicBool,
+    has_ended: AtomicBool,
+}
+
+impl Target {
+    /// Starts a server on a free port, and writes its entry now and in each heartbeat.
+    pub fn start(conf: Conf, store: &Arc<Store>) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let target = Arc::new(Self {
+            conf,
+            address,
+            born: u64::try_from(born).unwrap_or(0),
+            store: store.clone(),
+            state: Mutex::default(),
+            seals: AtomicU64::new(0),
+            is_draining: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
+        });
+        let server = target.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if server.has_ended.load(Ordering::Acquire) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    server.lock().connections.push(copy);
+                }
+                let target = server.clone();
+                thread::spawn(move || target.serve(Conn::new(stream)?));
+            }
+        });
+        let writer = target.clone();
+        thread::spawn(move || {
+            while !writer.has_ended.load(Ordering::Acquire) {
+                writer.register();
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        Ok(target)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while it holds the state")
+    }
+
+    /// The fields of the entry, each as it stands in JSON.
+    pub fn entry(&self) -> Vec<(&'static str, String)> {
+        let quoted = |text: &str| format!("\"{text}\"");
+        let seq = self.lock().seq;
+        let mut fields = vec![
+            ("service", quoted(&self.conf.service)),
+            ("address", quoted(&self.address.to_string())),
+            ("zone", quoted(&self.conf.zone)),
+            ("version", quoted("v1")),
+            ("slots", "64".to_owned()),
+            (
+                "state",
+                quoted(if self.is_draining.load(Ordering::Acquire) { "draining" } else { "ready" }),
+            ),
+            ("cold_left_ms", "0".to_owned()),
+            ("seq", seq.to_string()),
+            ("born", self.born.to_string()),
+        ];
+        if self.conf.adapter_slots.is_some() {
+            fields.push(("stage", quoted("both")));
+            fields.push(("models", self.models()));
+        }
+        fields
+    }
+
+    fn register(&self) {
+        // the next heartbeat writes it if the store is away
+        let _ = self.store.write(
+            "keyed.servers",
+            self.conf.id.as_bytes(),
+            object(&self.entry()).as_bytes(),
+        );
+    }
+
+    fn models(&self) -> String {
+        let now = Instant::now();
+        let state = self.lock();
+        let loaded = state.adapters.iter().filter(|(_, end)| **end <= now);
+        let loaded: Vec<String> = loaded.map(|(name, _)| format!("\"{name}@1\"")).collect();
+        format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", loaded.join(","))
+    }
+
+    /// Orders that have arrived.
+    pub fn orders(&self) -> Vec<Order> {
+        self.lock().orders.clone()
+    }
+
+    /// Requests that have run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// The server reports that it is leaving.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::Release);
+        self.register();
+    }
+
+    /// The server ends: its heartbeats, its listener and its connections.
+    pub fn end(&self) {
+        if self.has_ended.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        // the listener notices with the next connection
+        let _ = TcpStream::connect(self.address);
+        for connection in self.lock().connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// The server ends, and its entry is removed.
+    pub fn leave(&self) {
+        self.end();
+        let _ = self.store.write("keyed.servers", self.conf.id.as_bytes(), b"");
+    }
+
+    fn serve(&self, mut conn: Conn) -> io::Result<()> {
+        while let Some(request) = conn.read_request()? {
+            if request.headers.get("expect-instance").is_some_and(|id| id != self.conf.id) {
+                self.refuse(&mut conn, &request, 421)?;
+                continue;
+            }
+            match request.path() {
+                "/health" => conn.answer(200, &[("Instance-Id", &self.conf.id)], b"")?,
+                "/v1/report" if self.conf.adapter_slots.is_some() => {
+                    conn.answer(200, &[], self.report().as_bytes())?;
+                }
+                "/v1/order" if self.conf.adapter_slots.is_some() => {
+                    let status = self.take_order(&request);
+                    conn.answer(status, &[], b"")?;
+                }
+                _ => self.run(&mut conn, &request)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn refuse(&self, conn: &mut Conn, request: &Request, status: u16) -> io::Result<()> {
+        let id = request.headers.get("request-id").unwrap_or_default();
+        conn.answer(status, &[("Request-Id", id), ("Not-Executed", "1")], b"")
+    }
+
+    fn report(&self) -> String {
+        let models = self.models();
+        let now = Instant::now();
+        let state = self.lock();
+        let pending = state.adapters.iter().filter(|(_, end)| **end > now);
+        let pending: Vec<String> =
+            pending.map(|(name, _)| format!("\"{MODEL}/{name}@1\"")).collect();
+        format!(
+            "{{\"stage\":\"both\",\"models\":{models},\"busy\":false,\"seq\":{},\"queued\":0,\
+             \"running\":0,\"kv_used\":0,\"kv_total\":100000,\"handles\":0,\"pending\":[{}],\
+             \"born\":{}}}",
+            state.seq,
+            pending.join(","),
+            self.born
+        )
+    }
+
+    fn take_order(&self, request: &Request) -> u16 {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let (holder, fence) = (json::text(&body, "holder"), json::number(&body, "fence_token"));
+        let (Some(holder), Some(fence)) = (holder, fence) else {
+            return 400;
+        };
+        let mut state = self.lock();
+        let what = format!(
+            "{} {}",
+            json::text(&body, "op_type").unwrap_or_default(),
+            json::text(&body, "adapter").unwrap_or_else(|| "the model".to_owned())
+        );
+        let status = self.status_of_order(&mut state, &body, fence);
+        state.orders.push(Order { at: Instant::now(), holder, fence, what, status });
+        status
+    }
+
+    fn status_of_order(&self, state: &mut State, body: &str, fence: u64) -> u16 {
+        if fence < state.fence {
+            return 412;
+        }
+        state.fence = fence;
+        let Some(adapter) = json::text(body, "adapter") else {
+            return 200;
+        };
+        let is_load = json::text(body, "op_type").as_deref() == Some("load");
+        let now = Instant::now();
+        match state.adapters.get(&adapter) {
+            Some(end) if is_load => return if *end <= now { 200 } else { 202 },
+            None if !is_load => return 200,
+            _ => {}
+        }
+        let in_transit = state.adapters.values().filter(|end| **end > now).count();
+        let is_stale = json::number(body, "expected").is_some_and(|seq| seq != state.seq);
+        if is_stale || is_load && in_transit >= IN_TRANSIT_MAX {
+            return 409;
+        }
+        state.seq += 1;
+        if is_load {
+            state.adapters.insert(adapter, now + LOAD_TIME);
+            202
+        } else {
+            state.adapters.remove(&adapter);
+            200
+        }
+    }
+
+    fn run(&self, conn: &mut Conn, request: &Request) -> io::Result<()> {
+        let Some(id) = request.headers.get("request-id") else {
+            return conn.answer(400, &[("Not-Executed", "1")], b"");
+        };
+        if self.conf.adapter_slots.is_some()
+            && let Some((_, adapter)) = request.headers.get("model").and_then(|m| m.split_once('/'))
+        {
+            let end = self.lock().adapters.get(adapter).copied();
+            match end {
+                None => return self.refuse(conn, request, 421),
+                Some(end) if end > Instant::now() => return self.refuse(conn, request, 503),
+                Some(_) => {}
+            }
+        }
+        let run = Run { at: Instant::now(), id: id.to_owned(), target: request.target.clone() };
+        self.lock().runs.push(run);
+        thread::sleep(Duration::from_millis(15));
+        let seal = format!("{}.{}", self.conf.id, self.seals.fetch_add(1, Ordering::Relaxed));
+        let headers = [("Request-Id", id), ("Server-Seal", seal.as_str())];
+        if self.conf.adapter_slots.is_none() {
+            return conn.answer(
+                200,
+                &headers,
+                format!("{} did {id}", self.conf.service).as_bytes(),
+            );
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {seal}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        conn.write(head.as_bytes())?;
+        for event in 1..=4 {
+            let event = format!("id: {event}\ndata: token\n\n");
+            conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            thread::sleep(Duration::from_millis(10));
+        }
+        conn.write(b"0\r\n\r\n")
+    }
+}
+
+/// A JSON object of fields.
+pub fn object(fields: &[(&str, String)]) -> String {
+    let fields: Vec<String> = fields.iter().map(|(k, v)| format!("\"{k}\":{v}")).collect();
+    format!("{{{}}}", fields.join(","))
+}
