review: a server runs requests of another service after an incomplete entry

Cause: an entry of the registry without cold_left_ms, version, born or models is taken for that of a server. One under the id of a live server sends it the requests of another service.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod foreign_entry;
 mod one_holder;
 
 use std::{io, path::Path};
@@ -8,6 +9,7 @@
 pub fn play(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
     match case {
         "one-holder" => one_holder::play(folder, trouble),
+        "foreign-entry" => foreign_entry::play(folder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
