review: a long key in the registry ends all claims on servers

Cause: encode_record panics when a claim's key has more than 255 bytes, and nothing starts the task again that claims servers.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod foreign_entry;
+mod long_key;
 mod one_holder;
 
 use std::{io, path::Path};
@@ -10,6 +11,7 @@
     match case {
         "one-holder" => one_holder::play(folder, trouble),
         "foreign-entry" => foreign_entry::play(folder, trouble),
+        "long-key" => long_key::play(folder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
