review: a revoked key runs at a machine added after the store came back from a copy

Cause: a host that starts counts the config that it reads as a fresh view of the keys, also one that the store has brought back from a copy, and does not ask the hosts that have a newer one.

The cases before are unchanged.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -3,6 +3,7 @@
 mod foreign_entry;
 mod long_key;
 mod one_holder;
+mod revoked_key;
 
 use std::{io, path::Path};
 
@@ -12,6 +13,7 @@
         "one-holder" => one_holder::play(folder, trouble),
         "foreign-entry" => foreign_entry::play(folder, trouble),
         "long-key" => long_key::play(folder, trouble),
+        "revoked-key" => revoked_key::play(folder, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/harness/cases/foreign_entry.rs
+++ b/review/harness/cases/foreign_entry.rs
@@ -1,7 +1,11 @@
 //! Another writer writes an entry that lacks a field, under the id of a live server.
 
 use {
-    crate::{client::Load, scene::Scene, target::object},
+    crate::{
+        client::{Ask, Load},
+        scene::Scene,
+        target::object,
+    },
     std::{io, path::Path, time::Duration},
 };
 
@@ -21,7 +25,7 @@
     let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
     let load = Load::start(&hosts, 2, Duration::from_millis(40), |number| {
         let path = if number % 2 == 0 { "/publish/package" } else { "/issue/certificate" };
-        ("POST", path.to_owned(), None)
+        Ask { path: path.to_owned(), ..Ask::default() }
     });
     scene.note("clients begin: /publish/ belongs to studio, /issue/ to registry");
     scene.wait_until(9.0);
--- a/review/harness/cases/long_key.rs
+++ b/review/harness/cases/long_key.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        client::{Call, Load},
+        client::{Ask, Call, Load},
         scene::Scene,
         target::object,
     },
@@ -33,8 +33,10 @@
     }
     scene.wait_until(5.0);
     let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
-    let load = Load::start(&hosts, 3, Duration::from_millis(60), |number| {
-        ("POST", "/draft/x".to_owned(), Some(format!("a{}", number % ADAPTERS + 1)))
+    let load = Load::start(&hosts, 3, Duration::from_millis(60), |number| Ask {
+        path: "/draft/x".to_owned(),
+        adapter: Some(format!("a{}", number % ADAPTERS + 1)),
+        key: None,
     });
     scene.note("clients begin: streams, each of another adapter");
     scene.wait_until(12.0);
--- a/review/harness/cases/one_holder.rs
+++ b/review/harness/cases/one_holder.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        client::Load,
+        client::{Ask, Load},
         scene::Scene,
         target::{Order, Target},
     },
@@ -109,8 +109,10 @@
 fn start_load(scene: &Scene, hosts: std::ops::Range<usize>) -> Load {
     let hosts: Vec<_> =
         scene.hosts[hosts].iter().map(|host| (host.name.clone(), host.callers)).collect();
-    Load::start(&hosts, 3, Duration::from_millis(60), |number| {
-        ("POST", "/draft/x".to_owned(), Some(format!("a{}", number % 1500 + 1)))
+    Load::start(&hosts, 3, Duration::from_millis(60), |number| Ask {
+        path: "/draft/x".to_owned(),
+        adapter: Some(format!("a{}", number % 1500 + 1)),
+        key: None,
     })
 }
 
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -25,6 +25,7 @@
     pub id: String,
     pub path: String,
     pub adapter: Option<String>,
+    pub key: Option<&'static str>,
     pub host: String,
     pub sent_at: Instant,
     pub ended_at: Instant,
@@ -34,22 +35,28 @@
     pub body: String,
 }
 
+/// What a client asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    pub path: String,
+    pub adapter: Option<String>,
+    /// Key of the client's tenant.
+    pub key: Option<&'static str>,
+}
+
+/// Time that a client waits for its answer.
+const DEADLINE_MS: u64 = 4000;
+
 /// Sends a request on a new connection and reads the answer.
-pub fn call(
-    host: &str,
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    adapter: Option<&str>,
-    deadline_ms: u64,
-) -> Call {
+pub fn call(host: &str, address: SocketAddr, ask: &Ask) -> Call {
     let id = format!("{:016x}", 0x9c41_0000_0000_0000 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
     let sent_at = Instant::now();
     let exchange = || -> io::Result<_> {
         let mut conn = Conn::open(address, Duration::from_secs(1))?;
-        conn.socket().set_read_timeout(Some(Duration::from_millis(deadline_ms + 1000)))?;
-        let deadline = deadline_ms.to_string();
-        let model = adapter.map(|adapter| format!("{MODEL}/{adapter}"));
+        conn.socket().set_read_timeout(Some(Duration::from_millis(DEADLINE_MS + 1000)))?;
+        let deadline = DEADLINE_MS.to_string();
+        let model = ask.adapter.as_ref().map(|adapter| format!("{MODEL}/{adapter}"));
+        let credentials = ask.key.map(|key| format!("Bearer {key}"));
         let prefix = format!("5c1e07a2:100,{}:50", &id[8..]);
         let mut headers =
             vec![("Host", ROUTE_HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", &deadline)];
@@ -60,14 +67,17 @@
                 ("Prompt-Prefix", prefix.as_str()),
             ]);
         }
-        let body: &[u8] = if method == "POST" { b"body" } else { b"" };
-        conn.request(method, path, &headers, body)?;
+        if let Some(credentials) = &credentials {
+            headers.push(("Authorization", credentials));
+        }
+        conn.request("POST", &ask.path, &headers, b"body")?;
         conn.read_answer()
     };
     let answer = exchange().ok();
     Call {
-        path: path.to_owned(),
-        adapter: adapter.map(str::to_owned),
+        path: ask.path.clone(),
+        adapter: ask.adapter.clone(),
+        key: ask.key,
         host: host.to_owned(),
         sent_at,
         ended_at: Instant::now(),
@@ -86,13 +96,12 @@
 }
 
 impl Load {
-    /// Starts `clients` clients at each host. `next` makes the request of a number: method, path
-    /// and adapter.
+    /// Starts `clients` clients at each host. `next` makes the request of a number.
     pub fn start(
         hosts: &[(String, SocketAddr)],
         clients: usize,
         pause: Duration,
-        next: fn(u64) -> (&'static str, String, Option<String>),
+        next: fn(u64) -> Ask,
     ) -> Self {
         let is_stopped = Arc::new(AtomicBool::new(false));
         let calls = Arc::new(Mutex::new(Vec::new()));
@@ -102,8 +111,8 @@
             let (is_stopped, calls, numbers) = (is_stopped.clone(), calls.clone(), numbers.clone());
             threads.push(thread::spawn(move || {
                 while !is_stopped.load(Ordering::Relaxed) {
-                    let (method, path, adapter) = next(numbers.fetch_add(1, Ordering::Relaxed));
-                    let done = call(&name, address, method, &path, adapter.as_deref(), 4000);
+                    let ask = next(numbers.fetch_add(1, Ordering::Relaxed));
+                    let done = call(&name, address, &ask);
                     calls.lock().expect("no client panics").push(done);
                     thread::sleep(pause);
                 }
--- a/review/harness/host.rs
+++ b/review/harness/host.rs
@@ -63,6 +63,7 @@
              [orders]\nfencing = \"checked\"\nlease_ms = 3000\nceiling_window_s = 5\n\
              ceiling_over = 1.1\n\
              [retries]\nwindow_s = 10\nratio = 0.2\nfree = 54\n\
+             [accounts]\nrevoke_ms = 5000\nfail_closed = true\n\
              [memory]\nhost_mb = 390\n\
              [stop]\ngrace_s = 8\n\
              [logs]\nto = \"stdout\"\nformat = \"json\"\nlevel = \"info\"\n"
--- a/review/harness/scene.rs
+++ b/review/harness/scene.rs
@@ -46,7 +46,7 @@
             folder,
             record: String::new(),
         };
-        scene.store.write("keyed.op", b"config", config(3).as_bytes());
+        scene.store.write("keyed.op", b"config", config(3, "").as_bytes());
         Ok(scene)
     }
 
@@ -148,8 +148,8 @@
     }
 }
 
-/// A config with routes to two plain services and to the engines.
-pub fn config(version: u64) -> String {
+/// A config with routes to two plain services and to the engines, and with these tenants.
+pub fn config(version: u64, tenants: &str) -> String {
     let route = |name: &str, kind: &str, service: &str, attempts: u32, timeout_ms: u32| {
         let more =
             if kind == "streaming" { ",\"resumable\":true,\"gap_target_ms\":300" } else { "" };
@@ -180,7 +180,7 @@
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":\
          {{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":5000,\
-         \"idle_timeout_ms\":15000}}}}",
+         \"idle_timeout_ms\":15000}},\"tenants\":[{tenants}]}}",
         routes.join(","),
         services.join(",")
     )
