review: a late order overfills a server that is back under its id

Cause: the inventory of an engine, and with it the loads without an answer for which places are kept free, is dropped when the entry shows a new start of the same id.

Change: review/5 with a script; the stand-in of a server can crash, come back and carry an order out late. The cases before are unchanged.

--- a/review/harness/target.rs
+++ b/review/harness/target.rs
@@ -25,6 +25,9 @@
 /// Time that an adapter takes to load.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 
+/// Time that the model takes to load.
+const MODEL_LOAD_TIME: Duration = Duration::from_millis(600);
+
 /// Adapters that may be in transit to a server at the same time.
 const IN_TRANSIT_MAX: usize = 4;
 
@@ -61,12 +64,18 @@
 
 #[derive(Default)]
 struct State {
+    // end of the load of the model; none if it is not there
+    model: Option<Instant>,
     // end of the load by adapter
     adapters: BTreeMap<String, Instant>,
     seq: u64,
     fence: u64,
     orders: Vec<Order>,
     runs: Vec<Run>,
+    // time for which the next load of this adapter stays unanswered before it is carried out
+    delayed: Option<(String, Duration)>,
+    // what the server held when an order overfilled it
+    overfilled: Vec<(Instant, Vec<String>)>,
     connections: Vec<TcpStream>,
 }
 
@@ -74,7 +83,9 @@
 pub struct Target {
     pub conf: Conf,
     pub address: SocketAddr,
-    pub born: u64,
+    born: AtomicU64,
+    // number of the start; the listener of an earlier one ends
+    boot: AtomicU64,
     store: Arc<Store>,
     state: Mutex<State>,
     seals: AtomicU64,
@@ -83,25 +94,34 @@
 }
 
 impl Target {
-    /// Starts a server on a free port, and writes its entry now and in each heartbeat.
+    /// Starts a server on a free port, and writes its entry now and in each heartbeat. An engine has
+    /// its model from the start.
     pub fn start(conf: Conf, store: &Arc<Store>) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let target = Arc::new(Self {
             conf,
-            address,
-            born: u64::try_from(born).unwrap_or(0),
+            address: listener.local_addr()?,
+            born: AtomicU64::new(unix_ms()),
+            boot: AtomicU64::new(1),
             store: store.clone(),
             state: Mutex::default(),
             seals: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
         });
-        let server = target.clone();
+        target.lock().model = Some(Instant::now());
+        target.listen(listener);
+        Ok(target)
+    }
+
+    fn listen(self: &Arc<Self>, listener: TcpListener) {
+        let boot = self.boot.load(Ordering::Acquire);
+        let server = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if server.has_ended.load(Ordering::Acquire) {
+                if server.has_ended.load(Ordering::Acquire)
+                    || server.boot.load(Ordering::Acquire) != boot
+                {
                     return;
                 }
                 if let Ok(copy) = stream.try_clone() {
@@ -111,14 +131,15 @@
                 thread::spawn(move || target.serve(Conn::new(stream)?));
             }
         });
-        let writer = target.clone();
+        let writer = self.clone();
         thread::spawn(move || {
-            while !writer.has_ended.load(Ordering::Acquire) {
+            while !writer.has_ended.load(Ordering::Acquire)
+                && writer.boot.load(Ordering::Acquire) == boot
+            {
                 writer.register();
                 thread::sleep(HEARTBEAT);
             }
         });
-        Ok(target)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -141,7 +162,7 @@
             ),
             ("cold_left_ms", "0".to_owned()),
             ("seq", seq.to_string()),
-            ("born", self.born.to_string()),
+            ("born", self.born.load(Ordering::Acquire).to_string()),
         ];
         if self.conf.adapter_slots.is_some() {
             fields.push(("stage", quoted("both")));
@@ -162,6 +183,9 @@
     fn models(&self) -> String {
         let now = Instant::now();
         let state = self.lock();
+        if state.model.is_none_or(|end| end > now) {
+            return "[]".to_owned();
+        }
         let loaded = state.adapters.iter().filter(|(_, end)| **end <= now);
         let loaded: Vec<String> = loaded.map(|(name, _)| format!("\"{name}@1\"")).collect();
         format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", loaded.join(","))
@@ -185,9 +209,40 @@
 
     /// The server ends: its heartbeats, its listener and its connections.
     pub fn end(&self) {
-        if self.has_ended.swap(true, Ordering::AcqRel) {
-            return;
+        if !self.has_ended.swap(true, Ordering::AcqRel) {
+            self.close();
         }
+    }
+
+    /// The server crashes, and is back after this time under its id and address, with nothing.
+    pub fn crash(self: &Arc<Self>, down: Duration) -> io::Result<()> {
+        self.boot.fetch_add(1, Ordering::AcqRel);
+        self.close();
+        thread::sleep(down);
+        let listener = TcpListener::bind(self.address)?;
+        {
+            let mut state = self.lock();
+            (state.seq, state.fence) = (0, 0);
+            state.model = None;
+            state.adapters.clear();
+        }
+        self.born.store(unix_ms(), Ordering::Release);
+        self.listen(listener);
+        Ok(())
+    }
+
+    /// Leaves the next load of `adapter` unanswered, and carries it out after `delay` if it still can
+    /// be.
+    pub fn delay_load(&self, adapter: &str, delay: Duration) {
+        self.lock().delayed = Some((adapter.to_owned(), delay));
+    }
+
+    /// What the server held, with what it was ordered to load, when that was more than it has places.
+    pub fn overfilled(&self) -> Vec<(Instant, Vec<String>)> {
+        self.lock().overfilled.clone()
+    }
+
+    fn close(&self) {
         // the listener notices with the next connection
         let _ = TcpStream::connect(self.address);
         for connection in self.lock().connections.drain(..) {
@@ -213,6 +268,12 @@
                     conn.answer(200, &[], self.report().as_bytes())?;
                 }
                 "/v1/order" if self.conf.adapter_slots.is_some() => {
+                    if let Some(delay) = self.delay_of(&request) {
+                        thread::sleep(delay);
+                        // the connection gets no answer
+                        self.take_order(&request);
+                        return Ok(());
+                    }
                     let status = self.take_order(&request);
                     conn.answer(status, &[], b"")?;
                 }
@@ -235,15 +296,26 @@
         let pending: Vec<String> =
             pending.map(|(name, _)| format!("\"{MODEL}/{name}@1\"")).collect();
         format!(
-            "{{\"stage\":\"both\",\"models\":{models},\"busy\":false,\"seq\":{},\"queued\":0,\
+            "{{\"stage\":\"both\",\"models\":{models},\"busy\":{},\"seq\":{},\"queued\":0,\
              \"running\":0,\"kv_used\":0,\"kv_total\":100000,\"handles\":0,\"pending\":[{}],\
              \"born\":{}}}",
+            state.model.is_some_and(|end| end > now),
             state.seq,
             pending.join(","),
-            self.born
+            self.born.load(Ordering::Acquire)
         )
     }
 
+    // the time for which this order stays unanswered, if it does
+    fn delay_of(&self, request: &Request) -> Option<Duration> {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let adapter = json::text(&body, "adapter")?;
+        let is_load = json::text(&body, "op_type").as_deref() == Some("load");
+        let mut state = self.lock();
+        let (_, delay) = state.delayed.take_if(|(delayed, _)| is_load && *delayed == adapter)?;
+        Some(delay)
+    }
+
     fn take_order(&self, request: &Request) -> u16 {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let (holder, fence) = (json::text(&body, "holder"), json::number(&body, "fence_token"));
@@ -266,24 +338,39 @@
             return 412;
         }
         state.fence = fence;
-        let Some(adapter) = json::text(body, "adapter") else {
-            return 200;
-        };
         let is_load = json::text(body, "op_type").as_deref() == Some("load");
         let now = Instant::now();
+        let is_stale = json::number(body, "expected").is_some_and(|seq| seq != state.seq);
+        let Some(adapter) = json::text(body, "adapter") else {
+            return match state.model {
+                Some(end) if is_load => 202 - 2 * u16::from(end <= now),
+                None if is_load && !is_stale => {
+                    state.seq += 1;
+                    state.model = Some(now + MODEL_LOAD_TIME);
+                    202
+                }
+                _ => 409,
+            };
+        };
+        if state.model.is_none_or(|end| end > now) {
+            return 400;
+        }
         match state.adapters.get(&adapter) {
             Some(end) if is_load => return if *end <= now { 200 } else { 202 },
             None if !is_load => return 200,
             _ => {}
         }
         let in_transit = state.adapters.values().filter(|end| **end > now).count();
-        let is_stale = json::number(body, "expected").is_some_and(|seq| seq != state.seq);
         if is_stale || is_load && in_transit >= IN_TRANSIT_MAX {
             return 409;
         }
         state.seq += 1;
         if is_load {
             state.adapters.insert(adapter, now + LOAD_TIME);
+            if self.conf.adapter_slots.is_some_and(|slots| state.adapters.len() > slots) {
+                let held = state.adapters.keys().cloned().collect();
+                state.overfilled.push((now, held));
+            }
             202
         } else {
             state.adapters.remove(&adapter);
@@ -298,8 +385,9 @@
         if self.conf.adapter_slots.is_some()
             && let Some((_, adapter)) = request.headers.get("model").and_then(|m| m.split_once('/'))
         {
+            let has_model = self.lock().model.is_some_and(|end| end <= Instant::now());
             let end = self.lock().adapters.get(adapter).copied();
-            match end {
+            match end.filter(|_| has_model) {
                 None => return self.refuse(conn, request, 421),
                 Some(end) if end > Instant::now() => return self.refuse(conn, request, 503),
                 Some(_) => {}
@@ -331,6 +419,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(0)
+}
+
 /// A JSON object of fields.
 pub fn object(fields: &[(&str, String)]) -> String {
     let fields: Vec<String> = fields.iter().map(|(k, v)| format!("\"{k}\":{v}")).collect();
