--- a/review/harness/cases/crashing_part.rs
+++ b/review/harness/cases/crashing_part.rs
@@ -30,24 +30,16 @@
     // for comparison: FRAMED=1 has the servers end their streams with chunks
     let is_framed = env::var("FRAMED").is_ok_and(|value| value == "1");
     let mut scene = Scene::new()?;
-    for number in 1..=9 {
-        let zone = format!("zone-{}", (number - 1) % 3 + 1);
-        scene.start_target(&format!("e-{number:02}"), "engines", &zone)?;
-    }
+    scene.start_engines("e")?;
     for target in &scene.targets {
         target.crash_on(CRASHING_PART, DOWN);
         if !is_framed {
             target.leave_streams_unframed();
         }
     }
-    for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
-        scene.start_host(&format!("edge-{number}"), zone, true)?;
-    }
-    for host in &scene.hosts {
-        host.wait_until_ready()?;
-    }
+    scene.start_hosts()?;
     scene.wait_until(5.0);
-    let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
+    let hosts = scene.addresses();
     let sound = start_load(&hosts);
     scene.note("clients begin: streams with two parts that they share");
     scene.wait_until(12.0);
--- a/review/harness/cases/foreign_entry.rs
+++ b/review/harness/cases/foreign_entry.rs
@@ -15,14 +15,9 @@
         scene.start_target(&format!("s-{number}"), "studio", &format!("zone-{number}"))?;
         scene.start_target(&format!("r-{number}"), "registry", &format!("zone-{number}"))?;
     }
-    for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
-        scene.start_host(&format!("edge-{number}"), zone, true)?;
-    }
-    for host in &scene.hosts {
-        host.wait_until_ready()?;
-    }
+    scene.start_hosts()?;
     scene.wait_until(5.0);
-    let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
+    let hosts = scene.addresses();
     let load = Load::start(&hosts, 2, Duration::from_millis(40), |number| {
         let path = if number % 2 == 0 { "/publish/package" } else { "/issue/certificate" };
         Ask { path: path.to_owned(), ..Ask::default() }
--- a/review/harness/cases/long_key.rs
+++ b/review/harness/cases/long_key.rs
@@ -21,18 +21,10 @@
 
 pub fn play(folder: &Path, trouble: bool) -> io::Result<bool> {
     let mut scene = Scene::new()?;
-    for number in 1..=9 {
-        let zone = format!("zone-{}", (number - 1) % 3 + 1);
-        scene.start_target(&format!("e-{number:02}"), "engines", &zone)?;
-    }
-    for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
-        scene.start_host(&format!("edge-{number}"), zone, true)?;
-    }
-    for host in &scene.hosts {
-        host.wait_until_ready()?;
-    }
+    scene.start_engines("e")?;
+    scene.start_hosts()?;
     scene.wait_until(5.0);
-    let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
+    let hosts = scene.addresses();
     let load = Load::start(&hosts, 3, Duration::from_millis(60), |number| Ask {
         path: "/draft/x".to_owned(),
         adapter: Some(format!("a{}", number % ADAPTERS + 1)),
@@ -51,8 +43,7 @@
     }
     scene.wait_until(15.0);
     for number in 1..=9 {
-        let zone = format!("zone-{}", (number - 1) % 3 + 1);
-        scene.start_target(&format!("f-{number:02}"), "engines", &zone)?;
+        scene.start_engine("f", number)?;
         scene.wait_until(15.0 + number as f64);
         scene.targets[number - 1].drain();
         if let Some(last) = number.checked_sub(4) {
--- a/review/harness/cases/one_holder.rs
+++ b/review/harness/cases/one_holder.rs
@@ -28,16 +28,8 @@
 
 pub fn play(folder: &Path, trouble: bool) -> io::Result<bool> {
     let mut scene = Scene::new()?;
-    for number in 1..=9 {
-        let zone = format!("zone-{}", (number - 1) % 3 + 1);
-        scene.start_target(&format!("e-{number:02}"), "engines", &zone)?;
-    }
-    for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
-        scene.start_host(&format!("edge-{number}"), zone, true)?;
-    }
-    for host in &scene.hosts {
-        host.wait_until_ready()?;
-    }
+    scene.start_engines("e")?;
+    scene.start_hosts()?;
     scene.wait_until(5.0);
     let mut loads = vec![start_load(&scene, 0..4)];
     scene.note("clients begin: streams, each of another adapter");
@@ -107,9 +99,7 @@
 }
 
 fn start_load(scene: &Scene, hosts: std::ops::Range<usize>) -> Load {
-    let hosts: Vec<_> =
-        scene.hosts[hosts].iter().map(|host| (host.name.clone(), host.callers)).collect();
-    Load::start(&hosts, 3, Duration::from_millis(60), |number| Ask {
+    Load::start(&scene.addresses()[hosts], 3, Duration::from_millis(60), |number| Ask {
         path: "/draft/x".to_owned(),
         adapter: Some(format!("a{}", number % 1500 + 1)),
         ..Ask::default()
--- a/review/harness/cases/revoked_key.rs
+++ b/review/harness/cases/revoked_key.rs
@@ -40,14 +40,9 @@
     for number in 1..=3 {
         scene.start_target(&format!("s-{number}"), "studio", &format!("zone-{number}"))?;
     }
-    for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
-        scene.start_host(&format!("edge-{number}"), zone, true)?;
-    }
-    for host in &scene.hosts {
-        host.wait_until_ready()?;
-    }
+    scene.start_hosts()?;
     scene.wait_until(4.0);
-    let hosts: Vec<_> = scene.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect();
+    let hosts = scene.addresses();
     let load = start_load(&hosts);
     scene.note("clients begin, with two keys of one tenant");
     scene.wait_until(9.0);
@@ -71,8 +66,7 @@
     scene.start_host("edge-5", "zone-2", false)?;
     scene.hosts[4].wait_until_ready()?;
     scene.note("edge-5 is ready, and clients are led to it");
-    let added = [(scene.hosts[4].name.clone(), scene.hosts[4].callers)];
-    let more = start_load(&added);
+    let more = start_load(&scene.addresses()[4..]);
     scene.wait_until(16.8);
     if trouble {
         scene.store.write("keyed.op", b"config", with_one.as_bytes());
--- a/review/harness/scene.rs
+++ b/review/harness/scene.rs
@@ -11,6 +11,7 @@
         env,
         fmt::Write as _,
         fs, io,
+        net::SocketAddr,
         path::{Path, PathBuf},
         process,
         sync::Arc,
@@ -71,6 +72,30 @@
         Ok(())
     }
 
+    /// Starts the four hosts of the smallest sites, and waits until they are ready.
+    pub fn start_hosts(&mut self) -> io::Result<()> {
+        for (number, zone) in [(1, "zone-1"), (2, "zone-2"), (3, "zone-3"), (4, "zone-1")] {
+            self.start_host(&format!("edge-{number}"), zone, true)?;
+        }
+        self.hosts.iter().try_for_each(Host::wait_until_ready)
+    }
+
+    /// Starts nine engines in three zones, named with this prefix.
+    pub fn start_engines(&mut self, prefix: &str) -> io::Result<()> {
+        (1..=9).try_for_each(|number| self.start_engine(prefix, number))
+    }
+
+    /// Starts the engine of this number.
+    pub fn start_engine(&mut self, prefix: &str, number: usize) -> io::Result<()> {
+        let zone = format!("zone-{}", (number - 1) % 3 + 1);
+        self.start_target(&format!("{prefix}-{number:02}"), "engines", &zone)
+    }
+
+    /// Names and addresses of the hosts, for clients.
+    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
+        self.hosts.iter().map(|host| (host.name.clone(), host.callers)).collect()
+    }
+
     /// Milliseconds since the start.
     pub fn ms(&self, at: Instant) -> u128 {
         at.saturating_duration_since(self.began_at).as_millis()
--- a/review/harness/target.rs
+++ b/review/harness/target.rs
@@ -382,20 +382,29 @@
         }
     }
 
+    // the status that refuses a request whose model or adapter is not there
+    fn missing_model_status(&self, request: &Request) -> Option<u16> {
+        let model = request.headers.get("model")?;
+        let state = self.lock();
+        let end = match model.split_once('/') {
+            Some((_, adapter)) => state.adapters.get(adapter).copied(),
+            None => state.model,
+        };
+        let has_model = state.model.is_some_and(|end| end <= Instant::now());
+        match end.filter(|_| has_model) {
+            None => Some(421),
+            Some(end) => (end > Instant::now()).then_some(503),
+        }
+    }
+
     fn run(self: &Arc<Self>, conn: &mut Conn, request: &Request) -> io::Result<()> {
         let Some(id) = request.headers.get("request-id") else {
             return conn.answer(400, &[("Not-Executed", "1")], b"");
         };
         if self.conf.adapter_slots.is_some()
-            && let Some((_, adapter)) = request.headers.get("model").and_then(|m| m.split_once('/'))
+            && let Some(status) = self.missing_model_status(request)
         {
-            let has_model = self.lock().model.is_some_and(|end| end <= Instant::now());
-            let end = self.lock().adapters.get(adapter).copied();
-            match end.filter(|_| has_model) {
-                None => return self.refuse(conn, request, 421),
-                Some(end) if end > Instant::now() => return self.refuse(conn, request, 503),
-                Some(_) => {}
-            }
+            return self.refuse(conn, request, status);
         }
         let run = Run { at: Instant::now(), id: id.to_owned(), target: request.target.clone() };
         self.lock().runs.push(run);
