edge: log and count repeated sends and sends taken over after a restart

The logs did not tell which sends were repeats, how long after they had been taken from the budget they left, or what a restarted host had taken over from its earlier process, so the hypotheses of the incident page could not be told apart.

Change: event E1114 for each repeated send with the time since it was taken, E1115 for sends taken over, metrics egret_repeats (sent, denied) and egret_repeat_wait_ms. No decision is changed.

--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -23,6 +23,9 @@
     account_answers: Family<Labels, Counter>,
     counted_accounts: Mutex<IndexSet<FastStr>>,
     pub(crate) sends_failed: Family<Labels, Counter>,
+    repeats: Family<Labels, Counter>,
+    /// Time from taking a repeat out of the retry budget until it is sent.
+    pub(crate) repeat_wait_ms: Histogram,
     tokens: Family<Labels, Counter>,
     allowance_units: Family<Labels, Counter>,
     pub(crate) orders: Family<Labels, Counter>,
@@ -52,6 +55,10 @@
             ),
             counted_accounts: Mutex::default(),
             sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
+            repeats: metrics
+                .counters("egret_repeats", "Repeated sends by service and what became of them"),
+            repeat_wait_ms: metrics
+                .latency_ms("egret_repeat_wait_ms", "Time from taking a repeat to sending it"),
             tokens: metrics.counters(
                 "egret_rate_limit_tokens",
                 "Tokens for requests to targets that limit their rate, by issuer and answer",
@@ -111,6 +118,12 @@
         }
     }
 
+    /// Counts a repeated send to `service` that was sent, or denied by the retry budget.
+    pub(crate) fn record_repeat(&self, service: &FastStr, outcome: &'static str) {
+        let labels = vec![("service", service.to_string()), ("outcome", outcome.to_owned())];
+        self.repeats.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that was refused because of its key.
     pub(crate) fn record_key_refusal(&self, outcome: &'static str) {
         let labels = vec![("account", "unknown".to_owned()), ("outcome", outcome.to_owned())];
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -34,7 +34,7 @@
 
 /// Sends a request to `target` on a connection that is open by `connect_deadline`, and waits for
 /// the head of the answer until the request's deadline. A stream resumes after the event numbered
-/// `last_event`.
+/// `last_event`. `repeat_taken_at` is the time at which a repeated send was taken from the retry budget.
 ///
 /// # Errors
 ///
@@ -45,6 +45,7 @@
     target: Arc<Target>,
     last_event: Option<u64>,
     connect_deadline: Time,
+    repeat_taken_at: Option<Time>,
 ) -> Result<TargetAnswer, SendEnd> {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let running = RunningRequest::new(edge, &target.id, adapter);
@@ -62,6 +63,9 @@
         return Err(record_failure(edge, out, &target, SendEnd::NotSent, refusal.reason()));
     }
     let sent_at = now();
+    if let Some(taken_at) = repeat_taken_at {
+        record_repeat(edge, out, &target, taken_at);
+    }
     let request = build_request(edge, out, &target, last_event);
     let answer = match conn.send(request, out.deadline).await {
         Ok(answer) => answer,
@@ -119,6 +123,18 @@
     })
 }
 
+fn record_repeat(edge: &Edge, out: &OutgoingRequest, target: &Target, taken_at: Time) {
+    let service = &out.selected.service.name;
+    let waited_ms = now().ms_since(taken_at);
+    events::REQUEST_REPEATED.info(format_args!(
+        "request={} service={service} target={} waited_ms={waited_ms}",
+        out.head.id, target.id
+    ));
+    edge.counts.record_repeat(service, "sent");
+    #[allow(clippy::cast_precision_loss)]
+    edge.counts.repeat_wait_ms.observe(waited_ms as f64);
+}
+
 fn build_request(
     edge: &Edge,
     out: &OutgoingRequest,
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -98,6 +98,8 @@
     pub(super) software_version: Option<FastStr>,
     // start of the caller's wait for the next part of the answer
     pub(super) waiting_since: Time,
+    // time at which the next send was taken from the retry budget, if it is a repeated one
+    repeat_taken_at: Option<Time>,
 }
 
 impl RequestSender {
@@ -113,6 +115,7 @@
             refused_targets: Vec::new(),
             software_version: out.software_version.clone(),
             waiting_since,
+            repeat_taken_at: None,
         }
     }
 
@@ -241,7 +244,8 @@
     ) -> Result<TargetAnswer, SendEnd> {
         let (edge, out) = (self.edge.clone(), self.out.clone());
         let silent_at = self.head_deadline();
-        let attempt = attempt::send(&edge, &out, target.clone(), last_event, silent_at);
+        let attempt =
+            attempt::send(&edge, &out, target.clone(), last_event, silent_at, self.repeat_taken_at);
         let mut attempt = pin!(attempt);
         if let Some(sent) = with_deadline(silent_at, attempt.as_mut()).await {
             return sent;
@@ -266,7 +270,12 @@
             self.refused_targets.push(target.clone());
         }
         let service = &self.out.selected.service.name;
-        self.sends.decide_after_send(now(), end, || self.edge.try_take_retry(service))
+        let repeat_taken_at = &mut self.repeat_taken_at;
+        self.sends.decide_after_send(now(), end, || {
+            let is_taken = self.edge.try_take_retry(service);
+            *repeat_taken_at = is_taken.then(now);
+            is_taken
+        })
     }
 
     /// Restarts the caller's wait, after a break of a stream from which it has received events.
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -176,7 +176,8 @@
         async move {
             let id = target.id.clone();
             let last_event = resume_point.last_event();
-            (id, attempt::send(&edge, &out, target, last_event, connect_deadline).await)
+            let taken_at = Some(now());
+            (id, attempt::send(&edge, &out, target, last_event, connect_deadline, taken_at).await)
         }
     }
 
--- a/crates/edge/src/peers/send_history.rs
+++ b/crates/edge/src/peers/send_history.rs
@@ -95,8 +95,8 @@
     windows.iter().map(|(service, window)| message((service, window.totals()))).collect()
 }
 
-/// Goes on from the sends of earlier processes of this host, which another host has reported.
-pub(super) fn resume(edge: &Edge, messages: Vec<EarlierSendsMsg>) {
+/// Goes on from the sends of earlier processes of this host, which the host `from` has reported.
+pub(super) fn resume(edge: &Edge, from: &str, messages: Vec<EarlierSendsMsg>) {
     let mut by_service: IndexMap<FastStr, Vec<EarlierSends>> = IndexMap::new();
     let now_ms = now().as_millis();
     for message in messages.into_iter().filter(|m| m.incarnation != edge.incarnation) {
@@ -107,5 +107,5 @@
         };
         by_service.entry(FastStr::from_string(message.service)).or_default().push(sends);
     }
-    edge.resume_retry_windows(by_service);
+    edge.resume_retry_windows(from, by_service);
 }
--- a/crates/edge/src/peers/spread.rs
+++ b/crates/edge/src/peers/spread.rs
@@ -360,7 +360,7 @@
 /// Applies the rows that a contact has sent. Called in the order of the messages of a link.
 pub(super) fn receive(edge: &Edge, hello: &Arc<Hello>, message: SpreadMsg) {
     let sender = FastStr::new(&hello.host);
-    send_history::resume(edge, message.earlier_sends);
+    send_history::resume(edge, &sender, message.earlier_sends);
     departures::merge_messages(edge, &sender, message.departures);
     {
         let mut peers = edge.peers.lock();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -19,7 +19,7 @@
         VersionSightings, ViewAge,
     },
     egret_platform::StoreClient,
-    egret_runtime::{Hello, LINK_RELEASE, LinkPool, Metrics, now, unix_ms},
+    egret_runtime::{Hello, LINK_RELEASE, LinkPool, Metrics, events, now, unix_ms},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
     parking_lot::{Mutex, RwLock},
@@ -277,8 +277,14 @@
     pub(crate) fn try_take_retry(&self, service: &FastStr) -> bool {
         let bounds = self.retry_bounds();
         let hosts = self.budget_host_count();
-        let mut windows = self.retry_windows.lock();
-        windows.entry(service.clone()).or_default().try_take(now(), &bounds, hosts)
+        let is_taken = {
+            let mut windows = self.retry_windows.lock();
+            windows.entry(service.clone()).or_default().try_take(now(), &bounds, hosts)
+        };
+        if !is_taken {
+            self.counts.record_repeat(service, "denied");
+        }
+        is_taken
     }
 
     /// True if the retry budget has a repeated send to `service` left.
@@ -289,14 +295,23 @@
         windows.entry(service.clone()).or_default().has_budget(now(), &bounds, hosts)
     }
 
-    /// Goes on from the sends of an earlier process of this host.
-    pub(crate) fn resume_retry_windows(&self, sends: IndexMap<FastStr, Vec<EarlierSends>>) {
+    /// Goes on from the sends of earlier processes of this host, as the host `from` has reported them.
+    pub(crate) fn resume_retry_windows(
+        &self,
+        from: &str,
+        sends: IndexMap<FastStr, Vec<EarlierSends>>,
+    ) {
         if sends.is_empty() {
             return;
         }
         let bounds = self.retry_bounds();
         let mut windows = self.retry_windows.lock();
         for (service, sends) in sends {
+            let first_sends: u64 = sends.iter().map(|sends| sends.first_sends).sum();
+            let repeats: u64 = sends.iter().map(|sends| sends.repeats).sum();
+            events::EARLIER_SENDS_KNOWN.info(format_args!(
+                "service={service} first_sends={first_sends} repeats={repeats} from={from}"
+            ));
             windows.entry(service).or_default().resume(&bounds, &sends);
         }
         drop(windows);
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -126,6 +126,8 @@
     JOURNAL_UNSETTLED = 1111 "journal entry could not be settled";
     ADAPTER_LOAD_REQUESTED = 1112 "load of an adapter requested by a peer";
     STREAM_MOVED = 1113 "stream goes on at another target";
+    REQUEST_REPEATED = 1114 "request sent again";
+    EARLIER_SENDS_KNOWN = 1115 "sends of earlier processes of this host taken over";
     TICKETS_REGISTERED = 1120 "open tickets registered with a keeper";
     ORIGINS_CONFLICT = 1130 "records name different software versions for one stream";
     ORIGINS_NOT_WRITTEN = 1131 "origins of streams could not be written to the store";
