retry budget: fund repeats by first sends, each once and for a short time

Cause: each host compared the repeats of its last window with its requests of its last window. Windows of different hosts end at different times, so when callers moved between hosts (stops in turn, kills), the same load funded repeats at the host that they left and at the one that they came to, within one window of the operator's.

Change: a first send funds its part of a repeat at its host, once, for a fourteenth of the window (retry_share). The free repeats are divided over all hosts known, not over those heard of lately. A repeat is reserved when it is decided on and counted when it is sent; SendEnd::OutOfBudget ends a request whose repeat the budget no longer has. Totals of first and repeated sends between hosts are gone, since a restarted host has no need of them; what it needs is the number of free repeats used, which hosts tell their contacts at once.

Ruled out: sends that escape the count; a shorter window of the same kind, whose sum still doubles; counting repeats when they are decided on, which lost 350 of 2,000 to waits for adapters when late ones had to be taken again.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,7 +32,7 @@
 mod read_turns;
 mod residency;
 mod retry;
-mod retry_window;
+mod retry_share;
 mod routing;
 mod send;
 mod slots;
@@ -93,7 +93,7 @@
     AdapterOrder, EngineInventory, EngineReport, NextOrder, OrderAnswer, ResidentAdapter,
 };
 pub use retry::{RetryBudget, backoff_ms};
-pub use retry_window::{EarlierSends, RetryBounds, RetryWindow, SendTotals};
+pub use retry_share::{RetryBounds, RetryShare};
 pub use routing::{
     CallerBounds, EngineTraits, Route, RouteKind, RouteMatch, Routing, RoutingChange, Service,
     WeightedService,
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -7,6 +7,8 @@
 pub enum SendEnd {
     /// Nothing left this host.
     NotSent,
+    /// Nothing left this host, since the repeated send came too late for the retry budget.
+    OutOfBudget,
     /// The target proved that it did not run the request and will not.
     Refused,
     /// The target answered that it failed.
@@ -141,7 +143,8 @@
         take_retry: impl FnOnce() -> bool,
     ) -> SendDecision {
         self.record_end(end);
-        let allowed = now < self.deadline
+        let allowed = end != SendEnd::OutOfBudget
+            && now < self.deadline
             && self.refusals <= REFUSALS_MAX
             && self.targets_tried < self.targets_max
             && (!self.may_have_run || self.kind.is_repeatable());
@@ -155,7 +158,7 @@
 
     fn record_end(&mut self, end: SendEnd) {
         match end {
-            SendEnd::NotSent | SendEnd::Refused => self.refusals += 1,
+            SendEnd::NotSent | SendEnd::OutOfBudget | SendEnd::Refused => self.refusals += 1,
             SendEnd::Failed | SendEnd::Lost => {
                 self.targets_tried += 1;
                 self.may_have_run = true;
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -121,16 +121,16 @@
         whole_ms(self.window_s)
     }
 
-    /// Limits that this host applies: nine tenths of the allowed values, since the windows of
-    /// different hosts do not begin at the same time. This host may repeat from `repeats_from`.
+    /// Limits that this host applies: nine tenths of the ratio, since a first send also funds repeats of
+    /// the next window. This host may use its part of the free repeats from `fixed_from`.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn bounds(&self, repeats_from: Time) -> RetryBounds {
+    pub fn bounds(&self, fixed_from: Time) -> RetryBounds {
         RetryBounds {
             window_ms: self.window_ms(),
             ratio_milli: (self.ratio * 900.0) as u64,
-            fixed_repeats: self.free * 9 / 10,
-            repeats_from,
+            fixed_repeats: self.free,
+            fixed_from,
         }
     }
 }
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -5,7 +5,7 @@
     crate::{
         peers,
         pool::kept_connections_max,
-        state::{Edge, RunningRequest},
+        state::{Edge, RepeatPermit, RunningRequest},
     },
     egret_core::{SendEnd, Target, Time},
     egret_platform::{
@@ -34,7 +34,7 @@
 
 /// Sends a request to `target` on a connection that is open by `connect_deadline`, and waits for
 /// the head of the answer until the request's deadline. A stream resumes after the event numbered
-/// `last_event`. `repeat_taken_at` is the time at which a repeated send was taken from the retry budget.
+/// `last_event`. A repeated send needs a `permit` from the retry budget.
 ///
 /// # Errors
 ///
@@ -45,7 +45,7 @@
     target: Arc<Target>,
     last_event: Option<u64>,
     connect_deadline: Time,
-    repeat_taken_at: Option<Time>,
+    permit: Option<Arc<RepeatPermit>>,
 ) -> Result<TargetAnswer, SendEnd> {
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let running = RunningRequest::new(edge, &target.id, adapter);
@@ -63,8 +63,12 @@
         return Err(record_failure(edge, out, &target, SendEnd::NotSent, refusal.reason()));
     }
     let sent_at = now();
-    if let Some(taken_at) = repeat_taken_at {
-        record_repeat(edge, out, &target, taken_at);
+    if let Some(permit) = permit {
+        if !permit.spend() {
+            let reason = "the retry budget is spent";
+            return Err(record_failure(edge, out, &target, SendEnd::OutOfBudget, reason));
+        }
+        record_repeat(edge, out, &target, permit.reserved_at);
     }
     let request = build_request(edge, out, &target, last_event);
     let answer = match conn.send(request, out.deadline).await {
@@ -123,9 +127,9 @@
     })
 }
 
-fn record_repeat(edge: &Edge, out: &OutgoingRequest, target: &Target, taken_at: Time) {
+fn record_repeat(edge: &Edge, out: &OutgoingRequest, target: &Target, reserved_at: Time) {
     let service = &out.selected.service.name;
-    let waited_ms = now().ms_since(taken_at);
+    let waited_ms = now().ms_since(reserved_at);
     events::REQUEST_REPEATED.info(format_args!(
         "request={} service={service} target={} waited_ms={waited_ms}",
         out.head.id, target.id
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -16,7 +16,7 @@
     crate::{
         peers,
         server::{Answer, refusal},
-        state::{Edge, OpenRequest},
+        state::{Edge, OpenRequest, RepeatPermit},
     },
     egret_core::{
         CrashVerdict, FinalAnswer, PaceSource, RequestSends, SendDecision, SendEnd, Target, Time,
@@ -98,8 +98,8 @@
     pub(super) software_version: Option<FastStr>,
     // start of the caller's wait for the next part of the answer
     pub(super) waiting_since: Time,
-    // time at which the next send was taken from the retry budget, if it is a repeated one
-    repeat_taken_at: Option<Time>,
+    // for the next send, if it is a repeated one
+    permit: Option<Arc<RepeatPermit>>,
 }
 
 impl RequestSender {
@@ -115,7 +115,7 @@
             refused_targets: Vec::new(),
             software_version: out.software_version.clone(),
             waiting_since,
-            repeat_taken_at: None,
+            permit: None,
         }
     }
 
@@ -245,7 +245,7 @@
         let (edge, out) = (self.edge.clone(), self.out.clone());
         let silent_at = self.head_deadline();
         let attempt =
-            attempt::send(&edge, &out, target.clone(), last_event, silent_at, self.repeat_taken_at);
+            attempt::send(&edge, &out, target.clone(), last_event, silent_at, self.permit.clone());
         let mut attempt = pin!(attempt);
         if let Some(sent) = with_deadline(silent_at, attempt.as_mut()).await {
             return sent;
@@ -270,11 +270,10 @@
             self.refused_targets.push(target.clone());
         }
         let service = &self.out.selected.service.name;
-        let repeat_taken_at = &mut self.repeat_taken_at;
+        let permit = &mut self.permit;
         self.sends.decide_after_send(now(), end, || {
-            let is_taken = self.edge.try_take_retry(service);
-            *repeat_taken_at = is_taken.then(now);
-            is_taken
+            *permit = self.edge.reserve_repeat(service).map(Arc::new);
+            permit.is_some()
         })
     }
 
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -11,7 +11,7 @@
         resumption,
         serve::RequestSender,
     },
-    crate::state::Edge,
+    crate::state::{Edge, RepeatPermit},
     egret_core::{SendEnd, Target, Time},
     egret_runtime::now,
     faststr::FastStr,
@@ -132,13 +132,14 @@
                     if let Some(other) = found
                         && !crash_suspects::is_refused(&self.edge, &self.out, true)
                         && accounts::check_before_send(&self.edge, &self.out).is_ok()
-                        && self.edge.try_take_retry(&self.out.selected.service.name)
+                        && let Some(permit) =
+                            self.edge.reserve_repeat(&self.out.selected.service.name)
                     {
                         self.sends.start_second_send();
                         // another target is looked for once this one is silent as well
                         search_at = self.head_deadline();
                         tried_targets.push(other.id.clone());
-                        second_sends.push(self.send_second(other, resume_point, search_at));
+                        second_sends.push(self.send_second(other, resume_point, search_at, permit));
                     }
                 }
                 () = wait_until(search_at), if search.is_none() => {
@@ -171,13 +172,14 @@
         target: Arc<Target>,
         resume_point: ResumePoint,
         connect_deadline: Time,
+        permit: RepeatPermit,
     ) -> impl Future<Output = (FastStr, Result<TargetAnswer, SendEnd>)> + Send + use<> {
         let (edge, out) = (self.edge.clone(), self.out.clone());
         async move {
             let id = target.id.clone();
             let last_event = resume_point.last_event();
-            let taken_at = Some(now());
-            (id, attempt::send(&edge, &out, target, last_event, connect_deadline, taken_at).await)
+            let permit = Some(Arc::new(permit));
+            (id, attempt::send(&edge, &out, target, last_event, connect_deadline, permit).await)
         }
     }
 
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod allowances;
 mod departures;
+mod fixed_repeats;
 mod gossip;
 mod links;
 mod loads;
@@ -16,7 +17,6 @@
 mod recorded_origins;
 mod routes;
 mod rows;
-mod send_history;
 mod spread;
 mod stream_origins;
 mod target_changes;
@@ -24,6 +24,7 @@
 
 pub(crate) use {
     allowances::{AllowanceExchange, Charge, charge},
+    fixed_repeats::FixedRepeats,
     gossip::{
         ReadStatus, confirm_current, host_rank, is_first_for, is_reader, may_be_behind,
         read_status, send_updates,
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -1,12 +1,10 @@
 //! Table of the other hosts, from their records and rows.
 
 use {
-    super::send_history::SendHistory,
+    super::fixed_repeats::FixedRepeats,
     crate::state::ReadPosition,
     egret_core::{SentChanges, Time},
-    egret_runtime::{
-        HostPositionsMsg, LoadCountsMsg, ReadPositionMsg, SendTotalsMsg, TargetLoadMsg, now,
-    },
+    egret_runtime::{HostPositionsMsg, LoadCountsMsg, ReadPositionMsg, TargetLoadMsg, now},
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
@@ -21,6 +19,10 @@
 /// than any window over which such a budget is counted.
 const BUDGET_RETENTION_MS: u64 = 30_000;
 
+/// Time without a heartbeat after which a host no longer counts for the retry budget. It is longer than
+/// cuts between hosts are expected to last, since hosts on both sides would take the parts of the others.
+const RETRY_RETENTION_MS: u64 = 600_000;
+
 /// Time after which a host's report of its requests no longer counts.
 const LOADS_VALID_MS: u64 = 2500;
 
@@ -90,8 +92,8 @@
     pub(crate) sent_changes: SentChanges,
     /// Release of the messages that it understands; none until it has sent one.
     pub(crate) release: Option<u32>,
-    /// Its sends in the last seconds.
-    pub(crate) sends: SendHistory,
+    /// Its fixed repeats, as last reported; none before its first report.
+    pub(crate) fixed_repeats: Option<FixedRepeats>,
 }
 
 /// Local time of an event that another host reports as `age_ms` ago.
@@ -159,7 +161,7 @@
             host_log_position: ReadPosition::default(),
             sent_changes: SentChanges::default(),
             release: None,
-            sends: SendHistory::default(),
+            fixed_repeats: None,
         };
         self.all.insert(FastStr::new(host), peer);
         true
@@ -260,15 +262,10 @@
         peer.loads_reported_at = now();
     }
 
-    /// Applies the sends of the process `incarnation` of `host` since its start.
-    pub(crate) fn record_sends(
-        &mut self,
-        host: &str,
-        incarnation: u64,
-        totals: Vec<SendTotalsMsg>,
-    ) {
+    /// Records the fixed repeats that `host` has reported.
+    pub(crate) fn record_fixed_repeats(&mut self, host: &str, repeats: FixedRepeats) {
         if let Some(peer) = self.all.get_mut(host) {
-            peer.sends.record(incarnation, totals);
+            peer.fixed_repeats = Some(repeats);
         }
     }
 
@@ -347,6 +344,16 @@
         count as u64
     }
 
+    /// Number of other hosts that may draw on the retry budget, including those that this process has not
+    /// had the time to hear from.
+    pub(crate) fn retry_host_count(&self) -> u64 {
+        let (now, listening_since) = (now(), self.listening_since);
+        let counted = self.all.values().filter(|peer| {
+            now < peer.last_heartbeat_at.max(listening_since).after_ms(RETRY_RETENTION_MS)
+        });
+        counted.count() as u64
+    }
+
     /// Requests of other hosts at `target`, as they have reported to this host.
     pub(crate) fn reported_running_at(&self, target: &str) -> u64 {
         let loads = self.reported_loads().filter_map(|loads| loads.get(target));
--- a/crates/edge/src/peers/spread.rs
+++ b/crates/edge/src/peers/spread.rs
@@ -5,7 +5,11 @@
 //! stands for it afterwards.
 
 use {
-    super::{departures, gossip, links, loads, routes, rows, send_history},
+    super::{
+        departures,
+        fixed_repeats::{self, FixedRepeats},
+        gossip, links, loads, routes, rows,
+    },
     crate::{dispatch, state::Edge},
     egret_core::Time,
     egret_runtime::{
@@ -72,6 +76,8 @@
     // number and epoch that stand for a host on the link
     numbers: IndexMap<FastStr, (u32, u64)>,
     has_got_first: bool,
+    // number of fixed repeats that it knows of, none before the first report
+    fixed_repeats_sent: Option<u64>,
 }
 
 // the receiving side of a link
@@ -100,7 +106,7 @@
     }
 
     /// Passes new rows on at once.
-    pub(super) fn flush(&self) {
+    pub(crate) fn flush(&self) {
         self.urgent.notify_one();
     }
 
@@ -130,7 +136,7 @@
         rows::write_own(&edge, &mut written);
         let hosts = edge.spread.contact_hosts();
         for host in hosts {
-            send_news(&edge, &host, round.is_multiple_of(BEAT_ROUNDS));
+            send_news(&edge, &host);
         }
     }
 }
@@ -191,7 +197,7 @@
     }
 }
 
-fn send_news(edge: &Arc<Edge>, host: &FastStr, includes_totals: bool) {
+fn send_news(edge: &Arc<Edge>, host: &FastStr) {
     let Some(link) = edge.links.get(host) else {
         links::open(edge, host.clone());
         return;
@@ -206,20 +212,25 @@
         sources: deltas.into_iter().map(|delta| to_message(delta, &mut contact.numbers)).collect(),
         ..SpreadMsg::default()
     };
-    if includes_totals || is_first {
-        message.send_totals = send_history::own_totals(edge);
-    }
     if is_first {
         // the host may have restarted
-        let sends = edge.peers.lock().all().get(host).map(|peer| peer.sends.messages());
-        message.earlier_sends = sends.unwrap_or_default();
         message.departures = departures::all(edge);
-        // it may also have missed crashes while it was cut off
+        message.receiver_fixed_repeats = edge
+            .peers
+            .lock()
+            .all()
+            .get(host)
+            .and_then(|peer| peer.fixed_repeats.as_ref().map(FixedRepeats::message));
+        // or have missed crashes while it was cut off
         if let Some(crashes) = dispatch::crashes_message(edge) {
             link.notify(crashes);
         }
     }
-    let is_empty = message.sources.is_empty() && message.send_totals.is_empty();
+    if let Some((count, repeats)) = edge.own_fixed_repeats(contact.fixed_repeats_sent) {
+        contact.fixed_repeats_sent = Some(count);
+        message.own_fixed_repeats = Some(repeats.message());
+    }
+    let is_empty = message == SpreadMsg::default();
     let body = Body::Spread(message);
     if !is_empty {
         links::record_sent(edge, host, &body);
@@ -360,13 +371,10 @@
 /// Applies the rows that a contact has sent. Called in the order of the messages of a link.
 pub(super) fn receive(edge: &Edge, hello: &Arc<Hello>, message: SpreadMsg) {
     let sender = FastStr::new(&hello.host);
-    send_history::resume(edge, &sender, message.earlier_sends);
     departures::merge_messages(edge, &sender, message.departures);
-    {
-        let mut peers = edge.peers.lock();
-        peers.record_release(&sender, hello.release);
-        peers.record_sends(&sender, hello.incarnation, message.send_totals);
-    }
+    let (own, receiver) = (message.own_fixed_repeats, message.receiver_fixed_repeats);
+    fixed_repeats::receive(edge, &sender, own, receiver);
+    edge.peers.lock().record_release(&sender, hello.release);
     let deltas: Vec<Option<SourceDelta>> = {
         let mut inbound = edge.spread.inbound.lock();
         let link = inbound.entry(sender.clone()).or_insert_with(|| Inbound::new(hello.clone()));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,16 +7,16 @@
         dispatch::{CrashChecks, HeldAnswers},
         orders::EngineReconcilers,
         peers::{
-            AllowanceExchange, LoadReports, OriginRecording, Peers, RoutesExchange, Spread,
-            TargetFetch,
+            AllowanceExchange, FixedRepeats, LoadReports, OriginRecording, Peers, RoutesExchange,
+            Spread, TargetFetch,
         },
         pool::ConnectionPool,
     },
     egret_core::{
         AdapterVersions, BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests,
-        EarlierSends, EngineClaim, EngineOwners, Fleet, Health, LocalCopies, RetryBounds,
-        RetryWindow, Routing, StreamOrigins, TargetPaces, TargetRateLimits, Time, VersionRecord,
-        VersionSightings, ViewAge,
+        EngineClaim, EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryShare, Routing,
+        StreamOrigins, TargetPaces, TargetRateLimits, Time, VersionRecord, VersionSightings,
+        ViewAge,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LINK_RELEASE, LinkPool, Metrics, events, now, unix_ms},
@@ -98,9 +98,9 @@
     /// Hosts to which a link is being opened.
     pub(crate) connecting: Mutex<IndexSet<FastStr>>,
     pub(crate) connections: ConnectionPool,
-    pub(crate) retry_windows: Mutex<IndexMap<FastStr, RetryWindow>>,
-    // time from which this host may repeat sends
-    repeats_from: Mutex<Time>,
+    retry_shares: Mutex<IndexMap<FastStr, RetryShare>>,
+    // time from which this host may use its part of the free repeats
+    fixed_repeats_from: Mutex<Time>,
     pub(crate) crash_reports: Mutex<CrashReports>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) crash_checks: CrashChecks,
@@ -178,8 +178,8 @@
             load_reports: LoadReports::default(),
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
-            retry_windows: Mutex::default(),
-            repeats_from: Mutex::new(now().after_ms(cfg.retries.window_ms())),
+            retry_shares: Mutex::default(),
+            fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_ms())),
             crash_reports: Mutex::default(),
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
@@ -266,68 +266,130 @@
     /// Counts the first send of a request to `service`.
     pub(crate) fn record_first_send(&self, service: &FastStr) {
         let bounds = self.retry_bounds();
-        self.retry_windows
-            .lock()
-            .entry(service.clone())
-            .or_default()
-            .record_first_send(now(), &bounds);
+        let mut shares = self.retry_shares.lock();
+        shares.entry(service.clone()).or_default().record_first_send(now(), &bounds);
     }
 
-    /// Takes one repeated send to `service` from the retry budget. Returns false if none is left.
-    pub(crate) fn try_take_retry(&self, service: &FastStr) -> bool {
-        let bounds = self.retry_bounds();
-        let hosts = self.budget_host_count();
-        let is_taken = {
-            let mut windows = self.retry_windows.lock();
-            windows.entry(service.clone()).or_default().try_take(now(), &bounds, hosts)
-        };
-        if !is_taken {
+    /// Reserves one repeated send to `service` in the retry budget; none if it has none left.
+    pub(crate) fn reserve_repeat(self: &Arc<Self>, service: &FastStr) -> Option<RepeatPermit> {
+        let is_reserved = self.with_retry_share(service, |share, bounds, hosts| {
+            share.try_reserve(now(), bounds, hosts)
+        });
+        if !is_reserved {
             self.counts.record_repeat(service, "denied");
+            return None;
         }
-        is_taken
+        Some(RepeatPermit {
+            edge: self.clone(),
+            service: service.clone(),
+            reserved_at: now(),
+            is_spent: AtomicBool::new(false),
+        })
     }
 
     /// True if the retry budget has a repeated send to `service` left.
     pub(crate) fn has_retry_budget(&self, service: &FastStr) -> bool {
-        let bounds = self.retry_bounds();
-        let hosts = self.budget_host_count();
-        let mut windows = self.retry_windows.lock();
-        windows.entry(service.clone()).or_default().has_budget(now(), &bounds, hosts)
+        self.with_retry_share(service, |share, bounds, hosts| {
+            share.has_repeat(now(), bounds, hosts)
+        })
     }
 
-    /// Goes on from the sends of earlier processes of this host, as the host `from` has reported them.
-    pub(crate) fn resume_retry_windows(
+    fn with_retry_share(
         &self,
-        from: &str,
-        sends: IndexMap<FastStr, Vec<EarlierSends>>,
-    ) {
-        if sends.is_empty() {
-            return;
-        }
+        service: &FastStr,
+        apply: impl FnOnce(&mut RetryShare, &RetryBounds, u64) -> bool,
+    ) -> bool {
         let bounds = self.retry_bounds();
-        let mut windows = self.retry_windows.lock();
-        for (service, sends) in sends {
-            let first_sends: u64 = sends.iter().map(|sends| sends.first_sends).sum();
-            let repeats: u64 = sends.iter().map(|sends| sends.repeats).sum();
-            events::EARLIER_SENDS_KNOWN.info(format_args!(
-                "service={service} first_sends={first_sends} repeats={repeats} from={from}"
+        let hosts = self.peers.lock().retry_host_count() + 1;
+        let mut shares = self.retry_shares.lock();
+        apply(shares.entry(service.clone()).or_default(), &bounds, hosts)
+    }
+
+    /// Fixed repeats of this host for a contact that knows `known` of this process, and their number; none
+    /// if it knows them, or as long as those of earlier processes are not known here.
+    pub(crate) fn own_fixed_repeats(&self, known: Option<u64>) -> Option<(u64, FixedRepeats)> {
+        if now() < *self.fixed_repeats_from.lock() {
+            return None;
+        }
+        let shares = self.retry_shares.lock();
+        let count = shares.values().map(RetryShare::fixed_count).sum();
+        if known == Some(count) {
+            return None;
+        }
+        let repeats = shares.iter().map(|(name, s)| (name.clone(), s.fixed_repeats().collect()));
+        Some((count, FixedRepeats { incarnation: self.incarnation, by_service: repeats.collect() }))
+    }
+
+    /// Goes on from the fixed repeats of earlier processes of this host, as the host `from` knows them.
+    pub(crate) fn resume_fixed_repeats(&self, from: &str, repeats: &FixedRepeats) {
+        let mut shares = self.retry_shares.lock();
+        for (service, sent_at) in &repeats.by_service {
+            shares.entry(service.clone()).or_default().resume(sent_at);
+            events::EARLIER_REPEATS_KNOWN.info(format_args!(
+                "service={service} fixed_repeats={} from={from}",
+                sent_at.len()
             ));
-            windows.entry(service).or_default().resume(&bounds, &sends);
         }
-        drop(windows);
-        *self.repeats_from.lock() = Time::ZERO;
+        drop(shares);
+        *self.fixed_repeats_from.lock() = Time::ZERO;
     }
 
     /// Records that no earlier process of this host has served requests.
     pub(crate) fn record_first_start(&self) {
+        // a host that is added is not counted by the others at once
         if self.cfg.first_start {
             self.version_sightings.lock().record_first_start();
+            *self.fixed_repeats_from.lock() = Time::ZERO;
         }
-        *self.repeats_from.lock() = Time::ZERO;
     }
 
     fn retry_bounds(&self) -> RetryBounds {
-        self.cfg.retries.bounds(*self.repeats_from.lock())
+        self.cfg.retries.bounds(*self.fixed_repeats_from.lock())
+    }
+}
+
+/// A repeated send that is reserved in the retry budget until it is sent or dropped.
+#[derive(Debug)]
+pub(crate) struct RepeatPermit {
+    edge: Arc<Edge>,
+    service: FastStr,
+    pub(crate) reserved_at: Time,
+    is_spent: AtomicBool,
+}
+
+impl RepeatPermit {
+    /// Counts the repeated send. Returns false if the budget no longer allows it.
+    pub(crate) fn spend(&self) -> bool {
+        // a send of which nothing left this host was counted before
+        if self.is_spent.swap(true, Ordering::AcqRel) {
+            return true;
+        }
+        let mut is_fixed = false;
+        let is_allowed = self.edge.with_retry_share(&self.service, |share, bounds, hosts| {
+            let fixed_before = share.fixed_count();
+            let is_allowed = share.spend(now(), bounds, hosts);
+            is_fixed = share.fixed_count() > fixed_before;
+            is_allowed
+        });
+        if is_fixed {
+            // a process that is killed afterwards has told it
+            self.edge.spread.flush();
+        }
+        if !is_allowed {
+            self.edge.counts.record_repeat(&self.service, "expired");
+        }
+        is_allowed
+    }
+}
+
+impl Drop for RepeatPermit {
+    fn drop(&mut self) {
+        if !*self.is_spent.get_mut() {
+            self.edge.with_retry_share(&self.service, |share, _, _| {
+                share.release();
+                true
+            });
+        }
     }
 }
 
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -127,7 +127,7 @@
     ADAPTER_LOAD_REQUESTED = 1112 "load of an adapter requested by a peer";
     STREAM_MOVED = 1113 "stream goes on at another target";
     REQUEST_REPEATED = 1114 "request sent again";
-    EARLIER_SENDS_KNOWN = 1115 "sends of earlier processes of this host taken over";
+    EARLIER_REPEATS_KNOWN = 1115 "fixed repeats of earlier processes of this host known";
     TICKETS_REGISTERED = 1120 "open tickets registered with a keeper";
     ORIGINS_CONFLICT = 1130 "records name different software versions for one stream";
     ORIGINS_NOT_WRITTEN = 1131 "origins of streams could not be written to the store";
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -469,16 +469,39 @@
     /// The rows by the host that wrote them.
     #[prost(message, repeated, tag = "1")]
     pub sources: Vec<SourceDeltaMsg>,
-    /// Sends of the sender since its start, by service.
-    #[prost(message, repeated, tag = "2")]
-    pub send_totals: Vec<SendTotalsMsg>,
-    /// Sends of the receiver's processes in the last seconds. Only the first message on a link
-    /// includes them.
-    #[prost(message, repeated, tag = "3")]
-    pub earlier_sends: Vec<EarlierSendsMsg>,
+    // tags 2 and 3 were those of sends, which hosts of earlier releases report
     /// All targets that the sender knows to have left. Only the first message on a link names them.
     #[prost(message, repeated, tag = "4")]
     pub departures: Vec<DepartureMsg>,
+    /// Fixed repeats of the sender, if they have changed and it knows those of its earlier processes.
+    #[prost(message, optional, tag = "5")]
+    pub own_fixed_repeats: Option<FixedRepeatsMsg>,
+    /// Fixed repeats that the receiver's process has reported last. Only the first message on a link
+    /// includes them.
+    #[prost(message, optional, tag = "6")]
+    pub receiver_fixed_repeats: Option<FixedRepeatsMsg>,
+}
+
+/// Fixed repeats that a host has used up of the retry budget.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct FixedRepeatsMsg {
+    /// The process that has reported them.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// The repeats by service.
+    #[prost(message, repeated, tag = "2")]
+    pub services: Vec<ServiceRepeatsMsg>,
+}
+
+/// Fixed repeats to one service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServiceRepeatsMsg {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Milliseconds since each was sent.
+    #[prost(uint64, repeated, tag = "2")]
+    pub ages_ms: Vec<u64>,
 }
 
 /// Rows of one host.
@@ -802,40 +825,6 @@
     pub ended_before: Option<u64>,
 }
 
-/// Sends of a host to one service since its start.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct SendTotalsMsg {
-    /// Name of the service.
-    #[prost(string, tag = "1")]
-    pub service: String,
-    /// First sends of requests.
-    #[prost(uint64, tag = "2")]
-    pub first_sends: u64,
-    /// Repeated sends.
-    #[prost(uint64, tag = "3")]
-    pub repeats: u64,
-}
-
-/// Sends of a process of a host to one service.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct EarlierSendsMsg {
-    /// The process.
-    #[prost(uint64, tag = "1")]
-    pub incarnation: u64,
-    /// Name of the service.
-    #[prost(string, tag = "2")]
-    pub service: String,
-    /// Milliseconds since they were counted.
-    #[prost(uint64, tag = "3")]
-    pub age_ms: u64,
-    /// First sends of requests.
-    #[prost(uint64, tag = "4")]
-    pub first_sends: u64,
-    /// Repeated sends.
-    #[prost(uint64, tag = "5")]
-    pub repeats: u64,
-}
-
 /// How far a host has read a stream of the platform's store.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct ReadPositionMsg {
