edge: notice and log that no target takes a connection from this host

Change: when connections to two targets have failed without a new one that works, four targets are probed by opening a connection, and every 0.5 s while none takes one (core: target_reach; watch/reach). Events E1116 and E1117, metric egret_cut_off. Nothing else depends on it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream_origins;
 mod target_pace;
 mod target_rate_limits;
+mod target_reach;
 mod time;
 mod view_age;
 
@@ -111,5 +112,6 @@
     PACE_EVEN_MILLI, PaceSample, PaceSource, STREAM_SAMPLE_MS, TargetPace, TargetPaces, UnevenPaces,
 };
 pub use target_rate_limits::{HostCounts, TargetRateLimit, TargetRateLimits, TokenAnswer};
+pub use target_reach::TargetReach;
 pub use time::Time;
 pub use view_age::{ViewAge, ViewChange, ViewStep};
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -42,6 +42,8 @@
     /// Learned time of a load at full speed.
     pub(crate) cold_load_ms: Gauge,
     target_paces: Family<Labels, Gauge>,
+    /// 1 while this host reaches no target.
+    pub(crate) is_cut_off: Gauge,
 }
 
 impl Counts {
@@ -97,6 +99,7 @@
             load_limit: metrics.gauge("egret_load_limit", "Loads from the weight store at once"),
             cold_load_ms: metrics
                 .gauge("egret_cold_load_ms", "Learned time of a load at full speed"),
+            is_cut_off: metrics.gauge("egret_cut_off", "1 while the host reaches no target"),
             target_paces: metrics.gauges(
                 "egret_target_pace_milli",
                 "Time that a target takes over the median of its service, if it is not even",
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -6,6 +6,7 @@
         peers,
         pool::kept_connections_max,
         state::{Edge, RepeatPermit, RunningRequest},
+        watch,
     },
     egret_core::{SendEnd, Target, Time},
     egret_platform::{
@@ -50,14 +51,16 @@
     let adapter = out.head.adapter.as_ref().filter(|_| out.selected.service.engine.is_some());
     let running = RunningRequest::new(edge, &target.id, adapter);
     let repeatable = out.kind().is_repeatable();
-    let mut conn = match edge.connections.acquire(&target, repeatable, connect_deadline).await {
-        Ok(conn) => conn,
-        Err(e) => {
-            record_health(edge, &target, HealthSignal::Unreachable);
-            crash_suspects::record_target_down(edge, &target);
-            return Err(record_failure(edge, out, &target, SendEnd::NotSent, &e.to_string()));
-        }
-    };
+    let (mut conn, is_new) =
+        match edge.connections.acquire(&target, repeatable, connect_deadline).await {
+            Ok(acquired) => acquired,
+            Err(e) => {
+                watch::record_unreached(edge, &target.id);
+                record_health(edge, &target, HealthSignal::Unreachable);
+                crash_suspects::record_target_down(edge, &target);
+                return Err(record_failure(edge, out, &target, SendEnd::NotSent, &e.to_string()));
+            }
+        };
     // the last check before the request leaves this host, on each kind of send
     if let Err(refusal) = accounts::check_before_send(edge, out) {
         return Err(record_failure(edge, out, &target, SendEnd::NotSent, refusal.reason()));
@@ -79,6 +82,7 @@
         Err(e) => {
             // the other kept connections to this target may be broken as well
             edge.connections.close_kept(&target.id);
+            watch::record_unreached(edge, &target.id);
             if matches!(e, HttpError::Broken(_)) {
                 crash_suspects::handle_broken_connection(edge, out, &target).await;
             }
@@ -86,6 +90,9 @@
             return Err(record_failure(edge, out, &target, SendEnd::Lost, &e.to_string()));
         }
     };
+    if is_new {
+        watch::record_reached(edge);
+    }
     let (head, body) = answer.into_parts();
     let notice = target_notice(head.status, &head.headers);
     record_notice(edge, &target, notice);
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -11,7 +11,10 @@
         resumption,
         serve::RequestSender,
     },
-    crate::state::{Edge, RepeatPermit},
+    crate::{
+        state::{Edge, RepeatPermit},
+        watch,
+    },
     egret_core::{SendEnd, Target, Time},
     egret_runtime::now,
     faststr::FastStr,
@@ -77,6 +80,7 @@
         failed_end: impl Fn(&T) -> Option<SendEnd>,
     ) -> SilenceEnd<T> {
         record_health(&self.edge, target, HealthSignal::Failure);
+        watch::record_unreached(&self.edge, &target.id);
         let mut next = pin!(next);
         let mut failure: Option<(T, SendEnd)> = None;
         let mut fallback = None;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -46,7 +46,8 @@
 }
 
 impl ConnectionPool {
-    /// Returns a kept connection to `target` that is still usable, otherwise a new one.
+    /// Returns a kept connection to `target` that is still usable, otherwise a new one, and whether it
+    /// is new.
     ///
     /// # Errors
     ///
@@ -56,11 +57,11 @@
         target: &Target,
         repeatable: bool,
         deadline: Time,
-    ) -> Result<Conn, HttpError> {
+    ) -> Result<(Conn, bool), HttpError> {
         if let Some(conn) = self.acquire_kept(&target.id, repeatable) {
-            return Ok(conn);
+            return Ok((conn, false));
         }
-        Conn::open(target.address, deadline).await
+        Ok((Conn::open(target.address, deadline).await?, true))
     }
 
     fn acquire_kept(&self, target: &str, repeatable: bool) -> Option<Conn> {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,8 +15,8 @@
     egret_core::{
         AdapterVersions, BrokenConnections, ColdLoadLimit, CrashReports, CrossDataCentreRequests,
         EngineClaim, EngineOwners, Fleet, Health, LocalCopies, RetryBounds, RetryShare, Routing,
-        StreamOrigins, TargetPaces, TargetRateLimits, Time, VersionRecord, VersionSightings,
-        ViewAge,
+        StreamOrigins, TargetPaces, TargetRateLimits, TargetReach, Time, VersionRecord,
+        VersionSightings, ViewAge,
     },
     egret_platform::StoreClient,
     egret_runtime::{Hello, LINK_RELEASE, LinkPool, Metrics, events, now, unix_ms},
@@ -84,6 +84,9 @@
     pub(crate) registry_own_read_at: Mutex<Time>,
     pub(crate) target_activity: Mutex<IndexMap<FastStr, TargetActivity>>,
     pub(crate) rate_limits: Mutex<TargetRateLimits>,
+    pub(crate) target_reach: Mutex<TargetReach>,
+    /// Notified when a connection to a target has failed.
+    pub(crate) target_failed: Notify,
     pub(crate) target_paces: Mutex<TargetPaces>,
     pub(crate) allowances: AllowanceExchange,
     pub(crate) engine_owners: Mutex<EngineOwners>,
@@ -161,6 +164,8 @@
             registry_own_read_at: Mutex::new(Time::ZERO),
             target_activity: Mutex::default(),
             rate_limits: Mutex::default(),
+            target_reach: Mutex::default(),
+            target_failed: Notify::new(),
             target_paces: Mutex::default(),
             allowances: AllowanceExchange::new(cfg.host.clone(), cfg.allowances.as_ref()),
             engine_owners: Mutex::new(EngineOwners::new(
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -2,6 +2,7 @@
 
 mod host_log;
 mod operator;
+mod reach;
 mod stream_reads;
 mod targets;
 mod version_record;
@@ -9,6 +10,7 @@
 pub(crate) use {
     host_log::{append_if_unchanged, apply_passed_on, engine_key},
     operator::{apply_routing, apply_version, read_operator_records},
+    reach::{record_failure as record_unreached, record_opened as record_reached},
     targets::{apply_changes, apply_listing, extend_grace_after_gap},
 };
 
@@ -20,4 +22,5 @@
     tokio::spawn(targets::follow(edge.clone()));
     tokio::spawn(host_log::follow(edge.clone()));
     tokio::spawn(version_record::maintain(edge.clone()));
+    tokio::spawn(reach::probe_targets(edge.clone()));
 }
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -128,6 +128,8 @@
     STREAM_MOVED = 1113 "stream goes on at another target";
     REQUEST_REPEATED = 1114 "request sent again";
     EARLIER_REPEATS_KNOWN = 1115 "fixed repeats of earlier processes of this host known";
+    TARGETS_UNREACHABLE = 1116 "no target takes a connection from this host";
+    TARGETS_REACHABLE = 1117 "targets take connections from this host again";
     TICKETS_REGISTERED = 1120 "open tickets registered with a keeper";
     ORIGINS_CONFLICT = 1130 "records name different software versions for one stream";
     ORIGINS_NOT_WRITTEN = 1131 "origins of streams could not be written to the store";
