edge: failing tests of hosts that are cut off from all targets

Measured: both fail on this code: 502 in place of 200 from the target through the other host, and in place of 503 at once where no host reaches a target.

--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod allowances;
 mod crashes;
+mod cut_off;
 mod hosts;
 mod leaving;
 mod limits;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -4,6 +4,7 @@
 
 mod batch;
 mod callers;
+mod connection_owner;
 mod engine;
 mod metastore;
 mod raw_http;
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         batch::{Batch, BatchConf},
+        connection_owner::owns_connection,
         engine,
         metastore::Metastore,
         raw_http::{RawConn, RawRequest, response_head},
@@ -196,6 +197,8 @@
     refused_requests: u64,
     // requests a second that answers say the target takes
     request_limit: Option<f64>,
+    // processes whose connections are closed
+    cut_off: Vec<u32>,
     // times at which requests arrived, whatever came of them
     arrivals: Vec<Instant>,
     // account headers of the requests that arrived, whatever came of them
@@ -336,6 +339,11 @@
         self.shared.state.lock().fault = fault;
     }
 
+    /// Cuts these processes off: their connections are closed, and new ones at once.
+    pub fn cut_off(&self, processes: &[u32]) {
+        self.shared.state.lock().cut_off = processes.to_vec();
+    }
+
     /// Makes each request crash the target that has `marker` in its path or in the value of a header:
     /// all connections close and new ones are refused until a restart. A stream crashes it after
     /// `after_events` events, within the next one if `within_event` is set.
@@ -541,21 +549,31 @@
                 return;
             }
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             return;
         };
         let _ = stream.set_nodelay(true);
         let shared = shared.clone();
         conns.spawn(async move {
             let _open = OpenConnection::new(&shared);
-            serve_connection(RawConn::new(stream), shared.clone()).await;
+            if !is_cut_off(&shared, peer) {
+                serve_connection(RawConn::new(stream), peer, shared.clone()).await;
+            }
         });
     }
 }
 
-async fn serve_connection(mut conn: RawConn, shared: Arc<Shared>) {
+fn is_cut_off(shared: &Shared, peer: SocketAddr) -> bool {
+    let cut_off = shared.state.lock().cut_off.clone();
+    cut_off.into_iter().any(|process| owns_connection(process, peer))
+}
+
+async fn serve_connection(mut conn: RawConn, peer: SocketAddr, shared: Arc<Shared>) {
     // `RefuseEarly` applies if it is set when the first byte of a request arrives
     while conn.wait_for_request().await {
+        if is_cut_off(&shared, peer) {
+            return;
+        }
         if shared.state.lock().fault == TargetFault::RefuseEarly {
             return refuse_early(conn).await;
         }
