edge: pass requests on to another host while no target is reached

Cause: what a host does not reach was taken for a target that is down, one request after the other, and a request was only ever sent to targets directly.

Change: a host that is cut off from a service (target_reach, now by service; one that is found makes the others suspect) passes its requests on to another live host over HTTP, at the address that host records now state, and the answer back as it arrives (dispatch/relay.rs). The other host checks, charges, counts and repeats as for its own callers; a mark keeps it from passing the request on again, and from counting a first send twice. Without such a host the request is refused at once. Loads on engines that are not reached are refused at once too.

Ruled out: reporting not ready, as the balancer then uses all hosts of a data centre in which most are cut; tunnels to targets, by which hosts would send without knowing what targets said to the host in between.

--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -46,6 +46,7 @@
     targets_tried: u32,
     refusals: u32,
     may_have_run: bool,
+    has_reached_target: bool,
     // open sends beside that to a silent target
     second_sends: u32,
 }
@@ -66,6 +67,7 @@
             targets_tried: 0,
             refusals: 0,
             may_have_run: false,
+            has_reached_target: false,
             second_sends: 0,
         }
     }
@@ -82,6 +84,12 @@
         self.targets_tried > 0 || self.refusals > 0
     }
 
+    /// True when the request has reached a target, whether it ran there or not.
+    #[must_use]
+    pub fn has_reached_target(&self) -> bool {
+        self.has_reached_target
+    }
+
     /// True when a target may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
@@ -157,6 +165,7 @@
     }
 
     fn record_end(&mut self, end: SendEnd) {
+        self.has_reached_target |= !matches!(end, SendEnd::NotSent | SendEnd::OutOfBudget);
         match end {
             SendEnd::NotSent | SendEnd::OutOfBudget | SendEnd::Refused => self.refusals += 1,
             SendEnd::Failed | SendEnd::Lost => {
--- a/crates/core/src/target_reach.rs
+++ b/crates/core/src/target_reach.rs
@@ -1,4 +1,4 @@
-//! Whether this host reaches any target at all.
+//! Whether this host reaches any target of a service.
 //!
 //! Answers the load that comes to a host whose links to all targets are cut while callers still reach
 //! it: each request would wait for connections that do not open.
@@ -14,7 +14,7 @@
 /// Time after which a failure is no longer a reason to probe.
 const FAILURE_VALID_MS: u64 = 3000;
 
-/// What this host knows of its way to the targets.
+/// What this host knows of its way to the targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct TargetReach {
     // targets at which a connection failed since a new one has worked, and the time of the last failure
@@ -22,6 +22,8 @@
     failed_at: Time,
     probed_at: Option<Time>,
     cut_off_since: Option<Time>,
+    // true if a probe is due whatever has failed
+    is_suspect: bool,
 }
 
 impl TargetReach {
@@ -43,22 +45,29 @@
         }
     }
 
+    /// Has targets probed although none has failed, since another service is not reached.
+    pub fn suspect(&mut self, now: Time) {
+        self.failed_at = now;
+        self.is_suspect = true;
+    }
+
     /// True if this host is cut off or a connection has failed lately.
     #[must_use]
     pub fn has_failures(&self, now: Time) -> bool {
         let is_recent = now < self.failed_at.after_ms(FAILURE_VALID_MS);
-        self.is_cut_off() || is_recent && !self.failed.is_empty()
+        self.is_cut_off() || is_recent && (self.is_suspect || !self.failed.is_empty())
     }
 
     /// True if targets are to be probed, of which there are `targets`. The time counts as that of the probe.
     pub fn try_begin_probe(&mut self, now: Time, targets: usize) -> bool {
         let is_suspect = now < self.failed_at.after_ms(FAILURE_VALID_MS)
-            && self.failed.len() >= SUSPECT_TARGETS.min(targets);
+            && (self.is_suspect || self.failed.len() >= SUSPECT_TARGETS.min(targets));
         let is_due =
             self.probed_at.is_none_or(|probed_at| now >= probed_at.after_ms(PROBE_INTERVAL_MS));
         let begins = targets > 0 && is_due && (is_suspect || self.cut_off_since.is_some());
         if begins {
             self.probed_at = Some(now);
+            self.is_suspect = false;
         }
         begins
     }
--- a/crates/core/tests/target_reach.rs
+++ b/crates/core/tests/target_reach.rs
@@ -60,3 +60,15 @@
     assert!(!reach.record_opened());
     assert!(!reach.try_begin_probe(at(62_000), 9));
 }
+
+// a service with few requests was found cut off only after requests had failed
+#[test]
+fn reach_suspected_for_another_service() {
+    let mut reach = TargetReach::default();
+    reach.suspect(at(1000));
+    assert!(reach.has_failures(at(1000)));
+    assert!(reach.try_begin_probe(at(1000), 9));
+    reach.record_opened();
+    assert!(!reach.has_failures(at(1500)));
+    assert!(!reach.try_begin_probe(at(1500), 9));
+}
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -24,6 +24,7 @@
     counted_accounts: Mutex<IndexSet<FastStr>>,
     pub(crate) sends_failed: Family<Labels, Counter>,
     repeats: Family<Labels, Counter>,
+    relayed: Family<Labels, Counter>,
     /// Time from taking a repeat out of the retry budget until it is sent.
     pub(crate) repeat_wait_ms: Histogram,
     tokens: Family<Labels, Counter>,
@@ -42,8 +43,7 @@
     /// Learned time of a load at full speed.
     pub(crate) cold_load_ms: Gauge,
     target_paces: Family<Labels, Gauge>,
-    /// 1 while this host reaches no target.
-    pub(crate) is_cut_off: Gauge,
+    cut_off: Family<Labels, Gauge>,
 }
 
 impl Counts {
@@ -59,6 +59,10 @@
             sends_failed: metrics.counters("egret_sends_failed", "Failed sends by reason"),
             repeats: metrics
                 .counters("egret_repeats", "Repeated sends by service and what became of them"),
+            relayed: metrics.counters(
+                "egret_relayed",
+                "Requests passed on to another host, by what became of them",
+            ),
             repeat_wait_ms: metrics
                 .latency_ms("egret_repeat_wait_ms", "Time from taking a repeat to sending it"),
             tokens: metrics.counters(
@@ -99,7 +103,8 @@
             load_limit: metrics.gauge("egret_load_limit", "Loads from the weight store at once"),
             cold_load_ms: metrics
                 .gauge("egret_cold_load_ms", "Learned time of a load at full speed"),
-            is_cut_off: metrics.gauge("egret_cut_off", "1 while the host reaches no target"),
+            cut_off: metrics
+                .gauges("egret_cut_off", "1 while the host reaches no target of a service"),
             target_paces: metrics.gauges(
                 "egret_target_pace_milli",
                 "Time that a target takes over the median of its service, if it is not even",
@@ -127,6 +132,17 @@
         self.repeats.get_or_create(&labels).inc();
     }
 
+    /// Records whether this host reaches no target of `service`.
+    pub(crate) fn record_cut_off(&self, service: &FastStr, is_cut_off: bool) {
+        let labels = vec![("service", service.to_string())];
+        self.cut_off.get_or_create(&labels).set(i64::from(is_cut_off));
+    }
+
+    /// Counts a request that was passed on to another host.
+    pub(crate) fn record_relayed(&self, outcome: &'static str) {
+        self.relayed.get_or_create(&vec![("outcome", outcome.to_owned())]).inc();
+    }
+
     /// Counts a request that was refused because of its key.
     pub(crate) fn record_key_refusal(&self, outcome: &'static str) {
         let labels = vec![("account", "unknown".to_owned()), ("outcome", outcome.to_owned())];
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -55,7 +55,7 @@
         match edge.connections.acquire(&target, repeatable, connect_deadline).await {
             Ok(acquired) => acquired,
             Err(e) => {
-                watch::record_unreached(edge, &target.id);
+                watch::record_unreached(edge, &target);
                 record_health(edge, &target, HealthSignal::Unreachable);
                 crash_suspects::record_target_down(edge, &target);
                 return Err(record_failure(edge, out, &target, SendEnd::NotSent, &e.to_string()));
@@ -82,7 +82,7 @@
         Err(e) => {
             // the other kept connections to this target may be broken as well
             edge.connections.close_kept(&target.id);
-            watch::record_unreached(edge, &target.id);
+            watch::record_unreached(edge, &target);
             if matches!(e, HttpError::Broken(_)) {
                 crash_suspects::handle_broken_connection(edge, out, &target).await;
             }
@@ -91,7 +91,7 @@
         }
     };
     if is_new {
-        watch::record_reached(edge);
+        watch::record_reached(edge, &target.service);
     }
     let (head, body) = answer.into_parts();
     let notice = target_notice(head.status, &head.headers);
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod crash_suspects;
 mod held_answers;
 mod placement;
+mod relay;
 mod request;
 mod resumption;
 mod serve;
@@ -14,6 +15,7 @@
 pub(crate) use {
     crash_suspects::{CrashChecks, apply_message as apply_suspects, crashes_message},
     held_answers::HeldAnswers,
+    relay::Relays,
     request::CutCaller,
     serve::serve,
 };
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -1,7 +1,7 @@
 //! Reads a request from its caller and selects its route.
 
 use {
-    super::accounts,
+    super::{accounts, relay::Relayed},
     crate::{
         peers::Charge,
         server::{Answer, refusal},
@@ -55,6 +55,10 @@
     pub(crate) selected: RouteMatch,
     /// The only software version at which the request may run, if it resumes a stream.
     pub(crate) software_version: Option<FastStr>,
+    /// How it came from another host that reaches no target.
+    pub(crate) relayed: Option<Relayed>,
+    /// The caller's credentials, which targets never get.
+    pub(crate) credentials: Option<HeaderValue>,
     /// Account of the caller; none if the route is public, or if no accounts are declared.
     pub(crate) account: Option<Arc<Account>>,
     /// Digest of the key by which the caller was authenticated.
@@ -116,6 +120,8 @@
         let selected = routing
             .select(host, parts.uri.path(), &head.id)
             .ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no route for this host and path"))?;
+        let relayed = Relayed::take(&mut parts.headers);
+        let credentials = parts.headers.get(header::AUTHORIZATION).cloned();
         let caller = accounts::authenticate(edge, &routing, &selected.route, &mut parts.headers)
             .map_err(|refusal| {
                 Box::new(accounts::refuse(edge, &head, &selected.route, id.as_ref(), refusal))
@@ -153,6 +159,8 @@
             body,
             selected,
             software_version: None,
+            relayed,
+            credentials,
             account: caller.account,
             key: caller.key,
             has_accounts: !routing.accounts.is_empty(),
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -8,6 +8,7 @@
         crash_suspects,
         held_answers::{ReadError, WholeAnswer},
         placement::{self, BeginVersions, Eligibility, Placement, select_target},
+        relay::{self, Relayed},
         request::{OutgoingRequest, SharedRequest},
         resumption,
         silence::{ResumePoint, SilenceEnd},
@@ -48,6 +49,9 @@
         Ok(out) => out,
         Err(answer) => return *answer,
     };
+    if edge.is_cut_off(&out.selected.service.name) {
+        return answer_cut_off(edge, &Arc::new(out), Relayed::First, open).await;
+    }
     match crash_suspects::judge(edge, &out) {
         CrashVerdict::Allowed => {}
         CrashVerdict::Test => out.is_crash_test = true,
@@ -63,7 +67,9 @@
         return refuse_over_allowance(edge, &out, until);
     }
     let out = Arc::new(out);
-    edge.record_first_send(&out.selected.service.name);
+    if out.relayed != Some(Relayed::Repeat) {
+        edge.record_first_send(&out.selected.service.name);
+    }
     let mut sender = RequestSender::new(edge, &out);
     if out.kind().is_stream() {
         return stream::serve(edge, out, sender, open).await;
@@ -79,13 +85,26 @@
                     }
                 }
             }
-            Err((end, reason)) => break finish_unanswered(edge, &out, end, reason),
+            Err((end, reason)) => return sender.finish_unsent(end, reason, open).await,
         }
     };
     drop(open);
     answer
 }
 
+// this host reaches no target; another one may, unless it has passed the request on itself
+async fn answer_cut_off(
+    edge: &Arc<Edge>,
+    out: &SharedRequest,
+    mark: Relayed,
+    open: OpenRequest,
+) -> Answer {
+    match out.relayed {
+        Some(_) => relay::refuse_cut_off(edge, out),
+        None => relay::relay(edge, out, mark, open).await,
+    }
+}
+
 /// Sends one request to one target after another.
 pub(crate) struct RequestSender {
     pub(super) edge: Arc<Edge>,
@@ -135,6 +154,9 @@
             if let Err(refusal) = accounts::check_before_send(&self.edge, &self.out) {
                 return Err((self.sends.final_answer(now()), refusal.reason()));
             }
+            if self.edge.is_cut_off(&self.out.selected.service.name) {
+                return Err((self.sends.final_answer(now()), "no target is reached"));
+            }
             let placed = self.select_target(&self.tried_targets).await;
             let target = match placed {
                 Placement::Target(target) => target,
@@ -179,6 +201,24 @@
         }
     }
 
+    /// Answers a request for which no target gave an answer. Another host may serve it if this one has
+    /// reached no target.
+    pub(crate) async fn finish_unsent(
+        &self,
+        end: FinalAnswer,
+        reason: &str,
+        open: OpenRequest,
+    ) -> Answer {
+        let (edge, out) = (&self.edge, &self.out);
+        let is_cut_off = edge.is_cut_off(&out.selected.service.name);
+        if end == FinalAnswer::NotRun && is_cut_off && !self.sends.has_reached_target() {
+            // the other host charges it again, and this one has counted its first send
+            out.refund(edge);
+            return answer_cut_off(edge, out, Relayed::Repeat, open).await;
+        }
+        finish_unanswered(edge, out, end, reason)
+    }
+
     async fn select_target(&self, tried: &[FastStr]) -> Placement {
         let record_deadline = self.waiting_since.after_ms(self.out.selected.route.latency_goal_ms);
         loop {
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -80,7 +80,7 @@
         failed_end: impl Fn(&T) -> Option<SendEnd>,
     ) -> SilenceEnd<T> {
         record_health(&self.edge, target, HealthSignal::Failure);
-        watch::record_unreached(&self.edge, &target.id);
+        watch::record_unreached(&self.edge, target);
         let mut next = pin!(next);
         let mut failure: Option<(T, SendEnd)> = None;
         let mut fallback = None;
@@ -161,6 +161,7 @@
 
     fn may_search(&self, tried_targets: &[FastStr]) -> bool {
         self.sends.can_reroute()
+            && !self.edge.is_cut_off(&self.out.selected.service.name)
             && now() < self.out.deadline
             && self.has_alternative(tried_targets)
             && self.edge.has_retry_budget(&self.out.selected.service.name)
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -50,7 +50,7 @@
 ) -> Answer {
     let target_answer = match sender.next_answer(None).await {
         Ok(target_answer) => target_answer,
-        Err((end, reason)) => return finish_unanswered(edge, &out, end, reason),
+        Err((end, reason)) => return sender.finish_unsent(end, reason, open).await,
     };
     if !target_answer.status.is_success() {
         return forward_failure(edge, &out, target_answer).await;
--- a/crates/edge/src/orders/reconciler.rs
+++ b/crates/edge/src/orders/reconciler.rs
@@ -176,12 +176,16 @@
         return false;
     };
     let (tx, rx) = oneshot::channel();
+    let is_cut_off = edge.is_cut_off_from(engine);
     {
         let mut inventory = reconciler.inventory.lock();
         if inventory.is_resident(&request.adapter, request.min_version) {
             inventory.mark_used(now(), &request.adapter);
             return true;
         }
+        if is_cut_off {
+            return false;
+        }
         inventory.request_load(now(), &request.adapter, request.min_version, request.due_at);
     }
     reconciler.waiters.lock().push(Waiter { request: request.clone(), tx });
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -35,6 +35,9 @@
 pub(crate) struct HostRecord {
     /// Address for links from other hosts.
     pub(crate) address: SocketAddr,
+    /// Address for requests of callers; hosts of earlier releases do not state it.
+    #[serde(default)]
+    pub(crate) callers: Option<SocketAddr>,
     /// Data centre of the host.
     pub(crate) data_centre: FastStr,
     /// Distinguishes the processes of a host.
--- a/crates/edge/src/peers/rows.rs
+++ b/crates/edge/src/peers/rows.rs
@@ -225,11 +225,12 @@
 ) {
     let engine = &reconciler.engine;
     let may_order = edge.engine_owners.lock().order_fencing_token(now(), engine).is_some();
+    let is_cut_off = edge.is_cut_off_from(engine);
     let (resident, is_ready) = {
         let inventory = reconciler.inventory.lock();
         let resident: Vec<(FastStr, u64)> =
             inventory.resident().iter().map(|(name, r)| (name.clone(), r.version)).collect();
-        (resident, inventory.is_ready())
+        (resident, inventory.is_ready() && !is_cut_off)
     };
     let status = EngineStatusMsg { can_load: may_order && is_ready, running };
     rows.insert(RowName::Engine(engine).key(), Bytes::from(status.encode_to_vec()));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,7 +4,7 @@
     crate::{
         conf::Settings,
         counts::Counts,
-        dispatch::{CrashChecks, HeldAnswers},
+        dispatch::{CrashChecks, HeldAnswers, Relays},
         orders::EngineReconcilers,
         peers::{
             AllowanceExchange, FixedRepeats, LoadReports, OriginRecording, Peers, RoutesExchange,
@@ -84,7 +84,8 @@
     pub(crate) registry_own_read_at: Mutex<Time>,
     pub(crate) target_activity: Mutex<IndexMap<FastStr, TargetActivity>>,
     pub(crate) rate_limits: Mutex<TargetRateLimits>,
-    pub(crate) target_reach: Mutex<TargetReach>,
+    /// Reach of the targets of each service.
+    pub(crate) target_reach: Mutex<IndexMap<FastStr, TargetReach>>,
     /// Notified when a connection to a target has failed.
     pub(crate) target_failed: Notify,
     pub(crate) target_paces: Mutex<TargetPaces>,
@@ -101,6 +102,7 @@
     /// Hosts to which a link is being opened.
     pub(crate) connecting: Mutex<IndexSet<FastStr>>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) relays: Relays,
     retry_shares: Mutex<IndexMap<FastStr, RetryShare>>,
     // time from which this host may use its part of the free repeats
     fixed_repeats_from: Mutex<Time>,
@@ -183,6 +185,7 @@
             load_reports: LoadReports::default(),
             connecting: Mutex::default(),
             connections: ConnectionPool::default(),
+            relays: Relays::default(),
             retry_shares: Mutex::default(),
             fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_ms())),
             crash_reports: Mutex::default(),
@@ -231,6 +234,17 @@
             && *self.registry_read_at.lock() > Time::ZERO
     }
 
+    /// True while this host reaches no target of `service`.
+    pub(crate) fn is_cut_off(&self, service: &str) -> bool {
+        self.target_reach.lock().get(service).is_some_and(TargetReach::is_cut_off)
+    }
+
+    /// True while this host reaches no target of the service of `target`.
+    pub(crate) fn is_cut_off_from(&self, target: &str) -> bool {
+        let service = self.fleet.read().ready(target).map(|target| target.service.clone());
+        service.is_some_and(|service| self.is_cut_off(&service))
+    }
+
     /// True once a graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -190,6 +190,7 @@
 fn own_record(edge: &Edge) -> HostRecord {
     HostRecord {
         address: edge.cfg.listen.links,
+        callers: Some(edge.cfg.listen.callers),
         data_centre: edge.cfg.data_centre.clone(),
         incarnation: edge.incarnation,
     }
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) use {
     host_log::{append_if_unchanged, apply_passed_on, engine_key},
     operator::{apply_routing, apply_version, read_operator_records},
-    reach::{record_failure as record_unreached, record_opened as record_reached},
+    reach::{record_reached, record_unreached},
     targets::{apply_changes, apply_listing, extend_grace_after_gap},
 };
 
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -128,8 +128,10 @@
     STREAM_MOVED = 1113 "stream goes on at another target";
     REQUEST_REPEATED = 1114 "request sent again";
     EARLIER_REPEATS_KNOWN = 1115 "fixed repeats of earlier processes of this host known";
-    TARGETS_UNREACHABLE = 1116 "no target takes a connection from this host";
-    TARGETS_REACHABLE = 1117 "targets take connections from this host again";
+    TARGETS_UNREACHABLE = 1116 "no target of a service takes a connection from this host";
+    TARGETS_REACHABLE = 1117 "targets of a service take connections from this host again";
+    REQUEST_RELAYED = 1118 "request answered by another host";
+    RELAY_FAILED = 1119 "request passed on to another host got no answer";
     TICKETS_REGISTERED = 1120 "open tickets registered with a keeper";
     ORIGINS_CONFLICT = 1130 "records name different software versions for one stream";
     ORIGINS_NOT_WRITTEN = 1131 "origins of streams could not be written to the store";
--- a/crates/standin/src/platform/connection_owner.rs
+++ b/crates/standin/src/platform/connection_owner.rs
@@ -5,7 +5,13 @@
 /// True if `process` owns the socket with the local address `address`. Linux only.
 pub(super) fn owns_connection(process: u32, address: SocketAddr) -> bool {
     let sockets = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let Some(inode) = sockets.lines().find_map(|line| inode_of(line, address.port())) else {
+    // tables of many thousand sockets are searched before they are split
+    let port = format!(":{:04X} ", address.port());
+    let mut lines = sockets.match_indices(&port).filter_map(|(at, _)| {
+        let start = sockets[..at].rfind('\n')? + 1;
+        sockets[start..].lines().next()
+    });
+    let Some(inode) = lines.find_map(|line| inode_of(line, &port)) else {
         return false;
     };
     let socket = format!("socket:[{inode}]");
@@ -16,10 +22,9 @@
 }
 
 // the inode of an open connection with this local port
-fn inode_of(line: &str, port: u16) -> Option<&str> {
+fn inode_of<'a>(line: &'a str, port: &str) -> Option<&'a str> {
     let fields: Vec<&str> = line.split_whitespace().collect();
-    let (_, local_port) = fields.get(1)?.split_once(':')?;
+    let is_local = fields.get(1)?.ends_with(port.trim_end());
     let is_open = *fields.get(3)? == "01";
-    (is_open && u16::from_str_radix(local_port, 16).ok()? == port)
-        .then(|| fields.get(9).copied())?
+    (is_local && is_open).then(|| fields.get(9).copied())?
 }
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -556,22 +556,27 @@
         let shared = shared.clone();
         conns.spawn(async move {
             let _open = OpenConnection::new(&shared);
-            if !is_cut_off(&shared, peer) {
+            if !is_cut_off(&shared, peer).await {
                 serve_connection(RawConn::new(stream), peer, shared.clone()).await;
             }
         });
     }
 }
 
-fn is_cut_off(shared: &Shared, peer: SocketAddr) -> bool {
+async fn is_cut_off(shared: &Shared, peer: SocketAddr) -> bool {
     let cut_off = shared.state.lock().cut_off.clone();
-    cut_off.into_iter().any(|process| owns_connection(process, peer))
+    if cut_off.is_empty() {
+        return false;
+    }
+    // reading the system's tables takes milliseconds, and several connections come at once
+    let is_owned = move || cut_off.into_iter().any(|process| owns_connection(process, peer));
+    tokio::task::spawn_blocking(is_owned).await.unwrap_or(false)
 }
 
 async fn serve_connection(mut conn: RawConn, peer: SocketAddr, shared: Arc<Shared>) {
     // `RefuseEarly` applies if it is set when the first byte of a request arrives
     while conn.wait_for_request().await {
-        if is_cut_off(&shared, peer) {
+        if is_cut_off(&shared, peer).await {
             return;
         }
         if shared.state.lock().fault == TargetFault::RefuseEarly {
