crash suspects: a cut of this host is no crash of its targets

When the links of a host are cut and connections refused, all its connections break and its targets refuse new ones. Each was reported to all hosts as a crashed target, with the requests on it as suspects.

Change: a target counts as crashed only if one of up to three others of its service takes a connection, unless it is the only one. A connection that can't be opened starts the same check in place of a report of its own.

Measured: unreached_targets_are_no_crashes fails without the change ("contents became crash suspects") and passes with it, as do the other tests of crashes, requests, silence and cuts (48).

--- a/crates/core/src/broken_connections.rs
+++ b/crates/core/src/broken_connections.rs
@@ -42,6 +42,15 @@
         recent.flat_map(|(_, suspects)| suspects.to_vec()).collect()
     }
 
+    /// True if a connection to `target` broke off lately.
+    #[must_use]
+    pub fn has_broken(&self, now: Time, target: &str) -> bool {
+        let connections = self.by_target.get(target);
+        connections.is_some_and(|connections| {
+            connections.iter().any(|(at, _)| now.ms_since(*at) < CRASH_CONFIRMATION_MS)
+        })
+    }
+
     /// Discards the broken connections to `target` after an answer, which shows that it did not
     /// crash.
     pub fn rule_out_crash(&mut self, target: &str) {
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -57,7 +57,7 @@
             Err(e) => {
                 watch::record_unreached(edge, &target);
                 record_health(edge, &target, HealthSignal::Unreachable);
-                crash_suspects::record_target_down(edge, &target);
+                crash_suspects::check_unreached(edge, &target);
                 return Err(record_failure(edge, out, &target, SendEnd::NotSent, &e.to_string()));
             }
         };
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -5,11 +5,14 @@
         attempt::{self, HealthSignal},
         request::OutgoingRequest,
     },
-    crate::{peers, state::Edge},
-    egret_core::{CrashId, CrashVerdict, Fingerprint, Suspect, Target, Time},
+    crate::{peers, state::Edge, watch},
+    egret_core::{CrashId, CrashVerdict, Fingerprint, Suspect, Target, Time, rendezvous_weight},
     egret_runtime::{Body, CrashMsg, SuspectsMsg, events, now, with_deadline},
     faststr::FastStr,
-    futures::{FutureExt, future::Shared},
+    futures::{
+        FutureExt,
+        future::{Shared, join_all},
+    },
     indexmap::{IndexMap, IndexSet},
     parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
@@ -23,6 +26,10 @@
 /// may close its connections before its listener.
 const SECOND_CHECK_PAUSE_MS: u64 = 100;
 
+/// Other targets of which one has to take a connection, so that a refused one shows a crash and not a cut
+/// of this host.
+const CONTROL_TARGETS: usize = 3;
+
 /// Time for which the result of a check holds.
 const CHECK_VALID_MS: u64 = 300;
 
@@ -217,12 +224,12 @@
     first_result: oneshot::Sender<bool>,
     second_result: oneshot::Sender<bool>,
 ) {
-    let mut is_down = refuses_connections(&target).await;
+    let mut is_down = is_down_alone(&edge, &target).await;
     // the requests that waited for the results may have ended
     let _ = first_result.send(is_down);
     if !is_down {
         tokio::time::sleep(Duration::from_millis(SECOND_CHECK_PAUSE_MS)).await;
-        is_down = refuses_connections(&target).await;
+        is_down = is_down_alone(&edge, &target).await;
     }
     if is_down {
         attempt::record_health(&edge, &target, HealthSignal::Unreachable);
@@ -231,15 +238,49 @@
     let _ = second_result.send(is_down);
 }
 
+// true if the target refuses connections and others of its service take them
+async fn is_down_alone(edge: &Edge, target: &Target) -> bool {
+    if !refuses_connections(target).await {
+        return false;
+    }
+    let others: Vec<Arc<Target>> = {
+        let fleet = edge.fleet.read();
+        let others = fleet.all_ready().filter(|t| t.service == target.service && t.id != target.id);
+        others.cloned().collect()
+    };
+    // other ones for each target, so that targets that crash together do not control each other only
+    let first = usize::try_from(rendezvous_weight("control", &target.id)).unwrap_or(usize::MAX);
+    let controls = (0..CONTROL_TARGETS.min(others.len()))
+        .map(|number| takes_connections(&others[first.wrapping_add(number) % others.len()]));
+    if others.is_empty() || join_all(controls).await.contains(&true) {
+        return true;
+    }
+    watch::record_unreached(edge, target);
+    edge.broken_connections.lock().rule_out_crash(&target.id);
+    false
+}
+
+async fn takes_connections(target: &Target) -> bool {
+    let deadline = now().after_ms(CHECK_TIMEOUT_MS);
+    matches!(with_deadline(deadline, TcpStream::connect(target.address)).await, Some(Ok(_)))
+}
+
+/// Checks a target to which no connection could be opened, if a request was on it lately.
+pub(crate) fn check_unreached(edge: &Arc<Edge>, target: &Arc<Target>) {
+    if edge.broken_connections.lock().has_broken(now(), &target.id) {
+        check(edge, target);
+    }
+}
+
 // a target that does not answer at all may be cut off
 async fn refuses_connections(target: &Target) -> bool {
     let deadline = now().after_ms(CHECK_TIMEOUT_MS);
     matches!(with_deadline(deadline, TcpStream::connect(target.address)).await, Some(Err(_)))
 }
 
-/// Records that a target accepts no connection. The contents and prompt parts of the requests that
+/// Records that a target has crashed. The contents and prompt parts of the requests that
 /// were running on it become suspects.
-pub(crate) fn record_target_down(edge: &Edge, target: &Target) {
+fn record_target_down(edge: &Edge, target: &Target) {
     let suspects = edge.broken_connections.lock().confirm_crash(now(), &target.id);
     if suspects.is_empty() {
         return;
--- a/crates/edge/tests/edge/cut_off.rs
+++ b/crates/edge/tests/edge/cut_off.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{Deployment, EdgeProcess, request, stream_request, wait_until, whole_stream},
-    egret_standin::platform::Target,
+    egret_standin::platform::{Target, TargetFault},
     http::Method,
     std::{
         collections::HashSet,
@@ -90,6 +90,33 @@
     assert_eq!(after.iter().collect::<HashSet<_>>().len(), after.len());
 }
 
+// Where no target takes a connection, the requests on them were taken for the cause: the parts that all
+// requests share were refused everywhere.
+#[tokio::test]
+async fn unreached_targets_are_no_crashes() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let engines = [d.start_engine("e-1", 3).await, d.start_engine("e-2", 3).await];
+    let edge = d.start_ready_edge(1).await;
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        edge.call_until(200, || stream_request("stream", adapter)).await;
+    }
+    for engine in &engines {
+        engine.set_fault(TargetFault::NoAnswer);
+    }
+    let streams =
+        ["a1", "a2", "a3", "a4"].map(|adapter| edge.call(stream_request("stream", adapter)));
+    let streams = futures::future::join_all(streams);
+    let lost = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(engines);
+    };
+    let (answers, ()) = tokio::join!(streams, lost);
+    assert!(answers.iter().flatten().all(|answer| answer.status != 200));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert!(!d.log(1).contains("E1222"), "contents became crash suspects");
+}
+
 // Requests waited for connections that could not be opened, one after the other.
 #[tokio::test]
 async fn cut_off_hosts_refuse_at_once() {
