edge: a refusal without an id proves nothing on a kept connection

Cause: a report of another operator: a faulty target writes an earlier refusal once more on a kept connection. A refusal with the id of another request was dropped, but one without an id was taken for the answer: callers were told "not run" for requests that ran, and such a request ran at a second target (REFUSED, TWICE).

Change: on a connection that has carried a request before, an answer counts only if it names this request. On a new one, nothing earlier can be repeated. The stand-in names the request in 421 as the protocol says.

Measured: late_refusal_on_kept_connection failed before (two runs of a request that may run once) and passes for 503, 421 and 429.

--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -96,7 +96,7 @@
     let (head, body) = answer.into_parts();
     let notice = target_notice(head.status, &head.headers);
     record_notice(edge, &target, notice);
-    let check = verify_answer(head.status, &head.headers, &out.head.id);
+    let check = verify_answer(head.status, &head.headers, &out.head.id, is_new);
     if matches!(check, AnswerCheck::Verified | AnswerCheck::Refused) {
         peers::observe_limit(edge, &target, notice.request_limit_milli);
     }
--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -219,6 +219,32 @@
     assert!(b.executed_requests().len() >= 24);
 }
 
+// A target wrote an earlier refusal once more on a kept connection, and the request that it ran was said not to
+// have run.
+#[tokio::test]
+async fn late_refusal_on_kept_connection() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let (a, b) = (d.start_plain_target("p-1").await, d.start_plain_target("p-2").await);
+    let edge = d.start_ready_edge(1).await;
+    for status in [503, 421, 429] {
+        for target in [&a, &b] {
+            target.set_fault(TargetFault::None);
+        }
+        for _ in 0..4 {
+            edge.call_until(200, || request(Method::POST, "/once/a", &[])).await;
+        }
+        for target in [&a, &b] {
+            target.set_fault(TargetFault::RefusalInFront(status));
+        }
+        let runs = || a.executed_requests().len() + b.executed_requests().len();
+        let before = runs();
+        let answer = edge.call(request(Method::POST, "/once/a", &[])).await.unwrap();
+        assert_eq!(runs() - before, 1, "late {status}: ran at one target");
+        assert_eq!(answer.status, 502, "late {status}");
+    }
+}
+
 #[tokio::test]
 async fn reject_crossed_or_doubled_answers() {
     let d = Deployment::new().await;
--- a/crates/standin/src/platform/target.rs
+++ b/crates/standin/src/platform/target.rs
@@ -94,6 +94,8 @@
     /// A second answer follows the first on the same connection.
     #[serde(rename = "doubled")]
     DuplicateAnswer,
+    /// A refusal with this status and no id is written before the answer to each request that runs.
+    RefusalInFront(u16),
     /// Answers carry the id of another request.
     #[serde(rename = "crossed")]
     WrongRequestId,
@@ -587,7 +589,9 @@
         };
         let expected = request.header("expect-instance");
         if expected.is_some_and(|id| id != shared.conf.id) {
-            if conn.write_response(421, &[("Instance-Id", &shared.conf.id)], b"").await.is_err() {
+            let id = request.header("request-id").unwrap_or_default();
+            let headers = [("Instance-Id", shared.conf.id.as_str()), ("Request-Id", id)];
+            if conn.write_response(421, &headers, b"").await.is_err() {
                 return;
             }
             continue;
@@ -770,6 +774,11 @@
             conn.write_response(200, headers, b"a second answer").await.ok()?;
             Some(conn)
         }
+        TargetFault::RefusalInFront(status) => {
+            conn.write_response(status, &[("Not-Executed", "1")], b"").await.ok()?;
+            conn.write_response(200, headers, body.as_bytes()).await.ok()?;
+            Some(conn)
+        }
         TargetFault::LargeAnswer(bytes) => {
             conn.write_response(200, headers, &vec![b'x'; bytes]).await.ok().map(|()| conn)
         }
