edge: a host out of step does not vouch for a single software version

Cause: a report of another operator, which can happen here: a host stood still while a new software version joined, and then reached neither the store nor another host. It knew one version, took it for the only one, and a stream of the new version that its caller resumed there went on at the old one (ORDER).

Change: what a host knows of versions counts as complete without asking only while its view is current. If its view is not, and no host answers or it hears at most half of all hosts, no report counts as complete; the origin is then looked for in the store, and without it the request is refused.

Ruled out: asking for a current view alone: while the store is away no host has one, and streams would not be resumed. What remains: with the store away and half of the hosts lost, streams of unknown origin are refused also where only one version serves.

--- a/crates/edge/src/dispatch/resumption.rs
+++ b/crates/edge/src/dispatch/resumption.rs
@@ -58,7 +58,8 @@
         return own_policy;
     }
     let has_observed = edge.version_sightings.lock().is_observed(now());
-    if own_policy != ResumePolicy::Unknown && has_observed && !peers::may_be_behind(edge) {
+    let is_current = peers::confirm_current(edge) && !peers::may_be_behind(edge);
+    if own_policy != ResumePolicy::Unknown && has_observed && is_current {
         count(edge, "single_version");
         return own_policy;
     }
@@ -76,7 +77,14 @@
         return stored_policy(found);
     }
     // what this host has read meanwhile counts
-    reports.push(peers::origin_report(edge, request_id, &services));
+    let mut own = peers::origin_report(edge, request_id, &services);
+    if !peers::confirm_current(edge) && peers::is_apart(edge, !reports.is_empty()) {
+        // a software version may have joined meanwhile, and hosts that are apart together know no more
+        for report in reports.iter_mut().chain([&mut own]) {
+            report.is_complete = false;
+        }
+    }
+    reports.push(own);
     let policy = decide_resumption(service, &reports);
     if let Some(id) = request_id
         && policy == ResumePolicy::Unknown
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -127,6 +127,15 @@
     live.any(|(_, peer)| peer.registry_offset > position && peer.digest != own_digest)
 }
 
+/// True if this host may be cut off from most others: it hears at most half of all hosts, itself included,
+/// or none has answered it.
+pub(crate) fn is_apart(edge: &Edge, has_answer: bool) -> bool {
+    let peers = edge.peers.lock();
+    let others = peers.all().len();
+    let live = peers.all().keys().filter(|host| peers.is_live(host)).count();
+    others > 0 && (!has_answer || (live + 1) * 2 <= others + 1)
+}
+
 /// Position of this host in a stream of the store, compared with hosts that have read it recently.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReadStatus {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -26,7 +26,7 @@
     allowances::{AllowanceExchange, Charge, charge},
     fixed_repeats::FixedRepeats,
     gossip::{
-        ReadStatus, confirm_current, host_rank, is_first_for, is_reader, may_be_behind,
+        ReadStatus, confirm_current, host_rank, is_apart, is_first_for, is_reader, may_be_behind,
         read_status, send_updates,
     },
     links::notify,
--- a/crates/edge/tests/edge/versions.rs
+++ b/crates/edge/tests/edge/versions.rs
@@ -2,7 +2,10 @@
 //! began it, within one answer and over the attempts of its caller.
 
 use {
-    crate::support::{Deployment, EdgeProcess, stream_request, wait_until, whole_stream},
+    crate::{
+        routes::start_slow_relay,
+        support::{Deployment, EdgeProcess, stream_request, wait_until, whole_stream},
+    },
     bytes::{Bytes, BytesMut},
     egret_runtime::{Conn, HttpError, Reply, now, with_deadline},
     egret_standin::platform::{self, StoreFault, Target, TargetFault},
@@ -11,7 +14,14 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     indexmap::IndexSet,
-    std::time::{Duration, Instant},
+    nix::sys::signal::Signal,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two events, long enough for a caller to leave midway.
@@ -882,6 +892,37 @@
     assert!(!d.log(1).contains("E1133") && !d.log(2).contains("E1133"));
 }
 
+// A host stood still while a new software version joined, and then reached neither the store nor another host.
+// It took the version that it knew for the only one, and streams of the new one went on there.
+#[tokio::test]
+async fn refuse_resume_at_host_out_of_step() {
+    let mut d = start_deployment().await;
+    let engines = vec![start_engine(&d, "e-1", "v1", &ADAPTERS).await];
+    let other = d.start_ready_edge(2).await;
+    let is_cut = Arc::new(AtomicBool::new(false));
+    d.store_address = start_slow_relay(d.store.address(), 100_000_000, is_cut.clone()).await;
+    let behind = d.start_ready_edge(1).await;
+    wait_until_usable(std::slice::from_ref(&behind), &engines, &engines).await;
+    wait_until_usable(std::slice::from_ref(&other), &engines, &engines).await;
+    behind.signal(Signal::SIGSTOP);
+    is_cut.store(true, Ordering::Relaxed);
+    let newer = start_engine(&d, "e-3", "v2", &ADAPTERS).await;
+    engines[0].set_fault(TargetFault::Full);
+    let stream = begin_stream(&other, "a1", 2).await;
+    engines[0].set_fault(TargetFault::None);
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    other.signal(Signal::SIGKILL);
+    drop(other);
+    assert!(!newer.executed_requests().is_empty());
+    behind.signal(Signal::SIGCONT);
+    for _ in 0..10 {
+        let request = resume_request("a1", Some(&stream.request_id), stream.last_event);
+        let reply = behind.call(request).await.unwrap();
+        assert!(is_refusal(&reply), "went on at another version: {reply:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 #[tokio::test]
 async fn no_stream_begins_at_unrecorded_version() {
     // streams begin at a version that no record contains, so that a kill of all hosts and a rollback
