--- a/crates/edge/tests/edge/hosts.rs
+++ b/crates/edge/tests/edge/hosts.rs
@@ -3,7 +3,7 @@
 use {
     crate::support::{Deployment, request, stream_request, wait_until, whole_stream},
     egret_runtime::now,
-    egret_standin::platform::{StoreFault, TargetFault},
+    egret_standin::platform::{BASE_MODEL, StoreFault, TargetFault},
     http::Method,
     nix::sys::signal::Signal,
     std::time::{Duration, Instant},
@@ -422,6 +422,36 @@
     assert!(b.executed_requests().len() >= 6);
 }
 
+// An entry of another writer with a key of 250 bytes ended the task that claims engines: engines that were new
+// since got no owner.
+#[tokio::test]
+async fn claim_engines_beside_odd_entries() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let first = d.start_engine("e-1", 3).await;
+    let edge = d.start_ready_edge(1).await;
+    edge.call_until(200, || stream_request("stream", "a1")).await;
+    let entry = |address: &str| {
+        format!(
+            r#"{{"service":"engines","address":"{address}","zone":"dc-1","version":"v1","slots":4,
+                "state":"ready","cold_left_ms":0,"seq":7,"born":1,"models":[{{"name":"{BASE_MODEL}"}}]}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    for (key, value) in [
+        ("x".repeat(250), entry("127.0.0.1:9")),
+        ("odd-port".to_owned(), entry("127.0.0.1:70000")),
+        ("odd-nesting".to_owned(), nested),
+    ] {
+        d.store.write("keyed.servers", &key, Some(&value));
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let second = d.start_engine("e-2", 3).await;
+    drop(first);
+    edge.call_until(200, || stream_request("stream", "a2")).await;
+    assert!(second.accepted_orders() > 0);
+}
+
 // After the store had come back from an older copy, all that was written below the offsets of before was
 // taken for old.
 #[tokio::test]
