--- a/crates/edge/src/watch/reach.rs
+++ b/crates/edge/src/watch/reach.rs
@@ -40,15 +40,16 @@
 }
 
 async fn probe_if_due(edge: &Edge, service: &FastStr, round: usize) {
-    let ready: Vec<Arc<Target>> =
-        edge.fleet.read().all_ready().filter(|t| t.service == *service).cloned().collect();
+    let count = edge.fleet.read().all_ready().filter(|t| t.service == *service).count();
     let is_due = {
         let mut reaches = edge.target_reach.lock();
-        reaches.get_mut(service).is_some_and(|reach| reach.try_begin_probe(now(), ready.len()))
+        reaches.get_mut(service).is_some_and(|reach| reach.try_begin_probe(now(), count))
     };
     if !is_due {
         return;
     }
+    let ready: Vec<Arc<Target>> =
+        edge.fleet.read().all_ready().filter(|t| t.service == *service).cloned().collect();
     // other targets in each round, spread over the list
     let step = (ready.len() / PROBED_TARGETS).max(1);
     let chosen: Vec<&Target> = (0..PROBED_TARGETS.min(ready.len()))
