edge: a body takes the memory of its bytes, however they arrive

Callers saw a host end when others sent bodies in tiny chunks or writes: each part of a body was kept as a slice of the connection's read buffer, which stayed whole, with a list entry beside it, until the body was collected. 150 bodies of 65,000 bytes took 379,580 KB in 1-byte chunks; 300 in writes of 100 bytes 193,028 KB.

Change: parts are copied into pieces of the process's own (Pieces), which grow from 1 to 16 KB and end with an announced length; the complete body is one buffer of its exact length. Whole answers of targets are held in the same pieces, in place of code of their own.

Ruled out: http-body-util's Collected alone, since its copy at the end is taken once; the retained buffers remain. The sum over all connections has no bound yet.

--- a/crates/edge/src/dispatch/held_answers.rs
+++ b/crates/edge/src/dispatch/held_answers.rs
@@ -6,9 +6,9 @@
 
 use {
     crate::state::Edge,
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     egret_core::Time,
-    egret_runtime::now,
+    egret_runtime::{Pieces, now},
     http_body::{Body, Frame, SizeHint},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -43,10 +43,6 @@
 /// take a sixteenth; the other half of that is for the buffers of connections.
 const HOST_MEMORY_PARTS: u64 = 32;
 
-/// Size of the pieces in which an answer is held and passed to the connection. A single buffer that
-/// grows would take up to twice the length of the answer.
-const PIECE_BYTES: usize = 16 * 1024;
-
 /// Time without progress after which a caller may be cut off to make room.
 const SLOW_READER_MS: u64 = 5000;
 
@@ -184,7 +180,7 @@
     pub(super) async fn read(edge: &Arc<Edge>, mut body: Incoming) -> Result<Self, ReadError> {
         let held = HeldBytes { edge: edge.clone(), taken: 0, reader: None };
         let mut this = Self { pieces: VecDeque::new(), length: 0, held };
-        let mut last = BytesMut::new();
+        let mut pieces = Pieces::default();
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() {
                 let length = this.length + data.len();
@@ -195,21 +191,11 @@
                     return Err(ReadError::NoRoom);
                 }
                 this.length = length;
-                // copied, since a part of the connection's buffer would keep the whole of it
-                let mut rest = &data[..];
-                while !rest.is_empty() {
-                    let (now, later) = rest.split_at(rest.len().min(PIECE_BYTES - last.len()));
-                    last.extend_from_slice(now);
-                    if last.len() == PIECE_BYTES {
-                        this.pieces.push_back(std::mem::take(&mut last).freeze());
-                    }
-                    rest = later;
-                }
+                let remaining = body.size_hint().exact().map(|rest| rest + data.len() as u64);
+                pieces.push(&data, remaining);
             }
         }
-        if !last.is_empty() {
-            this.pieces.push_back(last.freeze());
-        }
+        this.pieces = pieces.into_pieces();
         Ok(this)
     }
 
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -4,7 +4,7 @@
     super::{accounts, relay::Relayed},
     crate::{
         peers::Charge,
-        server::{Answer, refusal},
+        server::{Answer, BodyError, refusal},
         state::Edge,
     },
     bytes::Bytes,
@@ -13,9 +13,10 @@
         fingerprint, mix_hashes,
     },
     egret_platform::{HeadError, RequestHead},
-    egret_runtime::{events, now, with_deadline},
+    egret_runtime::{Pieces, events, now, with_deadline},
     faststr::FastStr,
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+    http_body::Body,
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     parking_lot::Mutex,
@@ -148,9 +149,9 @@
             head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(selected.route.timeout_ms);
         let deadline = arrived.after_ms(timeout_ms);
         let limit = routing.bounds.body_bytes;
-        let read = with_deadline(deadline, Limited::new(body, limit).collect()).await;
+        let read = with_deadline(deadline, read_body(Limited::new(body, limit))).await;
         let body = match read {
-            Some(Ok(body)) => body.to_bytes(),
+            Some(Ok(body)) => body,
             Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
                 return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
             }
@@ -308,6 +309,17 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
+async fn read_body(mut body: Limited<Incoming>) -> Result<Bytes, BodyError> {
+    let mut pieces = Pieces::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            let remaining = body.size_hint().exact().map(|rest| rest + data.len() as u64);
+            pieces.push(&data, remaining);
+        }
+    }
+    Ok(pieces.into_bytes())
+}
+
 // none unless there is exactly one Host header and the URI names no host
 fn host_name<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     let mut hosts = headers.get_all(header::HOST).iter();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -43,6 +43,6 @@
 pub use watch::{ConfigWatch, HostsWatch};
 pub use web::{
     CallError, Conn, ConnPool, ENGINE_ECHO_HEADERS, EndsWithConnection, ErrorResponse, HttpClient,
-    HttpError, LingeringStream, Reply, error_json, json_response, lingering_connections, listen,
-    read_incoming, read_limited, serve_http, text_response, with_deadline,
+    HttpError, LingeringStream, Pieces, Reply, error_json, json_response, lingering_connections,
+    listen, read_incoming, read_limited, serve_http, text_response, with_deadline,
 };
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -4,6 +4,7 @@
 mod conn;
 mod linger;
 mod listen;
+mod pieces;
 mod response;
 mod server;
 
@@ -12,6 +13,7 @@
     conn::{Conn, ConnPool, HttpError, read_incoming},
     linger::{EndsWithConnection, LingeringStream, lingering_connections},
     listen::listen,
+    pieces::Pieces,
     response::{ErrorResponse, error_json, json_response, text_response},
     server::{read_limited, serve_http},
 };
