edge: callers' connections have a limit, and those that wait make way

Callers found no host while others held connections that sent nothing or a part of a head: connections were accepted until there were no descriptors, neither for callers nor for targets, the store and other hosts (1,024 of 1,024 with 1,200 clients). What a caller sent while its request was served stayed in buffers of the system that grow: 400 callers with pipelined requests took 61,660 KB and 41,940 KB unread.

Change: ConnectionLimit in the core decides, Connections carries it out. At the limit a new connection takes the place of the one that has waited longest for its client, so those that stopped make way and an ordinary caller that comes next is served; a request that is being served keeps its connection until its answer ends. The limit is 8 connections a megabyte of the host's memory and half of the descriptors, by the settings ([descriptors], filled in from max_fds) and by what the system states. A connection whose input is discarded after a refusal keeps its place. The receive buffer of callers is 32 KB (64 KB with the system's own part) and does not grow.

Ruled out: a limit that refuses the new connection, since the crowd is there first.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod broken_connections;
 mod cold_load_limit;
 mod config;
+mod connection_limit;
 mod crash_reports;
 mod crash_suspects;
 mod cross_data_centre;
@@ -66,6 +67,7 @@
     ConfigSnapshot, EngineSpec, HostsOutOfService, Manifest, ManifestError, ManifestOp, Rejection,
     ServiceSpec, ServiceTarget, WeightStoreSpec, diff, validate,
 };
+pub use connection_limit::{ConnectionDecision, ConnectionLimit};
 pub use crash_reports::{CrashId, CrashReports, CrashVerdict, Suspect};
 pub use crash_suspects::{CrashSuspects, RunPolicy, SuspectRecord};
 pub use cross_data_centre::CrossDataCentreRequests;
--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -2,7 +2,7 @@
 
 use {
     egret_core::{AllowanceBounds, Fencing, RetryBounds, Time},
-    egret_runtime::LogSettings,
+    egret_runtime::{LogSettings, descriptors_max},
     faststr::FastStr,
     serde::{Deserialize, Deserializer, de::Error},
     std::net::SocketAddr,
@@ -36,6 +36,9 @@
     /// Memory of the host; absent if the deployment does not state it.
     #[serde(default)]
     pub memory: Option<MemorySettings>,
+    /// Descriptors of the process; absent if the deployment does not state them.
+    #[serde(default)]
+    pub descriptors: Option<DescriptorSettings>,
     /// Choice of targets.
     #[serde(default)]
     pub placement: PlacementSettings,
@@ -184,6 +187,15 @@
     pub host_mb: u64,
 }
 
+/// Descriptors of the process.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DescriptorSettings {
+    /// Descriptors that the process may open, also those for files.
+    #[serde(deserialize_with = "rounded_down")]
+    pub process_max: u64,
+}
+
 /// Choice of targets.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -248,6 +260,17 @@
 /// Memory that a host has if its settings do not state it, in megabytes.
 const HOST_MB_DEFAULT: u64 = 512;
 
+/// Callers' connections for each megabyte of the host's memory. One takes up to 32 KB beside bodies and
+/// answers, so all of them take a quarter of the memory.
+const CALLER_CONNECTIONS_PER_MB: u64 = 8;
+
+/// Descriptors that are left to files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Part of the other descriptors that callers' connections may take. The rest is for targets, other hosts, the
+/// store, and the other listeners.
+const CALLER_DESCRIPTOR_PARTS: u64 = 2;
+
 impl Settings {
     /// Memory of the host, in megabytes, by which what callers send is limited.
     #[must_use]
@@ -255,6 +278,17 @@
         self.memory.map_or(HOST_MB_DEFAULT, |memory| memory.host_mb)
     }
 
+    /// Largest number of callers' connections, by the memory of the host and the descriptors that its settings
+    /// and the system allow.
+    #[must_use]
+    pub fn caller_connections_max(&self) -> usize {
+        let stated = self.descriptors.map_or(u64::MAX, |descriptors| descriptors.process_max);
+        let sockets = stated.min(descriptors_max()).saturating_sub(FILE_DESCRIPTORS);
+        let by_memory = self.host_mb().saturating_mul(CALLER_CONNECTIONS_PER_MB);
+        let max = by_memory.min(sockets / CALLER_DESCRIPTOR_PARTS);
+        usize::try_from(max).unwrap_or(usize::MAX)
+    }
+
     /// Milliseconds after which no request may be sent with a key that was revoked; none if requests
     /// are served however old this host's view of the keys is.
     #[must_use]
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -30,6 +30,10 @@
     body_refusals: Family<Labels, Counter>,
     /// Memory that the bodies of requests take.
     pub(crate) body_bytes: Gauge,
+    /// Open connections of callers, when a request last came.
+    pub(crate) caller_connections: Gauge,
+    /// Connections of callers closed at the limit of their number since the start.
+    pub(crate) connections_closed: Gauge,
     target_refusals: Family<Labels, Counter>,
     places: Family<Labels, Counter>,
     tokens: Family<Labels, Counter>,
@@ -78,6 +82,12 @@
             ),
             body_bytes: metrics
                 .gauge("egret_body_bytes", "Memory that the bodies of requests take"),
+            caller_connections: metrics
+                .gauge("egret_caller_connections", "Open connections of callers"),
+            connections_closed: metrics.gauge(
+                "egret_caller_connections_closed",
+                "Connections of callers closed at the limit of their number",
+            ),
             target_refusals: metrics.counters(
                 "egret_target_refusals",
                 "Refusals by targets with status 503, by service, whether the target is brittle, and \
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -13,9 +13,9 @@
         fingerprint, mix_hashes,
     },
     egret_platform::{HeadError, RequestHead},
-    egret_runtime::{BodyBounds, BodyMemory, BodyReadError, events, now},
+    egret_runtime::{BodyBounds, BodyMemory, BodyReadError, ConnectionPlace, events, now},
     faststr::FastStr,
-    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+    http::{Extensions, HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     hyper::body::Incoming,
     parking_lot::Mutex,
     std::{
@@ -148,17 +148,8 @@
         let timeout_ms =
             head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(selected.route.timeout_ms);
         let deadline = arrived.after_ms(timeout_ms);
-        let bounds = BodyBounds {
-            bytes_max: routing.bounds.body_bytes,
-            pause_ms: u64::MAX,
-            slow_at: arrived.after_ms(routing.bounds.head_ms).min(deadline),
-            deadline,
-        };
-        let read = edge.request_bodies.read(body, bounds, || {}).await;
-        #[allow(clippy::cast_possible_wrap)]
-        edge.counts.body_bytes.set(edge.request_bodies.taken() as i64);
+        let read = read_body(edge, &mut parts.extensions, body, arrived, deadline).await;
         let (body, body_memory) = read.map_err(|e| {
-            edge.counts.record_body_refusal(e);
             let status = match e {
                 BodyReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
                 BodyReadError::Broken => StatusCode::BAD_REQUEST,
@@ -317,6 +308,40 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
+// reads the body of a request that arrived at `arrived`
+async fn read_body(
+    edge: &Edge,
+    extensions: &mut Extensions,
+    body: Incoming,
+    arrived: Time,
+    deadline: Time,
+) -> Result<(Bytes, Option<BodyMemory>), BodyReadError> {
+    let place = extensions.remove::<Arc<ConnectionPlace>>();
+    let record_part = || {
+        if let Some(place) = &place {
+            place.record_wait();
+        }
+    };
+    let caller_bounds = edge.routing().bounds;
+    let bounds = BodyBounds {
+        bytes_max: caller_bounds.body_bytes,
+        pause_ms: u64::MAX,
+        slow_at: arrived.after_ms(caller_bounds.head_ms).min(deadline),
+        deadline,
+    };
+    let read = edge.request_bodies.read(body, bounds, record_part).await;
+    edge.record_received();
+    match &read {
+        Ok(_) => {
+            if let Some(place) = place {
+                place.record_request();
+            }
+        }
+        Err(e) => edge.counts.record_body_refusal(*e),
+    }
+    read
+}
+
 // none unless there is exactly one Host header and the URI names no host
 fn host_name<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     let mut hosts = headers.get_all(header::HOST).iter();
--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -1,14 +1,20 @@
 //! Listeners and connections.
 
 use {
-    super::answer::{Answer, full_answer},
+    super::{
+        answer::{Answer, full_answer},
+        answer_body::AnswerBody,
+    },
     crate::{
         dispatch::{self, CutCaller},
         state::{CallerConnection, Edge},
     },
     bytes::Bytes,
-    egret_runtime::{EndsWithConnection, LingeringStream, events, listen},
+    egret_runtime::{
+        ConnectionPlace, EndsWithConnection, LingeringStream, SocketBuffers, events, listen,
+    },
     http::{HeaderValue, Request, StatusCode, Version, header},
+    http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
@@ -22,8 +28,10 @@
 /// Smallest read buffer that the HTTP library accepts.
 const BUF_BYTES_MIN: usize = 8192;
 
-/// Buffer of the system for what a caller has not read yet. The system doubles it, to 256 KB.
-const SEND_BUFFER_BYTES: u32 = 128 * 1024;
+/// Buffers of the system for each caller. Those for received bytes do not grow, since a caller may send
+/// while its request is served and nothing is read.
+const CALLER_BUFFERS: SocketBuffers =
+    SocketBuffers { send: Some(128 * 1024), receive: Some(32 * 1024) };
 
 /// Pause after a failed accept, since file descriptors may have run out.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -43,9 +51,9 @@
 pub(crate) async fn bind(edge: &Edge) -> std::io::Result<Listeners> {
     let addresses = &edge.cfg.listen;
     Ok(Listeners {
-        callers: listen(addresses.callers, Some(SEND_BUFFER_BYTES)).await?,
-        readiness: listen(addresses.ready, None).await?,
-        metrics: listen(addresses.metrics, None).await?,
+        callers: listen(addresses.callers, CALLER_BUFFERS).await?,
+        readiness: listen(addresses.ready, SocketBuffers::default()).await?,
+        metrics: listen(addresses.metrics, SocketBuffers::default()).await?,
     })
 }
 
@@ -54,7 +62,9 @@
     let state = edge.clone();
     tokio::spawn(async move {
         let accept = accept_all(listeners.callers, |stream, peer| {
-            tokio::spawn(serve_caller(state.clone(), stream, peer));
+            if let Some(place) = state.connections_of_callers.open() {
+                tokio::spawn(serve_caller(state.clone(), stream, peer, Arc::new(place)));
+            }
         });
         // once the host closes connections, new ones are refused, so that callers know that their
         // requests were not read
@@ -103,7 +113,12 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-async fn serve_caller(edge: Arc<Edge>, stream: TcpStream, peer: SocketAddr) {
+async fn serve_caller(
+    edge: Arc<Edge>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    place: Arc<ConnectionPlace>,
+) {
     let _open = CallerConnection::new(&edge);
     // Nagle's algorithm would delay small stream events to send them together
     if stream.set_nodelay(true).is_err() {
@@ -124,19 +139,27 @@
             ends_with_connection.set();
         }
         req.extensions_mut().insert(cut.clone());
-        async move { Ok::<Answer, Infallible>(serve_request(edge, req, peer).await) }
+        req.extensions_mut().insert(place.clone());
+        let place = place.clone();
+        async move {
+            let answer = serve_request(edge, req, peer).await;
+            Ok::<Answer, Infallible>(answer.map(|body| AnswerBody::new(body, place).boxed_unsync()))
+        }
     });
-    let io = TokioIo::new(LingeringStream::new(stream, ends_with_connection.clone()));
+    let stream = LingeringStream::new(stream, ends_with_connection.clone(), place.clone());
+    let io = TokioIo::new(stream);
     let mut conn = pin!(builder.serve_connection(io, service));
     tokio::select! {
         // errors of a caller's connection need no handling
         _ = conn.as_mut() => {}
         () = cut.0.notified() => {}
+        () = place.wait_until_cut() => {}
         () = edge.wait_until_closing() => {
             conn.as_mut().graceful_shutdown();
             tokio::select! {
                 _ = conn => {}
                 () = cut.0.notified() => {}
+                () = place.wait_until_cut() => {}
             }
         }
     }
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod answer;
+mod answer_body;
 
 pub(crate) use {
     accept::{bind, start},
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -20,7 +20,9 @@
         VersionSightings, ViewAge,
     },
     egret_platform::StoreClient,
-    egret_runtime::{Hello, LINK_RELEASE, LinkPool, Metrics, RequestBodies, events, now, unix_ms},
+    egret_runtime::{
+        Connections, Hello, LINK_RELEASE, LinkPool, Metrics, RequestBodies, events, now, unix_ms,
+    },
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
     parking_lot::{Mutex, RwLock},
@@ -132,6 +134,7 @@
     pub(crate) crash_checks: CrashChecks,
     pub(crate) held_answers: HeldAnswers,
     pub(crate) request_bodies: Arc<RequestBodies>,
+    pub(crate) connections_of_callers: Arc<Connections>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
     pub(crate) version_sightings: Mutex<VersionSightings>,
     /// The record of software versions in the host log, as last read.
@@ -221,6 +224,7 @@
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
             request_bodies: RequestBodies::new(cfg.host_mb()),
+            connections_of_callers: Connections::new("callers", cfg.caller_connections_max()),
             held_answers: HeldAnswers::new(cfg.memory.map(|memory| memory.host_mb)),
             stream_origins: Mutex::default(),
             version_sightings: Mutex::default(),
@@ -323,6 +327,15 @@
         self.caller_connections.load(Ordering::Acquire)
     }
 
+    /// Updates the gauges of what callers make this host hold.
+    pub(crate) fn record_received(&self) {
+        let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        self.counts.body_bytes.set(gauge(self.request_bodies.taken()));
+        self.counts.caller_connections.set(gauge(self.connections_of_callers.count()));
+        let closed = self.connections_of_callers.closed_total();
+        self.counts.connections_closed.set(i64::try_from(closed).unwrap_or(i64::MAX));
+    }
+
     /// Number of hosts that may draw on a shared budget, including this one.
     pub(crate) fn budget_host_count(&self) -> u64 {
         self.peers.lock().budget_host_count() + 1
--- a/crates/edge/tests/edge/settings.rs
+++ b/crates/edge/tests/edge/settings.rs
@@ -85,7 +85,7 @@
                 "listen_addrs.front" | "listen_addrs.ready" | "platform.address" => {
                     "\"127.0.0.1:8149\""
                 }
-                "limits.memory_mb" => number,
+                "limits.memory_mb" | "limits.max_fds" => number,
                 bound if bound.starts_with("bounds.") => number,
                 other => panic!("{other} has no value here"),
             }),
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -97,6 +97,7 @@
     ACCEPT_FAILED = 1005 "connection could not be accepted";
     LINES_DROPPED = 1006 "log lines dropped, limit per second exceeded";
     ADDRESS_IN_USE = 1007 "address to listen on is still in use";
+    CONNECTIONS_FULL = 1008 "connections closed at the limit of their number";
     LOG_UNREACHABLE = 1010 "platform log can't be read";
     LOG_REACHABLE = 1011 "platform log can be read again";
     LOG_RECORD_UNKNOWN = 1012 "record of a log stream could not be decoded";
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -5,7 +5,10 @@
         codec,
         message::{Body, Frame, Hello},
     },
-    crate::{event::events, web::listen},
+    crate::{
+        event::events,
+        web::{SocketBuffers, listen},
+    },
     bytes::Bytes,
     egret_core::{Time, hex_digest},
     futures::{SinkExt, StreamExt, future::BoxFuture},
@@ -39,7 +42,7 @@
     secret: String,
     handler: LinkHandler,
 ) -> std::io::Result<()> {
-    let listener = listen(address, None).await?;
+    let listener = listen(address, SocketBuffers::default()).await?;
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
--- /dev/null
+++ b/crates/runtime/src/web/connections.rs
@@ -0,0 +1,127 @@
+//! Open connections of a listener, whose number has a limit.
+
+use {
+    crate::{clock::now, event::events},
+    egret_core::{ConnectionDecision, ConnectionLimit, Time},
+    indexmap::IndexMap,
+    nix::sys::resource::{Resource, getrlimit},
+    parking_lot::Mutex,
+    std::sync::Arc,
+    tokio::sync::Notify,
+};
+
+/// Shortest time between two log lines about the limit, in milliseconds.
+const LOG_PAUSE_MS: u64 = 1000;
+
+/// Number of descriptors that this process may open, as the system states it.
+#[must_use]
+pub fn descriptors_max() -> u64 {
+    getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft)
+}
+
+#[derive(Debug)]
+struct State {
+    limit: ConnectionLimit,
+    // notified to close a connection
+    cuts: IndexMap<u64, Arc<Notify>>,
+    closed_total: u64,
+    next_log_at: Time,
+}
+
+/// The open connections of a listener.
+#[derive(Debug)]
+pub struct Connections {
+    listener: &'static str,
+    max: usize,
+    state: Mutex<State>,
+}
+
+/// The place of a connection, until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionPlace {
+    connections: Arc<Connections>,
+    id: u64,
+    cut: Arc<Notify>,
+}
+
+impl Connections {
+    /// Allows `max` connections to the listener with this name.
+    #[must_use]
+    pub fn new(listener: &'static str, max: usize) -> Arc<Self> {
+        let limit = ConnectionLimit::new(max);
+        let (cuts, next_log_at) = (IndexMap::new(), Time::ZERO);
+        let state = Mutex::new(State { limit, cuts, closed_total: 0, next_log_at });
+        Arc::new(Self { listener, max, state })
+    }
+
+    /// Number of open connections.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.state.lock().limit.count()
+    }
+
+    /// Number of connections that were closed because of the limit.
+    #[must_use]
+    pub fn closed_total(&self) -> u64 {
+        self.state.lock().closed_total
+    }
+
+    /// Takes a place for a new connection, also that of the one that has waited longest for its client.
+    /// None if the new one is to be closed.
+    #[must_use]
+    pub fn open(self: &Arc<Self>) -> Option<ConnectionPlace> {
+        let cut = Arc::new(Notify::new());
+        let (opened, log_total) = {
+            let mut state = self.state.lock();
+            let (opened, is_full) = match state.limit.open(now()) {
+                ConnectionDecision::Open(id) => (Some(id), false),
+                ConnectionDecision::Replace { opened, closed } => {
+                    if let Some(cut) = state.cuts.swap_remove(&closed) {
+                        cut.notify_one();
+                    }
+                    (Some(opened), true)
+                }
+                ConnectionDecision::Refuse => (None, true),
+            };
+            if let Some(id) = opened {
+                state.cuts.insert(id, cut.clone());
+            }
+            state.closed_total += u64::from(is_full);
+            let is_logged = is_full && now() >= state.next_log_at;
+            if is_logged {
+                state.next_log_at = now().after_ms(LOG_PAUSE_MS);
+            }
+            (opened, is_logged.then_some(state.closed_total))
+        };
+        if let Some(total) = log_total {
+            events::CONNECTIONS_FULL
+                .warn(format_args!("listener={} limit={} closed={total}", self.listener, self.max));
+        }
+        opened.map(|id| ConnectionPlace { connections: self.clone(), id, cut })
+    }
+}
+
+impl ConnectionPlace {
+    /// Records that the client has sent a part of a request, or that its answer has ended.
+    pub fn record_wait(&self) {
+        self.connections.state.lock().limit.record_wait(now(), self.id);
+    }
+
+    /// Records that a request has arrived completely. The connection keeps its place until its answer ends.
+    pub fn record_request(&self) {
+        self.connections.state.lock().limit.record_request(self.id);
+    }
+
+    /// Waits until the connection is to be closed for another one.
+    pub async fn wait_until_cut(&self) {
+        self.cut.notified().await;
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        let mut state = self.connections.state.lock();
+        state.limit.close(self.id);
+        state.cuts.swap_remove(&self.id);
+    }
+}
--- a/crates/runtime/src/web/linger.rs
+++ b/crates/runtime/src/web/linger.rs
@@ -8,6 +8,7 @@
 //! the system when the process is killed, since it would look whole otherwise.
 
 use {
+    super::connections::ConnectionPlace,
     std::{
         io,
         pin::Pin,
@@ -68,13 +69,20 @@
     resets: bool,
     is_shut_down: bool,
     peer_has_closed: bool,
+    // also while its input is discarded
+    place: Arc<ConnectionPlace>,
 }
 
 impl LingeringStream {
-    /// Wraps a connection that was accepted.
+    /// Wraps a connection that was accepted and has this place among those of its listener.
     #[must_use]
-    pub fn new(stream: TcpStream, ends_with_connection: EndsWithConnection) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        ends_with_connection: EndsWithConnection,
+        place: Arc<ConnectionPlace>,
+    ) -> Self {
         Self {
+            place,
             stream: Some(stream),
             ends_with_connection,
             resets: false,
@@ -169,12 +177,17 @@
         if !self.is_shut_down || self.peer_has_closed {
             return;
         }
-        let Some(place) = LingerPlace::take() else {
+        let Some(linger_place) = LingerPlace::take() else {
             return;
         };
+        let place = self.place.clone();
         runtime.spawn(async move {
-            let _ = tokio::time::timeout(LINGER_TIME, discard_input(stream)).await;
-            drop(place);
+            let discard = tokio::time::timeout(LINGER_TIME, discard_input(stream));
+            tokio::select! {
+                _ = discard => {}
+                () = place.wait_until_cut() => {}
+            }
+            drop(linger_place);
         });
     }
 }
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -3,6 +3,7 @@
 mod bodies;
 mod client;
 mod conn;
+mod connections;
 mod linger;
 mod listen;
 mod pieces;
@@ -13,8 +14,9 @@
     bodies::{BodyBounds, BodyMemory, BodyReadError, RequestBodies},
     client::{CallError, ENGINE_ECHO_HEADERS, HttpClient, Reply, with_deadline},
     conn::{Conn, ConnPool, HttpError, read_incoming},
+    connections::{ConnectionPlace, Connections, descriptors_max},
     linger::{EndsWithConnection, LingeringStream, lingering_connections},
-    listen::listen,
+    listen::{SocketBuffers, listen},
     pieces::Pieces,
     response::{ErrorResponse, error_json, json_response, text_response},
     server::{read_limited, serve_http},
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
+        connections::{ConnectionPlace, Connections},
         linger::{EndsWithConnection, LingeringStream, lingering_connections},
-        listen::listen,
+        listen::{SocketBuffers, listen},
     },
     bytes::{Bytes, BytesMut},
     futures::future::BoxFuture,
@@ -11,7 +12,7 @@
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{convert::Infallible, net::SocketAddr, pin::pin, time::Duration},
+    std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     thiserror::Error,
     tokio::{
         net::TcpStream,
@@ -79,7 +80,8 @@
     H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
     D: FnOnce() -> BoxFuture<'static, ()> + Send + 'static,
 {
-    let listener = listen(address, None).await?;
+    let listener = listen(address, SocketBuffers::default()).await?;
+    let connections = Connections::new("http", usize::MAX);
     let (closing_tx, closing) = watch::channel(false);
     let mut conns = JoinSet::new();
     let mut stop = pin!(async {
@@ -95,7 +97,10 @@
             }
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
-                    conns.spawn(serve_connection(stream, peer, handler.clone(), closing.clone()));
+                    if let Some(place) = connections.open() {
+                        let (handler, closing) = (handler.clone(), closing.clone());
+                        conns.spawn(serve_connection(stream, peer, place, handler, closing));
+                    }
                 }
                 // file descriptors may have run out
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -131,6 +136,7 @@
 async fn serve_connection<H>(
     stream: TcpStream,
     peer: SocketAddr,
+    place: ConnectionPlace,
     handler: H,
     mut closing: watch::Receiver<bool>,
 ) where
@@ -144,7 +150,9 @@
         let answer = handler(Address::from(peer), req.map(Body::from_incoming));
         async move { Ok::<Response, Infallible>(answer.await) }
     });
-    let io = TokioIo::new(LingeringStream::new(stream, ends_with_connection.clone()));
+    let place = Arc::new(place);
+    let stream = LingeringStream::new(stream, ends_with_connection.clone(), place);
+    let io = TokioIo::new(stream);
     let mut conn = pin!(http1::Builder::new().serve_connection(io, service));
     let is_closing = async move {
         // an error means that the server has ended
