edge: readiness checks and metrics have few connections with small buffers

A host ended when clients opened connections to its listeners for readiness checks or metrics and sent heads without end: hyper reads up to 417,792 bytes of a head, and the number of connections had no limit. 300 clients took 132,428 KB and 14,128 KB unread.

Change: 64 connections for readiness checks and 16 for metrics, under the rule of callers' connections (the one that has waited longest makes way); heads of 8 KB at most; hyper's time limit for heads (30 s), which had no timer; receive buffers that do not grow.

--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -11,7 +11,8 @@
     },
     bytes::Bytes,
     egret_runtime::{
-        ConnectionPlace, EndsWithConnection, LingeringStream, SocketBuffers, events, listen,
+        ConnectionPlace, Connections, EndsWithConnection, LingeringStream, SocketBuffers, events,
+        listen,
     },
     http::{HeaderValue, Request, StatusCode, Version, header},
     http_body_util::BodyExt,
@@ -33,6 +34,15 @@
 const CALLER_BUFFERS: SocketBuffers =
     SocketBuffers { send: Some(128 * 1024), receive: Some(32 * 1024) };
 
+/// Connections for readiness checks at the same time.
+const READINESS_CONNECTIONS_MAX: usize = 64;
+
+/// Connections of metrics collectors at the same time. Each may hold an answer of some hundred kilobytes.
+const METRICS_CONNECTIONS_MAX: usize = 16;
+
+/// Buffers of the system for those connections.
+const CHECK_BUFFERS: SocketBuffers = SocketBuffers { send: None, receive: Some(16 * 1024) };
+
 /// Pause after a failed accept, since file descriptors may have run out.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -52,8 +62,8 @@
     let addresses = &edge.cfg.listen;
     Ok(Listeners {
         callers: listen(addresses.callers, CALLER_BUFFERS).await?,
-        readiness: listen(addresses.ready, SocketBuffers::default()).await?,
-        metrics: listen(addresses.metrics, SocketBuffers::default()).await?,
+        readiness: listen(addresses.ready, CHECK_BUFFERS).await?,
+        metrics: listen(addresses.metrics, CHECK_BUFFERS).await?,
     })
 }
 
@@ -74,16 +84,22 @@
         }
     });
     let state = edge.clone();
+    let checks = Connections::new("ready", READINESS_CONNECTIONS_MAX);
     tokio::spawn(accept_all(listeners.readiness, move |stream, _| {
-        let state = state.clone();
-        tokio::spawn(serve_simple(stream, move || readiness(&state)));
+        if let Some(place) = checks.open() {
+            let state = state.clone();
+            tokio::spawn(serve_simple(stream, place, move || readiness(&state)));
+        }
     }));
     let state = edge.clone();
+    let collectors = Connections::new("metrics", METRICS_CONNECTIONS_MAX);
     tokio::spawn(accept_all(listeners.metrics, move |stream, _| {
-        let state = state.clone();
-        tokio::spawn(serve_simple(stream, move || {
-            full_answer(StatusCode::OK, Bytes::from(state.metrics.render()))
-        }));
+        if let Some(place) = collectors.open() {
+            let state = state.clone();
+            tokio::spawn(serve_simple(stream, place, move || {
+                full_answer(StatusCode::OK, Bytes::from(state.metrics.render()))
+            }));
+        }
     }));
 }
 
@@ -104,13 +120,19 @@
     full_answer(status, Bytes::new())
 }
 
-async fn serve_simple(stream: TcpStream, answer: impl Fn() -> Answer) {
+async fn serve_simple(stream: TcpStream, place: ConnectionPlace, answer: impl Fn() -> Answer) {
     let service = service_fn(|_: Request<Incoming>| {
+        place.record_wait();
         let answer = answer();
         async move { Ok::<Answer, Infallible>(answer) }
     });
-    // an error means that the client has disconnected, which needs no handling
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).max_buf_size(BUF_BYTES_MIN);
+    tokio::select! {
+        // an error means that the client has disconnected, which needs no handling
+        _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+        () = place.wait_until_cut() => {}
+    }
 }
 
 async fn serve_caller(
