links: a peer that has not said hello sends little, and few such peers wait

A host ended when clients opened connections to its listener for links: the first frame may have had 16 MB before the peer had said who it is, and connections without a first frame took all descriptors for 2 s each. 20 clients took 285,780 KB and 50,335 KB unread; 1,200 without a frame 1,024 descriptors of 1,024.

Change: 16 KB at most until the hello; 256 connections without a hello, of which the one that has waited longest makes way for a new one. Frames of known peers are as before.

Open: on edge hosts any peer may say hello, as they share no secret, and then send frames of 16 MB; the port is for the hosts of the system alone.

--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        codec,
+        FRAME_BYTES_MAX, codec,
         message::{Body, Frame, Hello},
     },
     crate::{
         event::events,
-        web::{SocketBuffers, listen},
+        web::{ConnectionPlace, Connections, SocketBuffers, listen},
     },
     bytes::Bytes,
     egret_core::{Time, hex_digest},
@@ -24,6 +24,13 @@
 /// Timeout for the hello of a new connection, in milliseconds.
 const HELLO_TIMEOUT_MS: u64 = 2000;
 
+/// Connections that have not said hello at the same time. A new one takes the place of the one that has
+/// waited longest.
+const UNKNOWN_PEERS_MAX: usize = 256;
+
+/// Size limit of the hello, in bytes.
+const HELLO_BYTES_MAX: usize = 16 * 1024;
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -43,6 +50,7 @@
     handler: LinkHandler,
 ) -> std::io::Result<()> {
     let listener = listen(address, SocketBuffers::default()).await?;
+    let unknown_peers = Connections::new("links", UNKNOWN_PEERS_MAX);
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -53,9 +61,12 @@
                 continue;
             }
         };
+        let Some(place) = unknown_peers.open() else {
+            continue;
+        };
         let (secret, handler) = (secret.clone(), handler.clone());
         tokio::spawn(async move {
-            if let Err(problem) = serve_link(stream, &secret, handler).await {
+            if let Err(problem) = serve_link(stream, place, &secret, handler).await {
                 events::LINK_REFUSED.warn(format_args!("peer={peer} {problem}"));
             }
         });
@@ -64,15 +75,22 @@
 
 async fn serve_link(
     stream: TcpStream,
+    place: ConnectionPlace,
     secret: &str,
     handler: LinkHandler,
 ) -> Result<(), &'static str> {
     stream.set_nodelay(true).map_err(|_| "connection lost")?;
     let (read, write) = stream.into_split();
     let mut source = FramedRead::new(read, codec());
+    source.decoder_mut().set_max_frame_length(HELLO_BYTES_MAX);
     let mut sink = FramedWrite::new(write, codec());
     let hello_deadline = crate::now().after_ms(HELLO_TIMEOUT_MS);
-    let (id, hello) = read_hello(&mut source, secret, hello_deadline).await?;
+    let (id, hello) = tokio::select! {
+        hello = read_hello(&mut source, secret, hello_deadline) => hello?,
+        () = place.wait_until_cut() => return Err("too many connections without a hello"),
+    };
+    drop(place);
+    source.decoder_mut().set_max_frame_length(FRAME_BYTES_MAX);
     let (tx, mut rx) = mpsc::channel::<Frame>(WRITE_QUEUE_FRAMES);
     let welcome = Frame { id, body: Some(Body::Ok(Hello::default())) };
     tx.try_send(welcome).map_err(|_| "connection closed")?;
