edge: a body of which nothing comes for the idle timeout is refused

A caller that stopped within a body kept its connection, its place and its memory until the time limit of its request, which it names itself, up to that of the route.

Cause: only the deadline of the request ended the read of a body.

Measured: stopped_body_is_refused (idle timeout 1 s, request's time limit 60 s) had no answer within 20 s before, and has its 408 now; a body of 20 bytes with ten pauses of half the limit is served.

--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -37,6 +37,9 @@
 /// Longest time that is added to the retry delay of a caller for whom there was no place.
 const PLACE_RETRY_MAX_MS: u64 = 4000;
 
+/// Time beyond the idle timeout known to callers for which a body may pause.
+const BODY_PAUSE_MARGIN_MS: u64 = 2000;
+
 /// Timeout of a caller that states no deadline. It is high, so that the route's timeout is the
 /// limit.
 const DEFAULT_TIMEOUT_MS: u64 = 600_000;
@@ -325,7 +328,7 @@
     let caller_bounds = edge.routing().bounds;
     let bounds = BodyBounds {
         bytes_max: caller_bounds.body_bytes,
-        pause_ms: u64::MAX,
+        pause_ms: caller_bounds.idle_ms + BODY_PAUSE_MARGIN_MS,
         slow_at: arrived.after_ms(caller_bounds.head_ms).min(deadline),
         deadline,
     };
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -21,6 +21,7 @@
 mod routes;
 mod settings;
 mod silence;
+mod slow_bodies;
 mod slow_readers;
 mod spread;
 mod stops;
