entry, keeper: bodies share memory that has a limit, connections are bounded

An entry ended when callers sent many bodies of legal size and stopped short of their end, and entries and keepers found no descriptors while clients held connections that sent nothing: the same cause as at edge hosts. Only the number of requests was bounded, 2,000, and each might hold a body that grew by doubling; nothing ended a body that did not come; heads might have 417,792 bytes and took as long as they liked.

Change: an entry reads bodies as an edge host does (RequestBodies), into an eighth of limits.memory_mb (512), and for limits.body_ms (30,000) at most; 408, or 503 with outcome not_run. The HTTP server of entries and keepers takes a number of connections under the same rule as callers' connections of an edge host, heads of 16 KB, and receive buffers that do not grow. The part of a crowd's client that other tests need is in egret-scenarios now, and the wrapper of answers in egret-runtime.

--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -2,7 +2,7 @@
 
 use {
     egret_core::{AllowanceBounds, Fencing, RetryBounds, Time},
-    egret_runtime::{LogSettings, descriptors_max},
+    egret_runtime::{LogSettings, client_connections_max},
     faststr::FastStr,
     serde::{Deserialize, Deserializer, de::Error},
     std::net::SocketAddr,
@@ -260,17 +260,6 @@
 /// Memory that a host has if its settings do not state it, in megabytes.
 const HOST_MB_DEFAULT: u64 = 512;
 
-/// Callers' connections for each megabyte of the host's memory. One takes up to 32 KB beside bodies and
-/// answers, so all of them take a quarter of the memory.
-const CALLER_CONNECTIONS_PER_MB: u64 = 8;
-
-/// Descriptors that are left to files.
-const FILE_DESCRIPTORS: u64 = 200;
-
-/// Part of the other descriptors that callers' connections may take. The rest is for targets, other hosts, the
-/// store, and the other listeners.
-const CALLER_DESCRIPTOR_PARTS: u64 = 2;
-
 impl Settings {
     /// Memory of the host, in megabytes, by which what callers send is limited.
     #[must_use]
@@ -282,11 +271,7 @@
     /// and the system allow.
     #[must_use]
     pub fn caller_connections_max(&self) -> usize {
-        let stated = self.descriptors.map_or(u64::MAX, |descriptors| descriptors.process_max);
-        let sockets = stated.min(descriptors_max()).saturating_sub(FILE_DESCRIPTORS);
-        let by_memory = self.host_mb().saturating_mul(CALLER_CONNECTIONS_PER_MB);
-        let max = by_memory.min(sockets / CALLER_DESCRIPTOR_PARTS);
-        usize::try_from(max).unwrap_or(usize::MAX)
+        client_connections_max(self.host_mb(), self.descriptors.map(|stated| stated.process_max))
     }
 
     /// Milliseconds after which no request may be sent with a key that was revoked; none if requests
--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -1,21 +1,18 @@
 //! Listeners and connections.
 
 use {
-    super::{
-        answer::{Answer, full_answer},
-        answer_body::AnswerBody,
-    },
+    super::answer::{Answer, BodyError, full_answer},
     crate::{
         dispatch::{self, CutCaller},
         state::{CallerConnection, Edge},
     },
     bytes::Bytes,
     egret_runtime::{
-        ConnectionPlace, Connections, EndsWithConnection, LingeringStream, SocketBuffers, events,
-        listen,
+        AnswerBody, ConnectionPlace, Connections, EndsWithConnection, LingeringStream,
+        SocketBuffers, events, listen,
     },
-    http::{HeaderValue, Request, StatusCode, Version, header},
-    http_body_util::BodyExt,
+    http::{HeaderValue, Request, Response, StatusCode, Version, header},
+    http_body_util::combinators::UnsyncBoxBody,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
@@ -46,6 +43,9 @@
 /// Pause after a failed accept, since file descriptors may have run out.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// An answer on a caller's connection.
+type CallerAnswer = Response<AnswerBody<UnsyncBoxBody<Bytes, BodyError>>>;
+
 /// Bound listeners.
 pub(crate) struct Listeners {
     callers: TcpListener,
@@ -165,7 +165,7 @@
         let place = place.clone();
         async move {
             let answer = serve_request(edge, req, peer).await;
-            Ok::<Answer, Infallible>(answer.map(|body| AnswerBody::new(body, place).boxed_unsync()))
+            Ok::<CallerAnswer, Infallible>(answer.map(|body| AnswerBody::new(body, place)))
         }
     });
     let stream = LingeringStream::new(stream, ends_with_connection.clone(), place.clone());
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -2,7 +2,6 @@
 
 mod accept;
 mod answer;
-mod answer_body;
 
 pub(crate) use {
     accept::{bind, start},
--- a/crates/edge/tests/crowds/bodies.rs
+++ b/crates/edge/tests/crowds/bodies.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        crowd::{Scene, Sent, request_head},
+        crowd::{Scene, request_head},
         support::request,
     },
+    egret_scenarios::Sent,
     egret_standin::platform::TargetFault,
     http::Method,
     http_body_util::Full,
--- a/crates/edge/tests/crowds/heads.rs
+++ b/crates/edge/tests/crowds/heads.rs
@@ -1,7 +1,8 @@
 //! Heads that do not end, and requests that are sent before earlier ones are answered.
 
 use {
-    crate::crowd::{Scene, Sent, request_head},
+    crate::crowd::{Scene, request_head},
+    egret_scenarios::Sent,
     egret_standin::platform::TargetFault,
 };
 
--- a/crates/edge/tests/crowds/listeners.rs
+++ b/crates/edge/tests/crowds/listeners.rs
@@ -1,6 +1,6 @@
 //! Crowds at the listeners for readiness checks, metrics and links.
 
-use crate::crowd::{Scene, Sent};
+use {crate::crowd::Scene, egret_scenarios::Sent};
 
 const BODY_MAX: usize = 65_536;
 
--- a/crates/entry/src/completions/handler.rs
+++ b/crates/entry/src/completions/handler.rs
@@ -6,14 +6,15 @@
         parse::{Endpoint, ModelRequest, RequestError, identify_caller, parse_request},
     },
     crate::{
+        request_body::read_body,
         responses::{count_answer, error_response, set_headers},
         state::{AdmissionGuard, Entry},
     },
     egret_core::{AttemptDecision, Outcome, Reason, RequestAttempts, RunPolicy},
-    egret_runtime::{ErrorResponse, events, now, read_limited},
+    egret_runtime::{ErrorResponse, events, now},
     faststr::FastStr,
     futures::StreamExt,
-    http::{HeaderMap, HeaderName, StatusCode, header},
+    http::{HeaderName, StatusCode, header, request::Parts},
     http_body_util::StreamBody,
     std::{sync::Arc, time::Duration},
     volo_http::{body::Body, request::Request, response::Response},
@@ -32,8 +33,7 @@
     let request_id = entry.new_request_id();
     let (head, body) = req.into_parts();
     let caller = identify_caller(&head.headers, &peer);
-    let response =
-        handle_request(&entry, endpoint, &request_id, &caller, &head.headers, body).await;
+    let response = handle_request(&entry, endpoint, &request_id, &caller, &head, body).await;
     response.unwrap_or_else(|answer| error_response(&entry, answer))
 }
 
@@ -42,7 +42,7 @@
     endpoint: Endpoint,
     request_id: &FastStr,
     caller: &FastStr,
-    headers: &HeaderMap,
+    head: &Parts,
     body: Body,
 ) -> Result<Response, ErrorResponse> {
     let refusal = |status, reason, message: &str, retry_after_ms| ErrorResponse {
@@ -67,11 +67,10 @@
         let status = StatusCode::TOO_MANY_REQUESTS;
         return Err(refusal(status, Reason::CallerLimit, message, Some(RETRY_AFTER_MS)));
     };
-    let read = read_limited(body, entry.cfg.limits.body_bytes).await;
-    let body = read.map_err(|e| {
-        refusal(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge, &e.to_string(), None)
-    })?;
-    let parsed = parse_request(entry, endpoint, headers, &body);
+    let (body, _memory) = read_body(entry, &head.extensions, body, request_id).await?;
+    let parsed = parse_request(entry, endpoint, &head.headers, &body);
+    // the parsed request has a copy
+    drop(body);
     let req = parsed.map_err(|RequestError { status, reason, message }| {
         refusal(status, reason, &message, None)
     })?;
--- a/crates/entry/src/conf.rs
+++ b/crates/entry/src/conf.rs
@@ -50,6 +50,11 @@
 pub struct LimitSettings {
     /// Size limit of a request body, in bytes.
     pub body_bytes: usize,
+    /// Longest time to send a body, in milliseconds.
+    pub body_ms: u64,
+    /// Memory of the host, in megabytes. The bodies of requests take an eighth of it, callers' connections
+    /// a quarter.
+    pub memory_mb: u64,
     /// Limit of open requests.
     pub requests: u32,
     /// Limit of open requests per caller.
@@ -58,7 +63,13 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { body_bytes: 1024 * 1024, requests: 2000, caller_requests: 1000 }
+        Self {
+            body_bytes: 1024 * 1024,
+            body_ms: 30_000,
+            memory_mb: 512,
+            requests: 2000,
+            caller_requests: 1000,
+        }
     }
 }
 
@@ -161,6 +172,8 @@
         require(!self.host.is_empty(), "host", "must be the host's name in the host list");
         require(!self.secret.is_empty(), "secret", "must not be empty");
         require(self.limits.body_bytes >= 1024, "limits.body_bytes", "must be at least 1024");
+        require(self.limits.body_ms >= 1000, "limits.body_ms", "must be at least 1000");
+        require(self.limits.memory_mb >= 32, "limits.memory_mb", "must be at least 32");
         require(self.limits.requests >= 1, "limits.requests", "must be at least 1");
         require(self.limits.caller_requests >= 1, "limits.caller_requests", "must be at least 1");
         require(self.times.silence_ms >= 100, "times.silence_ms", "must be at least 100");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod completions;
 mod conf;
 mod keepers;
+mod request_body;
 mod responses;
 mod services;
 mod state;
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -7,11 +7,12 @@
     },
     crate::{
         completions::identify_caller,
+        request_body::read_body,
         responses::{count_answer, error_response, set_headers},
         state::{AdmissionGuard, Entry},
     },
     egret_core::{AttemptDecision, AttemptEnd, Outcome, Reason, RequestAttempts},
-    egret_runtime::{ErrorResponse, Reply, events, now, read_limited},
+    egret_runtime::{ErrorResponse, Reply, events, now},
     faststr::FastStr,
     http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
     std::{sync::Arc, time::Duration},
@@ -70,12 +71,10 @@
         let answer = refusal(status, Reason::CallerLimit, message, Some(RETRY_AFTER_MS));
         return error_response(&entry, verify_refusal(&entry, &keyed_request, answer).await);
     };
-    let body = match read_limited(body, entry.cfg.limits.body_bytes).await {
-        Ok(body) => body,
-        Err(e) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return error_response(&entry, refusal(status, Reason::TooLarge, &e.to_string(), None));
-        }
+    let read = read_body(&entry, &head.extensions, body, &request_id).await;
+    let (body, _memory) = match read {
+        Ok(read) => read,
+        Err(answer) => return error_response(&entry, answer),
     };
     let config = entry.config.current();
     let Some(targets) = ranked_targets(&entry, &config, &keyed_request.service, &request_id) else {
--- a/crates/entry/src/web.rs
+++ b/crates/entry/src/web.rs
@@ -8,7 +8,10 @@
         status,
     },
     egret_core::{Outcome, Reason},
-    egret_runtime::{ErrorResponse, events, json_response, serve_http, text_response},
+    egret_runtime::{
+        ErrorResponse, HttpLimits, client_connections_max, events, json_response, serve_http,
+        text_response,
+    },
     http::{HeaderValue, Method, StatusCode, header},
     serde_json::{Value, json},
     std::{sync::Arc, time::Duration},
@@ -27,7 +30,9 @@
         let entry = shared.clone();
         Box::pin(async move { handle_request(entry, &peer, req).await }) as _
     };
-    serve_http(address, handler, move || Box::pin(drain(entry))).await
+    let limits =
+        HttpLimits { connections: client_connections_max(entry.cfg.limits.memory_mb, None) };
+    serve_http(address, limits, handler, move || Box::pin(drain(entry))).await
 }
 
 /// Refuses new requests and waits, without a time limit, until no request is open.
--- a/crates/keeper/src/web.rs
+++ b/crates/keeper/src/web.rs
@@ -2,13 +2,16 @@
 
 use {
     crate::{ownership, state::Keeper, status},
-    egret_runtime::{events, json_response, serve_http, text_response},
+    egret_runtime::{HttpLimits, events, json_response, serve_http, text_response},
     http::StatusCode,
     serde_json::json,
     std::sync::Arc,
     volo_http::{request::Request, response::Response},
 };
 
+/// Connections of operators and checks at the same time.
+const CONNECTIONS_MAX: usize = 64;
+
 /// Time that other keepers have to take over at a stop, in milliseconds.
 const HAND_OVER_TIMEOUT_MS: u64 = 15_000;
 
@@ -20,7 +23,8 @@
         let keeper = shared.clone();
         Box::pin(async move { handle_request(&keeper, &req) }) as _
     };
-    serve_http(address, handler, move || Box::pin(hand_over_and_stop(keeper))).await
+    let limits = HttpLimits { connections: CONNECTIONS_MAX };
+    serve_http(address, limits, handler, move || Box::pin(hand_over_and_stop(keeper))).await
 }
 
 async fn hand_over_and_stop(keeper: Arc<Keeper>) {
--- a/crates/edge/src/server/answer_body.rs
+++ b/crates/runtime/src/web/answer_body.rs
@@ -1,11 +1,9 @@
-//! Body of an answer, whose connection waits for its caller once it has ended.
+//! Body of an answer, whose connection waits for its client once it has ended.
 
 use {
-    super::answer::BodyError,
+    super::connections::ConnectionPlace,
     bytes::Bytes,
-    egret_runtime::ConnectionPlace,
     http_body::{Body, Frame, SizeHint},
-    http_body_util::combinators::UnsyncBoxBody,
     std::{
         pin::Pin,
         sync::Arc,
@@ -13,32 +11,35 @@
     },
 };
 
-/// Body of an answer on a caller's connection.
-pub(super) struct AnswerBody {
-    body: UnsyncBoxBody<Bytes, BodyError>,
+/// Body of an answer on a connection that has a place.
+#[derive(Debug)]
+pub struct AnswerBody<B> {
+    body: B,
     place: Arc<ConnectionPlace>,
 }
 
-impl AnswerBody {
-    pub(super) fn new(body: UnsyncBoxBody<Bytes, BodyError>, place: Arc<ConnectionPlace>) -> Self {
+impl<B> AnswerBody<B> {
+    /// The body of an answer on the connection with this place.
+    #[must_use]
+    pub fn new(body: B, place: Arc<ConnectionPlace>) -> Self {
         Self { body, place }
     }
 }
 
-impl Drop for AnswerBody {
+impl<B> Drop for AnswerBody<B> {
     fn drop(&mut self) {
         self.place.record_wait();
     }
 }
 
-impl Body for AnswerBody {
+impl<B: Body<Data = Bytes> + Unpin> Body for AnswerBody<B> {
     type Data = Bytes;
-    type Error = BodyError;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/runtime/src/web/connections.rs
+++ b/crates/runtime/src/web/connections.rs
@@ -13,10 +13,26 @@
 /// Shortest time between two log lines about the limit, in milliseconds.
 const LOG_PAUSE_MS: u64 = 1000;
 
-/// Number of descriptors that this process may open, as the system states it.
+/// Clients' connections for each megabyte of a host's memory. One takes up to 32 KB beside bodies and
+/// answers, so all of them take a quarter of the memory.
+const CONNECTIONS_PER_MB: u64 = 8;
+
+/// Descriptors that are left to files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Part of the other descriptors that clients' connections may take. The rest is for connections that this
+/// process opens itself, and for other listeners.
+const DESCRIPTOR_PARTS: u64 = 2;
+
+/// Largest number of clients' connections on a host with this memory, in megabytes. The settings and the
+/// system each may limit the descriptors of the process.
 #[must_use]
-pub fn descriptors_max() -> u64 {
-    getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft)
+pub fn client_connections_max(host_mb: u64, stated_descriptors: Option<u64>) -> usize {
+    let system = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
+    let descriptors = stated_descriptors.unwrap_or(u64::MAX).min(system);
+    let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTOR_PARTS;
+    let max = host_mb.saturating_mul(CONNECTIONS_PER_MB).min(by_descriptors);
+    usize::try_from(max).unwrap_or(usize::MAX)
 }
 
 #[derive(Debug)]
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server, responses, clients and connections, built on volo-http and hyper.
 
+mod answer_body;
 mod bodies;
 mod client;
 mod conn;
@@ -11,13 +12,14 @@
 mod server;
 
 pub use {
+    answer_body::AnswerBody,
     bodies::{BodyBounds, BodyMemory, BodyReadError, RequestBodies},
     client::{CallError, ENGINE_ECHO_HEADERS, HttpClient, Reply, with_deadline},
     conn::{Conn, ConnPool, HttpError, read_incoming},
-    connections::{ConnectionPlace, Connections, descriptors_max},
+    connections::{ConnectionPlace, Connections, client_connections_max},
     linger::{EndsWithConnection, LingeringStream, lingering_connections},
     listen::{SocketBuffers, listen},
     pieces::Pieces,
     response::{ErrorResponse, error_json, json_response, text_response},
-    server::{read_limited, serve_http},
+    server::{HttpLimits, read_limited, serve_http},
 };
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        answer_body::AnswerBody,
         connections::{ConnectionPlace, Connections},
         linger::{EndsWithConnection, LingeringStream, lingering_connections},
         listen::{SocketBuffers, listen},
@@ -11,7 +12,7 @@
     http::Version,
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::TokioIo,
+    hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     thiserror::Error,
     tokio::{
@@ -24,6 +25,13 @@
     volo_http::{body::Body, request::Request, response::Response},
 };
 
+/// Largest head of a request, in bytes.
+const HEAD_BYTES_MAX: usize = 16 * 1024;
+
+/// Buffers of the system for each client. Those for received bytes do not grow, since a client may send
+/// while its request is served and nothing is read.
+const CLIENT_BUFFERS: SocketBuffers = SocketBuffers { send: None, receive: Some(32 * 1024) };
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -68,6 +76,13 @@
     Ok(bytes.freeze())
 }
 
+/// Limits on what clients of a server may make it hold.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Open connections. At the limit, the one that has waited longest for its client makes way.
+    pub connections: usize,
+}
+
 /// Serves HTTP on `address` until SIGTERM, SIGINT or SIGHUP. The handler gets the peer's address and
 /// the request. On the signal `drain` runs while the server still answers requests; once it
 /// returns, connections are closed after their open requests.
@@ -75,13 +90,18 @@
 /// # Errors
 ///
 /// When the address can't be bound.
-pub async fn serve_http<H, D>(address: SocketAddr, handler: H, drain: D) -> std::io::Result<()>
+pub async fn serve_http<H, D>(
+    address: SocketAddr,
+    limits: HttpLimits,
+    handler: H,
+    drain: D,
+) -> std::io::Result<()>
 where
     H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
     D: FnOnce() -> BoxFuture<'static, ()> + Send + 'static,
 {
-    let listener = listen(address, SocketBuffers::default()).await?;
-    let connections = Connections::new("http", usize::MAX);
+    let listener = listen(address, CLIENT_BUFFERS).await?;
+    let connections = Connections::new("http", limits.connections);
     let (closing_tx, closing) = watch::channel(false);
     let mut conns = JoinSet::new();
     let mut stop = pin!(async {
@@ -143,17 +163,24 @@
     H: Fn(Address, Request) -> BoxFuture<'static, Response>,
 {
     let ends_with_connection = EndsWithConnection::default();
-    let service = service_fn(|req: http::Request<Incoming>| {
+    let place = Arc::new(place);
+    let service = service_fn(|mut req: http::Request<Incoming>| {
         if req.version() == Version::HTTP_10 {
             ends_with_connection.set();
         }
+        req.extensions_mut().insert(place.clone());
+        let place = place.clone();
         let answer = handler(Address::from(peer), req.map(Body::from_incoming));
-        async move { Ok::<Response, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|body| AnswerBody::new(body, place)))
+        }
     });
-    let place = Arc::new(place);
-    let stream = LingeringStream::new(stream, ends_with_connection.clone(), place);
-    let io = TokioIo::new(stream);
-    let mut conn = pin!(http1::Builder::new().serve_connection(io, service));
+    let stream = LingeringStream::new(stream, ends_with_connection.clone(), place.clone());
+    let mut builder = http1::Builder::new();
+    // hyper's time limit for a head needs a timer
+    builder.timer(TokioTimer::new()).max_buf_size(HEAD_BYTES_MAX);
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let is_closing = async move {
         // an error means that the server has ended
         let _ = closing.wait_for(|closing| *closing).await;
@@ -161,6 +188,7 @@
     // errors of a peer's connection need no handling
     tokio::select! {
         _ = conn.as_mut() => {}
+        () = place.wait_until_cut() => {}
         () = is_closing => {
             conn.as_mut().graceful_shutdown();
             let _ = conn.await;
--- a/crates/runtime/tests/early_answers.rs
+++ b/crates/runtime/tests/early_answers.rs
@@ -1,7 +1,7 @@
 //! Answers that are sent before the end of a request.
 
 use {
-    egret_runtime::{serve_http, text_response},
+    egret_runtime::{HttpLimits, serve_http, text_response},
     http::StatusCode,
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -20,7 +20,8 @@
     // refuses each request without reading its body
     let handler =
         |_, _| Box::pin(async { text_response(StatusCode::PAYLOAD_TOO_LARGE, "too large\n") }) as _;
-    tokio::spawn(serve_http(address, handler, || Box::pin(async {})));
+    let limits = HttpLimits { connections: 100 };
+    tokio::spawn(serve_http(address, limits, handler, || Box::pin(async {})));
     while TcpStream::connect(address).await.is_err() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- /dev/null
+++ b/crates/scenarios/tests/crowds.rs
@@ -0,0 +1,149 @@
+//! Crowds of clients that do not behave, at real entries and keepers.
+//!
+//! Whatever a crowd sends, the process lives, stays within the memory that it takes for its machine's and within
+//! its descriptors, and an entry answers an ordinary caller while the crowd is still connected.
+
+use {
+    egret_scenarios::{Deployment, DeploymentSpec, Holdings, Sent, send_crowd},
+    http::Method,
+    nix::sys::resource::{Resource, getrlimit, setrlimit},
+    parking_lot::Mutex,
+    serde_json::json,
+};
+
+/// Memory of the machine, in megabytes.
+const MACHINE_MB: u64 = 512;
+
+/// Descriptors of each process.
+const DESCRIPTORS: u64 = 1024;
+
+/// Descriptors that are reserved for files.
+const RESERVED_DESCRIPTORS: u64 = 200;
+
+/// Largest body that callers may send.
+const BODY_MAX: usize = 4 * 1024 * 1024;
+
+/// Crowds come one after another, so that a process has the processor for itself.
+static TURN: Mutex<()> = Mutex::new(());
+
+#[derive(Clone, Copy)]
+enum At {
+    Entry,
+    Keeper,
+    KeeperLinks,
+}
+
+// starts processes that may open so many descriptors; this process needs more for the crowd
+fn start() -> Deployment {
+    let spec = DeploymentSpec {
+        hosts: 1,
+        engines: 1,
+        entry_settings: format!("[limits]\nbody_bytes = {BODY_MAX}\n"),
+        ..DeploymentSpec::small()
+    };
+    let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).unwrap();
+    setrlimit(Resource::RLIMIT_NOFILE, DESCRIPTORS, hard).unwrap();
+    let d = Deployment::start(spec);
+    setrlimit(Resource::RLIMIT_NOFILE, soft.max(4 * DESCRIPTORS).min(hard), hard).unwrap();
+    d
+}
+
+fn check(at: At, count: usize, sent: impl Fn(usize) -> Sent) {
+    let _turn = TURN.lock();
+    let mut d = start();
+    let (name, address) = match at {
+        At::Entry => ("entry-1", d.layout.entry(0)),
+        At::Keeper => ("keeper-1", d.layout.keeper_http(0)),
+        At::KeeperLinks => ("keeper-1", d.layout.keeper_links(0)),
+    };
+    let process = d.process(name).id();
+    let holdings = d.block_on(async { Holdings::watch(process, address) });
+    let clients = d.block_on(async {
+        let clients = send_crowd(address, count, sent).await;
+        holdings.settle().await;
+        clients
+    });
+    check_process(&mut d, name, &holdings, "beside the crowd");
+    d.wait_until("an ordinary caller is answered", is_answered);
+    drop(clients);
+    d.block_on(holdings.settle());
+    check_process(&mut d, name, &holdings, "after the crowd");
+    d.wait_until("an ordinary caller is answered", is_answered);
+}
+
+fn check_process(d: &mut Deployment, name: &str, holdings: &Holdings, when: &str) {
+    let process = d.process(name);
+    assert!(process.is_running(), "{name} has ended {when}");
+    let (resident_kb, unread_kb) = (process.peak_memory_kb(), holdings.unread_kb());
+    let descriptors = holdings.descriptors();
+    println!("{when}: {resident_kb} KB, {unread_kb} KB unread, {descriptors} descriptors");
+    assert!(
+        resident_kb + unread_kb <= MACHINE_MB * 1024,
+        "{resident_kb} KB of memory and {unread_kb} KB unread {when}"
+    );
+    assert!(descriptors <= DESCRIPTORS - RESERVED_DESCRIPTORS, "{descriptors} descriptors {when}");
+}
+
+fn is_answered(d: &Deployment) -> bool {
+    let body = json!({ "model": "base/a1@1", "prompt": "p", "max_tokens": 2 });
+    let reply = d.send_json(Method::POST, d.layout.entry(0), "/v1/completions", &body);
+    reply.is_some_and(|reply| reply.status == 200) && d.keeper_status(0).is_some()
+}
+
+fn announced(path: &str, length: usize, sent: usize) -> Sent {
+    let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + sent, b' ');
+    Sent::whole(bytes)
+}
+
+fn endless_head() -> Sent {
+    let mut bytes = b"GET /healthz HTTP/1.1\r\nHost: x\r\nX-Filler: ".to_vec();
+    bytes.resize(400_000, b'x');
+    Sent::whole(bytes)
+}
+
+fn nothing() -> Sent {
+    Sent { write_bytes: 1, ..Sent::whole(Vec::new()) }
+}
+
+// Each caller might send a body, and their sum had no bound.
+#[test]
+fn entry_bodies_one_byte_short() {
+    let sent = announced("/v1/completions", BODY_MAX, BODY_MAX - 1);
+    check(At::Entry, 200, |_| sent.clone());
+}
+
+#[test]
+fn entry_service_bodies_one_byte_short() {
+    let sent = announced("/services/studio/x", BODY_MAX, BODY_MAX - 1);
+    check(At::Entry, 200, |_| sent.clone());
+}
+
+// Connections were accepted until there were no descriptors.
+#[test]
+fn entry_heads_without_end() {
+    let sent = endless_head();
+    check(At::Entry, 1200, |_| sent.clone());
+}
+
+#[test]
+fn entry_connections_without_request() {
+    check(At::Entry, 1200, |_| nothing());
+}
+
+#[test]
+fn keeper_heads_without_end() {
+    let sent = endless_head();
+    check(At::Keeper, 1200, |_| sent.clone());
+}
+
+#[test]
+fn keeper_connections_without_request() {
+    check(At::Keeper, 1200, |_| nothing());
+}
+
+#[test]
+fn keeper_links_without_first_frame() {
+    check(At::KeeperLinks, 1200, |_| nothing());
+}
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cli::RelayArgs,
-        server::{not_found, ok, read_json},
+        server::{STANDIN_LIMITS, not_found, ok, read_json},
     },
     egret_runtime::serve_http,
     http::Method,
@@ -88,7 +88,7 @@
             let relay = relay.clone();
             Box::pin(async move { relay.handle_request(req).await }) as _
         };
-        serve_http(args.control, control, || Box::pin(async {})).await
+        serve_http(args.control, STANDIN_LIMITS, control, || Box::pin(async {})).await
     })
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,7 +1,7 @@
 //! Shared by all stand-ins: a server that can crash, JSON requests and responses, fault counters.
 
 use {
-    egret_runtime::{json_response, read_limited, serve_http},
+    egret_runtime::{HttpLimits, json_response, read_limited, serve_http},
     futures::future::BoxFuture,
     http::StatusCode,
     serde::de::DeserializeOwned,
@@ -16,6 +16,9 @@
     volo_http::{body::Body, request::Request, response::Response},
 };
 
+/// A stand-in serves only the processes of its test.
+pub(crate) const STANDIN_LIMITS: HttpLimits = HttpLimits { connections: usize::MAX };
+
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Interval at which a crashed server looks for connections to break.
@@ -27,7 +30,7 @@
     H: Fn(Address, Request) -> BoxFuture<'static, Response> + Clone + Send + Sync + 'static,
 {
     let runtime = Runtime::new()?;
-    runtime.block_on(serve_http(address, handler, || Box::pin(async {})))
+    runtime.block_on(serve_http(address, STANDIN_LIMITS, handler, || Box::pin(async {})))
 }
 
 /// Serves until SIGTERM and simulates crashes. Each (re)start calls `start` with a notifier that
@@ -48,7 +51,7 @@
         let served = runtime.block_on(async {
             let handler = start(crash.clone());
             tokio::select! {
-                result = serve_http(address, handler, || Box::pin(async {})) => Some(result),
+                result = serve_http(address, STANDIN_LIMITS, handler, || Box::pin(async {})) => Some(result),
                 () = crash.notified() => None,
             }
         });
