Clients' connections take a third of the descriptors

A crowd of pipelined requests at a target that does not answer came to 818 descriptors of 824: each of the 412 callers' connections was served, and each request held a connection to the target. Half of the descriptors for clients leaves nothing for the other listeners, the store and other hosts, or for a second connection while a target is silent.

Change: a third. On a host of 120 MB and 3,075 descriptors 958 connections, as many as its memory allows; 1,333 on one of 260 MB and 4,200.

--- a/crates/runtime/src/web/connections.rs
+++ b/crates/runtime/src/web/connections.rs
@@ -20,9 +20,9 @@
 /// Descriptors that are left to files.
 const FILE_DESCRIPTORS: u64 = 200;
 
-/// Part of the other descriptors that clients' connections may take. The rest is for connections that this
-/// process opens itself, and for other listeners.
-const DESCRIPTOR_PARTS: u64 = 2;
+/// Part of the other descriptors that clients' connections may take. A request that is served may take a
+/// connection to its target as well, and a second one while that is silent.
+const DESCRIPTOR_PARTS: u64 = 3;
 
 /// Largest number of clients' connections on a host with this memory, in megabytes. The settings and the
 /// system each may limit the descriptors of the process.
