edge: error answers of engines count for the memory of held answers

A host ended when callers did not read error answers of engines: these were read into a buffer of their own, up to 1 MB each, and held until their callers had read them, on any number of connections. 250 callers with answers of 900 KB took 253,688 KB.

Change: they are read and held like answers of plain services (WholeAnswer): 64 KB each are free, what is beyond shares a thirty-second part of the host's memory, and callers that have read nothing for 5 s are cut off. An error answer for which there is no memory ends with 502, as its request has run.

The tests of broken heads, resumed errors, slow readers and crashes pass.

--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -4,6 +4,7 @@
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
+        held_answers::{ReadError, WholeAnswer},
         request::{OutgoingRequest, SharedRequest},
         resumption,
         serve::{BodyEnd, RequestSender, finish_unanswered, record_answer},
@@ -16,11 +17,11 @@
     },
     bytes::Bytes,
     egret_core::{
-        CutReason, EndMark, EventSplitter, PaceSource, STREAM_SAMPLE_MS, SendDecision, SendEnd,
-        StreamHead, Target, Time,
+        CutReason, EndMark, EventSplitter, FinalAnswer, PaceSource, STREAM_SAMPLE_MS, SendDecision,
+        SendEnd, StreamHead, Target, Time,
     },
     egret_platform::forwarded_answer_headers,
-    egret_runtime::{EventId, events, now, read_incoming, with_deadline},
+    egret_runtime::{EventId, events, now, with_deadline},
     futures::stream::unfold,
     http::{HeaderMap, Response, header},
     http_body::{Body, Frame},
@@ -40,9 +41,6 @@
 /// Shortest time between events of which the end of a stream is still a sample of its target's pace.
 const STREAM_SAMPLE_MIN_MS: u64 = 100;
 
-/// Largest error answer of an engine.
-const FAILURE_BYTES_MAX: usize = 1024 * 1024;
-
 /// Serves a request whose answer is an event stream.
 pub(crate) async fn serve(
     edge: &Arc<Edge>,
@@ -84,21 +82,26 @@
 
 // passes on an engine's error answer unchanged
 async fn forward_failure(
-    edge: &Edge,
+    edge: &Arc<Edge>,
     out: &OutgoingRequest,
     target_answer: TargetAnswer,
 ) -> Answer {
     let end_mark = end_mark(&target_answer.headers, &target_answer.body);
-    let read =
-        with_deadline(out.deadline, read_incoming(target_answer.body, FAILURE_BYTES_MAX)).await;
+    let read = with_deadline(out.deadline, WholeAnswer::read(edge, target_answer.body)).await;
     let is_cut = match &read {
         Some(Ok(_)) if !end_mark.is_framed() => {
             crash_suspects::find_cut(edge, out, &target_answer.target, false).await.is_some()
         }
         _ => false,
     };
-    let Some(Ok(body)) = read.filter(|_| !is_cut) else {
-        return finish_unanswered(edge, out, egret_core::FinalAnswer::Unknown, "answer broke off");
+    let mut body = match read.filter(|_| !is_cut) {
+        Some(Ok(body)) => body,
+        Some(Err(ReadError::NoRoom)) => {
+            return finish_unanswered(edge, out, FinalAnswer::Unknown, "no memory for the answer");
+        }
+        Some(Err(ReadError::Incomplete)) | None => {
+            return finish_unanswered(edge, out, FinalAnswer::Unknown, "answer broke off");
+        }
     };
     attempt::keep_connection(
         edge,
@@ -107,7 +110,9 @@
         target_answer.conn,
         &target_answer.headers,
     );
-    let mut answer = crate::server::full_answer(target_answer.status, body);
+    body.set_reader(&out.cut_caller);
+    let mut answer = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+    *answer.status_mut() = target_answer.status;
     *answer.headers_mut() = forwarded_answer_headers(&target_answer.headers);
     let end = BodyEnd { mark: end_mark, events: None };
     record_answer(edge, out, target_answer.status, &target_answer.target, end);
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -5,5 +5,5 @@
 
 pub(crate) use {
     accept::{bind, start},
-    answer::{Answer, BodyError, full_answer, refusal},
+    answer::{Answer, BodyError, refusal},
 };
--- a/crates/edge/tests/crowds/crowd.rs
+++ b/crates/edge/tests/crowds/crowd.rs
@@ -45,7 +45,7 @@
     pub(crate) edge: EdgeProcess,
     pub(crate) target: Target,
     holdings: Holdings,
-    _d: Deployment,
+    pub(crate) d: Deployment,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -71,7 +71,7 @@
         edge.wait_until_ready().await;
         edge.call_until(200, || request(Method::POST, "/once/a", &[])).await;
         let holdings = Holdings::watch(edge.process.id(), edge.caller_address);
-        Self { edge, target, holdings, _d: d, _turn: turn }
+        Self { edge, target, holdings, d, _turn: turn }
     }
 
     /// Lets `count` clients send to `address`, checks the host while they are connected, and then once they
