Bodies wait for memory that is about to be given back; the room keeps to the machine

Read over once more: a body that needed memory while others were being cut was refused although the memory was on its way; all that waited were woken by each body that ended, and could use up their attempts within microseconds; and a configuration that allows huge bodies enlarged the room without limit.

Change: BodyRoom counts what is being cut, and bodies wait for it, up to 400 ms by a stored deadline; one body is woken for each that ends, and wakes the next once it has its memory. The room is enlarged to half of the host's memory at most. A body that was complete before it was to be cut keeps its memory.

--- a/crates/core/src/body_room.rs
+++ b/crates/core/src/body_room.rs
@@ -23,6 +23,7 @@
     late_at: Option<Time>,
     // when it is late however steadily it arrives
     slow_at: Time,
+    is_cut: bool,
 }
 
 /// Answer to a body that needs more memory.
@@ -30,7 +31,8 @@
 pub enum BodyDecision {
     /// It has the memory.
     Taken,
-    /// These bodies are to be cut; the caller asks again once they have given back what they hold.
+    /// These bodies are to be cut, in addition to those that are being cut. The caller asks again once memory
+    /// has been given back.
     Cut(Vec<u64>),
     /// There is no room, and no body is late.
     Full,
@@ -40,16 +42,21 @@
 #[derive(Debug)]
 pub struct BodyRoom {
     bytes_max: usize,
+    // largest size to which it is enlarged
+    enlarged_max: usize,
     taken: usize,
+    // part of that whose bodies are being cut
+    being_cut: usize,
     next_id: u64,
     bodies: IndexMap<u64, HeldBody>,
 }
 
 impl BodyRoom {
-    /// An empty room of `bytes_max` bytes.
+    /// An empty room of `bytes_max` bytes, which may be enlarged to `enlarged_max`.
     #[must_use]
-    pub fn new(bytes_max: usize) -> Self {
-        Self { bytes_max, taken: 0, next_id: 0, bodies: IndexMap::new() }
+    pub fn new(bytes_max: usize, enlarged_max: usize) -> Self {
+        let bodies = IndexMap::new();
+        Self { bytes_max, enlarged_max, taken: 0, being_cut: 0, next_id: 0, bodies }
     }
 
     /// Bytes that are taken.
@@ -61,8 +68,8 @@
     /// Enlarges the room, if it is smaller, so that a body of `bytes` fits beside another one.
     pub fn fit(&mut self, bytes: usize) {
         let large_max = bytes.saturating_mul(2);
-        self.bytes_max =
-            self.bytes_max.max(large_max.saturating_add(large_max / (SMALL_PARTS - 1)));
+        let fitting = large_max.saturating_add(large_max / (SMALL_PARTS - 1));
+        self.bytes_max = self.bytes_max.max(fitting.min(self.enlarged_max));
     }
 
     /// Registers a body that begins to arrive, and is late from `slow_at` at the latest. Returns its id.
@@ -70,14 +77,14 @@
         let id = self.next_id;
         self.next_id += 1;
         let late_at = Some(now.after_ms(PAUSE_MS).min(slow_at));
-        self.bodies.insert(id, HeldBody { taken: 0, late_at, slow_at });
+        self.bodies.insert(id, HeldBody { taken: 0, late_at, slow_at, is_cut: false });
         id
     }
 
     /// Takes further memory for a body of which a part has arrived.
     pub fn take(&mut self, now: Time, id: u64, bytes: usize) -> BodyDecision {
         let (small_max, large_max) = (self.bytes_max, self.large_bytes_max());
-        let Some(body) = self.bodies.get_mut(&id) else {
+        let Some(body) = self.bodies.get_mut(&id).filter(|body| !body.is_cut) else {
             return BodyDecision::Full;
         };
         if body.late_at.is_some() {
@@ -91,15 +98,18 @@
             self.taken += bytes;
             return BodyDecision::Taken;
         }
-        match self.cut_late(now, id, needed - max) {
-            cut if cut.is_empty() => BodyDecision::Full,
-            cut => BodyDecision::Cut(cut),
-        }
+        let missing = (needed - max).saturating_sub(self.being_cut);
+        let cut = if missing > 0 { self.cut_late(now, id, missing) } else { Vec::new() };
+        if self.being_cut > 0 { BodyDecision::Cut(cut) } else { BodyDecision::Full }
     }
 
-    /// Records that a body is complete and takes `bytes`, at most what it has taken so far.
+    /// Records that a body is complete, also one that was to be cut, and takes `bytes`, at most what it has
+    /// taken so far.
     pub fn complete(&mut self, id: u64, bytes: usize) {
         if let Some(body) = self.bodies.get_mut(&id) {
+            if std::mem::take(&mut body.is_cut) {
+                self.being_cut -= body.taken;
+            }
             let unused = body.taken.saturating_sub(bytes);
             body.taken -= unused;
             body.late_at = None;
@@ -111,6 +121,7 @@
     pub fn remove(&mut self, id: u64) {
         if let Some(body) = self.bodies.swap_remove(&id) {
             self.taken -= body.taken;
+            self.being_cut -= if body.is_cut { body.taken } else { 0 };
         }
     }
 
@@ -133,9 +144,12 @@
                 break;
             }
             freed += taken;
-            self.bodies[&id].late_at = None;
+            let body = &mut self.bodies[&id];
+            body.late_at = None;
+            body.is_cut = true;
             cut.push(id);
         }
+        self.being_cut += freed;
         cut
     }
 }
--- a/crates/core/tests/body_room.rs
+++ b/crates/core/tests/body_room.rs
@@ -33,21 +33,45 @@
 // Bodies that had stopped kept out those of the callers that came next.
 #[test]
 fn take_cuts_those_that_stopped_longest() {
-    let mut room = BodyRoom::new(MB);
+    let mut room = BodyRoom::new(MB, 16 * MB);
     let ids = crowd(&mut room);
     assert_eq!(ids.len(), 104);
     let (caller, decision) = hold(&mut room, 2000, 15_000);
     assert_eq!(decision, BodyDecision::Cut(vec![ids[0]]));
-    // another one comes before the first has given back what it holds
-    let (_, decision) = hold(&mut room, 2001, 15_000);
-    assert_eq!(decision, BodyDecision::Cut(vec![ids[1]]));
     room.remove(ids[0]);
     assert_eq!(room.take(at(2010), caller, 15_000), BodyDecision::Taken);
+    let (_, decision) = hold(&mut room, 2020, 15_000);
+    assert_eq!(decision, BodyDecision::Cut(ids[1..3].to_vec()));
+}
+
+// Callers were refused while memory was about to be given back.
+#[test]
+fn take_waits_for_bodies_that_are_being_cut() {
+    let mut room = BodyRoom::new(MB, MB);
+    let ids = crowd(&mut room);
+    for id in &ids[1..] {
+        room.complete(*id, 10_000);
+    }
+    assert_eq!(hold(&mut room, 2000, 10_000).1, BodyDecision::Cut(vec![ids[0]]));
+    let (next, decision) = hold(&mut room, 2001, 9000);
+    assert_eq!(decision, BodyDecision::Cut(Vec::new()));
+    // the body was complete before it was cut
+    room.complete(ids[0], 10_000);
+    assert_eq!(room.take(at(2002), next, 9000), BodyDecision::Full);
+}
+
+// A configuration that allows huge bodies made the room larger than the machine.
+#[test]
+fn fit_keeps_to_machine() {
+    let mut room = BodyRoom::new(MB, 2 * MB);
+    room.fit(1024 * MB);
+    assert_eq!(hold(&mut room, 0, 2 * MB).1, BodyDecision::Full);
+    assert_eq!(hold(&mut room, 0, MB).1, BodyDecision::Taken);
 }
 
 #[test]
 fn take_spares_bodies_that_arrive() {
-    let mut room = BodyRoom::new(MB);
+    let mut room = BodyRoom::new(MB, 16 * MB);
     let ids = crowd(&mut room);
     let (_, decision) = hold(&mut room, 900, 10_000);
     assert_eq!(decision, BodyDecision::Full, "no body has paused for a second");
@@ -62,7 +86,7 @@
 // A byte now and then kept a body alive.
 #[test]
 fn take_cuts_trickling_bodies() {
-    let mut room = BodyRoom::new(MB);
+    let mut room = BodyRoom::new(MB, 16 * MB);
     let ids = crowd(&mut room);
     for ms in (500..=5500).step_by(500) {
         for id in &ids {
@@ -75,7 +99,7 @@
 
 #[test]
 fn take_never_cuts_complete_bodies() {
-    let mut room = BodyRoom::new(MB);
+    let mut room = BodyRoom::new(MB, 16 * MB);
     for id in crowd(&mut room) {
         room.complete(id, 10_000);
     }
@@ -86,7 +110,7 @@
 // Large bodies kept out small ones.
 #[test]
 fn take_leaves_a_part_to_small_bodies() {
-    let mut room = BodyRoom::new(4 * MB);
+    let mut room = BodyRoom::new(4 * MB, 16 * MB);
     let (_, decision) = hold(&mut room, 0, 3 * MB);
     assert_eq!(decision, BodyDecision::Taken);
     assert_eq!(hold(&mut room, 0, 100_000).1, BodyDecision::Full);
@@ -96,7 +120,7 @@
 // One caller inside the limits was refused on the smallest machine.
 #[test]
 fn fit_two_largest_bodies() {
-    let mut room = BodyRoom::new(MB);
+    let mut room = BodyRoom::new(MB, 16 * MB);
     room.fit(4 * MB);
     assert_eq!(hold(&mut room, 0, 4 * MB).1, BodyDecision::Taken);
     assert_eq!(hold(&mut room, 0, 4 * MB).1, BodyDecision::Taken);
@@ -107,7 +131,7 @@
 #[test]
 fn take_any_order_stays_within_room() {
     fn property(steps: Vec<(u8, u8, u16)>) -> bool {
-        let mut room = BodyRoom::new(MB);
+        let mut room = BodyRoom::new(MB, 16 * MB);
         let mut held: Vec<(u64, usize)> = Vec::new();
         for (now, (kind, which, bytes)) in (0..).zip(steps) {
             let bytes = usize::from(bytes) * 4;
--- a/crates/runtime/src/web/bodies.rs
+++ b/crates/runtime/src/web/bodies.rs
@@ -20,11 +20,14 @@
 /// Part of a host's memory that the bodies of requests take at most.
 const HOST_MEMORY_PARTS: u64 = 8;
 
-/// Longest wait for bodies that were cut to give back their memory.
-const CUT_WAIT: Duration = Duration::from_millis(50);
+/// The same, if a configuration allows bodies of which two would not fit.
+const HOST_MEMORY_PARTS_ENLARGED: u64 = 2;
 
-/// Attempts to get memory for a part of a body.
-const TAKES_MAX: usize = 8;
+/// Longest wait for bodies that were cut to give back their memory, in milliseconds.
+const ROOM_WAIT_MS: u64 = 400;
+
+/// Interval at which a body that waits asks again in any case.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Bounds on one body.
 #[derive(Clone, Copy, Debug)]
@@ -67,7 +70,7 @@
 #[derive(Debug)]
 pub struct RequestBodies {
     state: Mutex<State>,
-    // notified when memory was given back
+    // notified when memory was given back; each notice is for one body that waits
     freed: Notify,
 }
 
@@ -84,7 +87,7 @@
         state.room.remove(self.id);
         state.cuts.swap_remove(&self.id);
         drop(state);
-        self.bodies.freed.notify_waiters();
+        self.bodies.freed.notify_one();
     }
 }
 
@@ -92,8 +95,11 @@
     /// Bodies that take their part of the memory of a host with `host_mb` megabytes.
     #[must_use]
     pub fn new(host_mb: u64) -> Arc<Self> {
-        let bytes = host_mb.saturating_mul(1024 * 1024) / HOST_MEMORY_PARTS;
-        let room = BodyRoom::new(usize::try_from(bytes).unwrap_or(usize::MAX));
+        let part = |parts: u64| {
+            let bytes = host_mb.saturating_mul(1024 * 1024) / parts;
+            usize::try_from(bytes).unwrap_or(usize::MAX)
+        };
+        let room = BodyRoom::new(part(HOST_MEMORY_PARTS), part(HOST_MEMORY_PARTS_ENLARGED));
         let state = Mutex::new(State { room, cuts: IndexMap::new() });
         Arc::new(Self { state, freed: Notify::new() })
     }
@@ -179,13 +185,13 @@
     }
 
     async fn take(&self, memory: &BodyMemory, bytes: usize) -> Result<(), BodyReadError> {
-        for _ in 0..TAKES_MAX {
-            let mut freed = pin!(self.freed.notified());
-            freed.as_mut().enable();
+        let give_up_at = now().after_ms(ROOM_WAIT_MS);
+        let mut has_waited = false;
+        loop {
             {
                 let mut state = self.state.lock();
                 match state.room.take(now(), memory.id, bytes) {
-                    BodyDecision::Taken => return Ok(()),
+                    BodyDecision::Taken => break,
                     BodyDecision::Full => return Err(BodyReadError::NoRoom),
                     BodyDecision::Cut(ids) => {
                         for cut in ids.iter().filter_map(|id| state.cuts.get(id)) {
@@ -194,9 +200,17 @@
                     }
                 }
             }
-            let _ = timeout(CUT_WAIT, freed).await;
+            if now() >= give_up_at {
+                return Err(BodyReadError::NoRoom);
+            }
+            let _ = timeout(ROOM_POLL_INTERVAL, self.freed.notified()).await;
+            has_waited = true;
+        }
+        if has_waited {
+            // there may be room for the next one as well
+            self.freed.notify_one();
         }
-        Err(BodyReadError::NoRoom)
+        Ok(())
     }
 }
 
