scenarios: answers of services that are not read, at an entry, failing

An entry reads an answer of a service whole, up to 64 MB, and holds it until its caller has read it; nothing bounds the sum. 250 callers with answers of 4 MB that read nothing took 835,344 KB, bound 524,288 KB.

Not mended: the memory of such answers has to be shared, and callers that read nothing cut off, as edge hosts do (held_answers). The error answers and complete answers of engines at an entry, 64 MB each, are the same class and have no test.

--- a/crates/scenarios/tests/crowds.rs
+++ b/crates/scenarios/tests/crowds.rs
@@ -4,11 +4,13 @@
 //! its descriptors, and an entry answers an ordinary caller while the crowd is still connected.
 
 use {
+    egret_runtime::unix_ms,
     egret_scenarios::{Deployment, DeploymentSpec, Holdings, Sent, send_crowd},
     http::Method,
     nix::sys::resource::{Resource, getrlimit, setrlimit},
     parking_lot::Mutex,
     serde_json::json,
+    std::net::SocketAddr,
 };
 
 /// Memory of the machine, in megabytes.
@@ -23,6 +25,9 @@
 /// Largest body that callers may send.
 const BODY_MAX: usize = 4 * 1024 * 1024;
 
+/// Validity of the keys of requests to a service, in milliseconds.
+const KEY_MS: u64 = 600_000;
+
 /// Crowds come one after another, so that a process has the processor for itself.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -33,6 +38,16 @@
     KeeperLinks,
 }
 
+impl At {
+    fn place(self, d: &Deployment) -> (&'static str, SocketAddr) {
+        match self {
+            Self::Entry => ("entry-1", d.layout.entry(0)),
+            Self::Keeper => ("keeper-1", d.layout.keeper_http(0)),
+            Self::KeeperLinks => ("keeper-1", d.layout.keeper_links(0)),
+        }
+    }
+}
+
 // starts processes that may open so many descriptors; this process needs more for the crowd
 fn start() -> Deployment {
     let spec = DeploymentSpec {
@@ -50,12 +65,11 @@
 
 fn check(at: At, count: usize, sent: impl Fn(usize) -> Sent) {
     let _turn = TURN.lock();
-    let mut d = start();
-    let (name, address) = match at {
-        At::Entry => ("entry-1", d.layout.entry(0)),
-        At::Keeper => ("keeper-1", d.layout.keeper_http(0)),
-        At::KeeperLinks => ("keeper-1", d.layout.keeper_links(0)),
-    };
+    check_on(start(), at, count, sent);
+}
+
+fn check_on(mut d: Deployment, at: At, count: usize, sent: impl Fn(usize) -> Sent) {
+    let (name, address) = at.place(&d);
     let process = d.process(name).id();
     let holdings = d.block_on(async { Holdings::watch(process, address) });
     let clients = d.block_on(async {
@@ -120,6 +134,22 @@
     check(At::Entry, 200, |_| sent.clone());
 }
 
+// Answers of services are held whole for callers that do not read them, and their sum has no bound.
+#[test]
+fn entry_service_answers_unread() {
+    let _turn = TURN.lock();
+    let d = start();
+    d.inject_faults(d.layout.service_target(0), &json!({ "answer_bytes": BODY_MAX }));
+    let expires = unix_ms() + KEY_MS;
+    check_on(d, At::Entry, 250, |number| {
+        let head = format!(
+            "POST /services/studio/x HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k-{number}\r\n\
+             Idempotency-Expires: {expires}\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        Sent::whole(head.into_bytes())
+    });
+}
+
 // Connections were accepted until there were no descriptors.
 #[test]
 fn entry_heads_without_end() {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -38,6 +38,8 @@
     crash_before_effect: u32,
     /// Extra duration of each request, in milliseconds.
     slow_ms: u64,
+    /// Bytes that each answer has in addition.
+    answer_bytes: usize,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -118,7 +120,11 @@
         if take_fault(&mut self.faults.lock().lose_answers) {
             return never_answer().await;
         }
-        let answer = json!({ "effect": number });
+        let answer_bytes = self.faults.lock().answer_bytes;
+        let answer = match answer_bytes {
+            0 => json!({ "effect": number }),
+            bytes => json!({ "effect": number, "filler": "x".repeat(bytes) }),
+        };
         if take_fault(&mut self.faults.lock().crash_within_answer) {
             return unframed_answer(&answer, Some(crash.clone()));
         }
