edge: callers' connections are counted in one place

The number of open connections of callers was counted beside their limit, under a name that differed by a word.

Change: the limit's count (Connections) serves the stop as well; a connection whose input is discarded counts until that ends, and the stop waited for those before, too. The tests of stops and of slow callers pass.

--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -4,7 +4,7 @@
     super::answer::{Answer, BodyError, full_answer},
     crate::{
         dispatch::{self, CutCaller},
-        state::{CallerConnection, Edge},
+        state::Edge,
     },
     bytes::Bytes,
     egret_runtime::{
@@ -72,7 +72,7 @@
     let state = edge.clone();
     tokio::spawn(async move {
         let accept = accept_all(listeners.callers, |stream, peer| {
-            if let Some(place) = state.connections_of_callers.open() {
+            if let Some(place) = state.caller_connections.open() {
                 tokio::spawn(serve_caller(state.clone(), stream, peer, Arc::new(place)));
             }
         });
@@ -141,7 +141,6 @@
     peer: SocketAddr,
     place: Arc<ConnectionPlace>,
 ) {
-    let _open = CallerConnection::new(&edge);
     // Nagle's algorithm would delay small stream events to send them together
     if stream.set_nodelay(true).is_err() {
         return;
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -53,7 +53,7 @@
     // after them
     let finished = async {
         while edge.open_requests() > 0
-            || edge.caller_connections() > 0
+            || edge.caller_connections.count() > 0
             || lingering_connections() > 0
         {
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
@@ -63,7 +63,7 @@
         events::STOP_TIMED_OUT.warn(format_args!(
             "open={} connections={}",
             edge.open_requests(),
-            edge.caller_connections()
+            edge.caller_connections.count()
         ));
     }
     Ok(())
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -134,7 +134,7 @@
     pub(crate) crash_checks: CrashChecks,
     pub(crate) held_answers: HeldAnswers,
     pub(crate) request_bodies: Arc<RequestBodies>,
-    pub(crate) connections_of_callers: Arc<Connections>,
+    pub(crate) caller_connections: Arc<Connections>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
     pub(crate) version_sightings: Mutex<VersionSightings>,
     /// The record of software versions in the host log, as last read.
@@ -165,7 +165,6 @@
     stop_times: watch::Sender<Option<StopTimes>>,
     closing: watch::Sender<bool>,
     open_count: AtomicUsize,
-    caller_connections: AtomicUsize,
 }
 
 impl Edge {
@@ -224,7 +223,7 @@
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
             request_bodies: RequestBodies::new(cfg.host_mb()),
-            connections_of_callers: Connections::new("callers", cfg.caller_connections_max()),
+            caller_connections: Connections::new("callers", cfg.caller_connections_max()),
             held_answers: HeldAnswers::new(cfg.memory.map(|memory| memory.host_mb)),
             stream_origins: Mutex::default(),
             version_sightings: Mutex::default(),
@@ -246,7 +245,6 @@
             stop_times: watch::channel(None).0,
             closing: watch::channel(false).0,
             open_count: AtomicUsize::new(0),
-            caller_connections: AtomicUsize::new(0),
             cfg,
         }
     }
@@ -322,17 +320,12 @@
         self.open_count.load(Ordering::Acquire)
     }
 
-    /// Number of open connections of callers.
-    pub(crate) fn caller_connections(&self) -> usize {
-        self.caller_connections.load(Ordering::Acquire)
-    }
-
     /// Updates the gauges of what callers make this host hold.
     pub(crate) fn record_received(&self) {
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.counts.body_bytes.set(gauge(self.request_bodies.taken()));
-        self.counts.caller_connections.set(gauge(self.connections_of_callers.count()));
-        let closed = self.connections_of_callers.closed_total();
+        self.counts.caller_connections.set(gauge(self.caller_connections.count()));
+        let closed = self.caller_connections.closed_total();
         self.counts.connections_closed.set(i64::try_from(closed).unwrap_or(i64::MAX));
     }
 
@@ -488,23 +481,6 @@
     }
 }
 
-/// Counts a connection of a caller as open until dropped.
-#[derive(Debug)]
-pub(crate) struct CallerConnection(Arc<Edge>);
-
-impl CallerConnection {
-    pub(crate) fn new(edge: &Arc<Edge>) -> Self {
-        edge.caller_connections.fetch_add(1, Ordering::AcqRel);
-        Self(edge.clone())
-    }
-}
-
-impl Drop for CallerConnection {
-    fn drop(&mut self) {
-        self.0.caller_connections.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// How far a request to a target is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RequestStage {
