A body that arrives in small parts does not count as paused; doc comment of a counter

Read over once more: only parts that needed memory counted as a sign of life, so a body at 10 KB/s, which needs a piece of 16 KB every 1.6 s, made way as one that had stopped, and its connection was taken for one that waits.

Change: each part counts, recorded at most every 100 ms, since there may be millions. The doc comment of record_target_refusal is whole again.

--- a/crates/core/src/body_room.rs
+++ b/crates/core/src/body_room.rs
@@ -81,15 +81,20 @@
         id
     }
 
+    /// Records that a part of a body has arrived.
+    pub fn record_part(&mut self, now: Time, id: u64) {
+        if let Some(body) = self.bodies.get_mut(&id).filter(|body| body.late_at.is_some()) {
+            body.late_at = Some(now.after_ms(PAUSE_MS).min(body.slow_at));
+        }
+    }
+
     /// Takes further memory for a body of which a part has arrived.
     pub fn take(&mut self, now: Time, id: u64, bytes: usize) -> BodyDecision {
         let (small_max, large_max) = (self.bytes_max, self.large_bytes_max());
+        self.record_part(now, id);
         let Some(body) = self.bodies.get_mut(&id).filter(|body| !body.is_cut) else {
             return BodyDecision::Full;
         };
-        if body.late_at.is_some() {
-            body.late_at = Some(now.after_ms(PAUSE_MS).min(body.slow_at));
-        }
         let is_small = body.taken + bytes <= SMALL_BYTES;
         let max = if is_small { small_max } else { large_max };
         let needed = self.taken.saturating_add(bytes);
--- a/crates/core/tests/body_room.rs
+++ b/crates/core/tests/body_room.rs
@@ -77,7 +77,7 @@
     assert_eq!(decision, BodyDecision::Full, "no body has paused for a second");
     // all but one go on
     for id in &ids[1..] {
-        room.take(at(1400), *id, 0);
+        room.record_part(at(1400), *id);
     }
     let (_, decision) = hold(&mut room, 2000, 10_000);
     assert_eq!(decision, BodyDecision::Cut(vec![ids[0]]));
@@ -90,7 +90,7 @@
     let ids = crowd(&mut room);
     for ms in (500..=5500).step_by(500) {
         for id in &ids {
-            room.take(at(ms), *id, 0);
+            room.record_part(at(ms), *id);
         }
     }
     let (_, decision) = hold(&mut room, 5600, 10_000);
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -218,7 +218,6 @@
         }
     }
 
-    /// Counts a refusal by a target of `service` with status 503. `is_full` is true if more requests were
     /// Counts a request that is refused because of its body.
     pub(crate) fn record_body_refusal(&self, reason: BodyReadError) {
         let reason = match reason {
@@ -230,6 +229,7 @@
         self.body_refusals.get_or_create(&vec![("reason", reason.to_owned())]).inc();
     }
 
+    /// Counts a refusal by a target of `service` with status 503. `is_full` is true if more requests were
     /// believed to be there than it has slots.
     pub(crate) fn record_target_refusal(&self, service: &FastStr, is_brittle: bool, is_full: bool) {
         let labels = vec![
--- a/crates/runtime/src/web/bodies.rs
+++ b/crates/runtime/src/web/bodies.rs
@@ -29,6 +29,9 @@
 /// Interval at which a body that waits asks again in any case.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which parts are recorded that need no memory. There may be millions of them.
+const RECORD_INTERVAL_MS: u64 = 100;
+
 /// Bounds on one body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyBounds {
@@ -110,7 +113,7 @@
         self.state.lock().room.taken()
     }
 
-    /// Reads a body. `on_part` is called whenever memory was taken for a part.
+    /// Reads a body. `on_part` is called as parts arrive, though not for each one.
     ///
     /// # Errors
     ///
@@ -135,6 +138,7 @@
         let mut cut = pin!(cut.notified());
         let mut pieces = Pieces::default();
         let mut last_part_at = now();
+        let mut recorded_at = last_part_at;
         let mut watchdog = pin!(sleep_until(instant(bounds.next_deadline(last_part_at))));
         loop {
             let frame = tokio::select! {
@@ -165,6 +169,10 @@
             let growth = pieces.growth(&data, remaining);
             if growth > 0 {
                 self.take(&memory, growth).await?;
+            }
+            if growth > 0 || last_part_at >= recorded_at.after_ms(RECORD_INTERVAL_MS) {
+                self.state.lock().room.record_part(last_part_at, memory.id);
+                recorded_at = last_part_at;
                 on_part();
             }
             pieces.push(&data, remaining);
