edge: a check from before a break does not rule out a crash

Cause: the results of a check whether a target accepts connections were shared for 300 ms, and a sound stream without framing ends with such a check. A crash soon after it was judged by connections that had been opened before the break; both of them, so that a request whose content was already suspected did not wait either.

Change: a check covers the breaks of the next 20 ms, in which the connections of a target that dies break together. A later break starts one of its own, unless an earlier one has shown that the target is down.

Ruled out: late reports between hosts (the content of the test below is known to the only host).

--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -33,9 +33,13 @@
 /// Other targets that refuse connections as well if this host is cut off and its target has not crashed.
 const CONTROL_TARGETS: usize = 3;
 
-/// Time for which the result of a check holds.
+/// Time for which it holds that a target is down.
 const CHECK_VALID_MS: u64 = 300;
 
+/// Time within which connections to one target break off together. A later break needs a check of its own:
+/// that the target accepted connections before says nothing about it.
+const JOINT_BREAKS_MS: u64 = 20;
+
 /// Checks whether targets have crashed, by target.
 #[derive(Debug, Default)]
 pub(crate) struct CrashChecks {
@@ -48,6 +52,12 @@
     results: CheckResults,
 }
 
+impl Check {
+    fn covers_break(&self, broken_at: Time) -> bool {
+        broken_at < self.started_at.after_ms(JOINT_BREAKS_MS) || self.results.show_down()
+    }
+}
+
 // results of the two connections of a check: true if the connection was refused
 #[derive(Clone, Debug)]
 struct CheckResults {
@@ -55,6 +65,13 @@
     second: Shared<oneshot::Receiver<bool>>,
 }
 
+impl CheckResults {
+    // false also while there are no results
+    fn show_down(&self) -> bool {
+        [&self.first, &self.second].iter().any(|result| result.peek() == Some(&Ok(true)))
+    }
+}
+
 /// Reason of a refusal.
 pub(crate) const REFUSAL_REASON: &str = "its content crashed targets";
 
@@ -188,8 +205,9 @@
         out.suspects.iter().map(|suspect| key_of(*suspect)).collect::<Vec<_>>().join(","),
         out.head.shared_prompt_parts.join(",")
     ));
-    edge.broken_connections.lock().record_broken(now(), &target.id, out.suspects.clone());
-    let results = check(edge, target);
+    let broken_at = now();
+    edge.broken_connections.lock().record_broken(broken_at, &target.id, out.suspects.clone());
+    let results = check(edge, target, |earlier| earlier.covers_break(broken_at));
     let mut is_down = results.first.await == Ok(true);
     let has_broken_before = out.record_broken_send() > 1;
     let is_suspected =
@@ -256,11 +274,15 @@
     }
 }
 
-// starts a check, or returns the one that was started before
-fn check(edge: &Arc<Edge>, target: &Arc<Target>) -> CheckResults {
+// starts a check, or returns one that was started before if `is_enough`
+fn check(
+    edge: &Arc<Edge>,
+    target: &Arc<Target>,
+    is_enough: impl Fn(&Check) -> bool,
+) -> CheckResults {
     let mut checks = edge.crash_checks.by_target.lock();
     checks.retain(|_, check| now() < check.started_at.after_ms(CHECK_VALID_MS));
-    if let Some(check) = checks.get(&target.id) {
+    if let Some(check) = checks.get(&target.id).filter(|check| is_enough(check)) {
         return check.results.clone();
     }
     let (first_tx, first_rx) = oneshot::channel();
@@ -325,7 +347,7 @@
 /// Checks a target to which no connection could be opened, if a request was on it lately.
 pub(crate) fn check_unreached(edge: &Arc<Edge>, target: &Arc<Target>) {
     if edge.broken_connections.lock().has_broken(now(), &target.id) {
-        check(edge, target);
+        check(edge, target, |_| true);
     }
 }
 
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -5,6 +5,7 @@
     bytes::Bytes,
     egret_runtime::now,
     egret_standin::platform::{StreamFraming, Target, TargetFault},
+    futures::future::join_all,
     http::Request,
     http_body_util::Full,
     nix::sys::signal::Signal,
@@ -146,6 +147,33 @@
     send_content_that_crashes_two_engines(Duration::from_millis(40)).await;
 }
 
+// The end of a sound stream without framing was followed by a check that its engine accepts connections, and
+// a crash soon after that was ruled out by the result of that check.
+#[tokio::test]
+async fn refused_content_is_not_moved_soon_after_sound_streams() {
+    let d = Deployment::new().await;
+    d.configure(7);
+    let mut engines = start_engines(&d, 1..=1, 1).await;
+    let edges = start_ready_edges(&d, 1).await;
+    let _ = edges[0].call(crashing_request()).await;
+    assert_eq!(crashes(&engines), 1);
+    wait_until("crash known", || d.log(1).contains("contents became crash suspects")).await;
+    engines.extend(start_engines(&d, 2..=4, 1).await);
+    for engine in &engines {
+        engine.set_framing(StreamFraming::UntilClose);
+    }
+    for number in 2..=4 {
+        let ready = format!("target accepts new requests target=e-{number}");
+        wait_until("engines known", || d.log(1).contains(&ready)).await;
+    }
+    let sound = (0..12).map(|_| edges[0].call(stream_request("stream", "a1")));
+    for answer in join_all(sound).await {
+        assert_eq!(answer.unwrap().body, whole_stream());
+    }
+    let _ = edges[0].call(crashing_request()).await;
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+}
+
 async fn send_content_that_crashes_two_engines(listener_time: Duration) {
     let d = Deployment::new().await;
     d.configure(7);
