Requests behind a body that was refused are not read

Cause: a client whose body was refused for want of memory, with 503, kept its connection if the rest of the body had arrived by then, and its next request was served at once. So a refusal moved the crowd on to requests that need no memory, and these took the places that late bodies would have given to ordinary callers.

Change: a connection whose request was refused for its body ends with that answer (RFC 9112, section 9.6), at edge hosts and entries; the place of the connection knows, and its server announces it. What the client sent behind is discarded as after other early refusals.

Evidence: request_behind_refused_body_is_not_served got 200 for the request behind before, and no answer now.

--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -340,7 +340,12 @@
                 place.record_request();
             }
         }
-        Err(e) => edge.counts.record_body_refusal(*e),
+        Err(e) => {
+            edge.counts.record_body_refusal(*e);
+            if let Some(place) = place {
+                place.close_after_answer();
+            }
+        }
     }
     read
 }
--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -164,7 +164,7 @@
         let place = place.clone();
         async move {
             let answer = serve_request(edge, req, peer).await;
-            Ok::<CallerAnswer, Infallible>(answer.map(|body| AnswerBody::new(body, place)))
+            Ok::<CallerAnswer, Infallible>(AnswerBody::wrap(answer, place))
         }
     });
     let stream = LingeringStream::new(stream, ends_with_connection.clone(), place.clone());
--- a/crates/edge/tests/edge/slow_bodies.rs
+++ b/crates/edge/tests/edge/slow_bodies.rs
@@ -16,10 +16,14 @@
 /// Far beyond that, and within the time limit of the request.
 const WAIT: Duration = Duration::from_secs(20);
 
+/// Largest body that callers may send. It fits into the buffer of a connection.
+const BODY_MAX: usize = 2000;
+
 async fn start() -> (Deployment, Target, EdgeProcess) {
     let d = Deployment::new().await;
     let mut routes = config(7, 60_000);
     routes["limits"]["idle_timeout_ms"] = IDLE_MS.into();
+    routes["limits"]["max_body_bytes"] = BODY_MAX.into();
     d.store.write("keyed.op", "config", Some(&routes.to_string()));
     let target = d.start_plain_target("p-1").await;
     let edge = d.start_ready_edge(1).await;
@@ -63,3 +67,21 @@
     }
     assert_eq!(caller.read_answer(WAIT).await.status(), 200);
 }
+
+// A client whose body was refused went on to the requests that it had sent behind it, and a crowd of such
+// clients took the places of all callers.
+#[tokio::test]
+async fn request_behind_refused_body_is_not_served() {
+    let (_d, target, edge) = start().await;
+    let mut bytes = head("large", &format!("Content-Length: {}", BODY_MAX + 1)).into_bytes();
+    bytes.resize(bytes.len() + BODY_MAX + 1, b'x');
+    bytes.extend_from_slice(head("behind", "Content-Length: 4").as_bytes());
+    bytes.extend_from_slice(b"body");
+    let mut caller = RawCaller::connect(edge.caller_address).await.unwrap();
+    assert!(caller.send(&bytes).await);
+    let answer = caller.read_answer(WAIT).await;
+    assert_eq!(answer.status(), 413);
+    assert_eq!(caller.read_answer(WAIT).await.status(), 0);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(!target.executed_requests().iter().any(|executed| executed.request_id == "behind"));
+}
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -42,8 +42,11 @@
         deadline: now().after_ms(limits.body_ms),
     };
     let read = entry.bodies.read(body, bounds, record_part).await;
-    if let (Ok(_), Some(place)) = (&read, place) {
-        place.record_request();
+    if let Some(place) = place {
+        match &read {
+            Ok(_) => place.record_request(),
+            Err(_) => place.close_after_answer(),
+        }
     }
     read.map_err(|e| {
         let (status, reason, retry_after_ms) = match e {
--- a/crates/runtime/src/web/answer_body.rs
+++ b/crates/runtime/src/web/answer_body.rs
@@ -3,6 +3,7 @@
 use {
     super::connections::ConnectionPlace,
     bytes::Bytes,
+    http::{HeaderValue, Response, header},
     http_body::{Body, Frame, SizeHint},
     std::{
         pin::Pin,
@@ -19,10 +20,13 @@
 }
 
 impl<B> AnswerBody<B> {
-    /// The body of an answer on the connection with this place.
+    /// The answer on the connection with this place. It announces the end of the connection, if it is the last.
     #[must_use]
-    pub fn new(body: B, place: Arc<ConnectionPlace>) -> Self {
-        Self { body, place }
+    pub fn wrap(mut answer: Response<B>, place: Arc<ConnectionPlace>) -> Response<Self> {
+        if place.closes_after_answer() {
+            answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer.map(|body| Self { body, place })
     }
 }
 
--- a/crates/runtime/src/web/connections.rs
+++ b/crates/runtime/src/web/connections.rs
@@ -6,7 +6,10 @@
     indexmap::IndexMap,
     nix::sys::resource::{Resource, getrlimit},
     parking_lot::Mutex,
-    std::sync::Arc,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     tokio::sync::Notify,
 };
 
@@ -58,6 +61,7 @@
     connections: Arc<Connections>,
     id: u64,
     cut: Arc<Notify>,
+    closes_after_answer: AtomicBool,
 }
 
 impl Connections {
@@ -113,7 +117,8 @@
             events::CONNECTIONS_FULL
                 .warn(format_args!("listener={} limit={} closed={total}", self.listener, self.max));
         }
-        opened.map(|id| ConnectionPlace { connections: self.clone(), id, cut })
+        let closes_after_answer = AtomicBool::new(false);
+        opened.map(|id| ConnectionPlace { connections: self.clone(), id, cut, closes_after_answer })
     }
 }
 
@@ -128,6 +133,17 @@
         self.connections.state.lock().limit.record_request(self.id);
     }
 
+    /// Lets the connection end with its next answer, so that no request behind it is read.
+    pub fn close_after_answer(&self) {
+        self.closes_after_answer.store(true, Ordering::Release);
+    }
+
+    /// True if the connection ends with its next answer.
+    #[must_use]
+    pub fn closes_after_answer(&self) -> bool {
+        self.closes_after_answer.load(Ordering::Acquire)
+    }
+
     /// Waits until the connection is to be closed for another one.
     pub async fn wait_until_cut(&self) {
         self.cut.notified().await;
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -173,7 +173,7 @@
         let answer = handler(Address::from(peer), req.map(Body::from_incoming));
         async move {
             let answer = answer.await;
-            Ok::<_, Infallible>(answer.map(|body| AnswerBody::new(body, place)))
+            Ok::<_, Infallible>(AnswerBody::wrap(answer, place))
         }
     });
     let stream = LingeringStream::new(stream, ends_with_connection.clone(), place.clone());
