edge, entry: a part of the connections waits at any time, so that new callers find a place

Seen: 1,200 complete requests to a target that does not answer take all 274 connections of a host with 1,024 descriptors for as long as their time limits allow, 60 s. A new caller's connection is closed at once, without an answer; no ordinary caller gets any, and it is not told when to come back.

Cause: the limit of connections was also that of requests that are served, and a connection that is served does not make way.

Change: requests are served on three quarters of the connections; a further one is refused with 503 and Retry-After, has not run, and ends its connection. A quarter always waits for its clients, so the limit never refuses a new connection.

--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -28,6 +28,8 @@
     /// Time from taking a repeat out of the retry budget until it is sent.
     pub(crate) repeat_wait_ms: Histogram,
     body_refusals: Family<Labels, Counter>,
+    /// Requests refused since as many are served as may be.
+    pub(crate) refused_busy: Counter,
     /// Memory that the bodies of requests take.
     pub(crate) body_bytes: Gauge,
     /// Open connections of callers, when a request last came.
@@ -80,6 +82,10 @@
                 "egret_body_refusals",
                 "Requests refused because of their bodies, by reason",
             ),
+            refused_busy: metrics.counter(
+                "egret_requests_refused_busy",
+                "Requests refused since as many are served as may be",
+            ),
             body_bytes: metrics
                 .gauge("egret_body_bytes", "Memory that the bodies of requests take"),
             caller_connections: metrics
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -15,7 +15,7 @@
     egret_platform::{HeadError, RequestHead},
     egret_runtime::{BodyBounds, BodyMemory, BodyReadError, ConnectionPlace, events, now},
     faststr::FastStr,
-    http::{Extensions, HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
     hyper::body::Incoming,
     parking_lot::Mutex,
     std::{
@@ -151,7 +151,8 @@
         let timeout_ms =
             head.caller_timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(selected.route.timeout_ms);
         let deadline = arrived.after_ms(timeout_ms);
-        let read = read_body(edge, &mut parts.extensions, body, arrived, deadline).await;
+        let place = parts.extensions.remove::<Arc<ConnectionPlace>>();
+        let read = read_body(edge, place.as_ref(), body, arrived, deadline).await;
         let (body, body_memory) = read.map_err(|e| {
             let status = match e {
                 BodyReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -161,6 +162,13 @@
             };
             refuse(status, &e.to_string())
         })?;
+        if place.is_some_and(|place| !place.record_request()) {
+            edge.counts.refused_busy.inc();
+            return Err(refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "this host serves too many requests",
+            ));
+        }
         if !edge.admits_until(deadline) {
             return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "this host stops"));
         }
@@ -314,14 +322,13 @@
 // reads the body of a request that arrived at `arrived`
 async fn read_body(
     edge: &Edge,
-    extensions: &mut Extensions,
+    place: Option<&Arc<ConnectionPlace>>,
     body: Incoming,
     arrived: Time,
     deadline: Time,
 ) -> Result<(Bytes, Option<BodyMemory>), BodyReadError> {
-    let place = extensions.remove::<Arc<ConnectionPlace>>();
     let record_part = || {
-        if let Some(place) = &place {
+        if let Some(place) = place {
             place.record_wait();
         }
     };
@@ -334,17 +341,10 @@
     };
     let read = edge.request_bodies.read(body, bounds, record_part).await;
     edge.record_received();
-    match &read {
-        Ok(_) => {
-            if let Some(place) = place {
-                place.record_request();
-            }
-        }
-        Err(e) => {
-            edge.counts.record_body_refusal(*e);
-            if let Some(place) = place {
-                place.close_after_answer();
-            }
+    if let Err(e) = &read {
+        edge.counts.record_body_refusal(*e);
+        if let Some(place) = place {
+            place.close_after_answer();
         }
     }
     read
--- a/crates/edge/src/server/accept.rs
+++ b/crates/edge/src/server/accept.rs
@@ -72,9 +72,8 @@
     let state = edge.clone();
     tokio::spawn(async move {
         let accept = accept_all(listeners.callers, |stream, peer| {
-            if let Some(place) = state.caller_connections.open() {
-                tokio::spawn(serve_caller(state.clone(), stream, peer, Arc::new(place)));
-            }
+            let place = Arc::new(state.caller_connections.open());
+            tokio::spawn(serve_caller(state.clone(), stream, peer, place));
         });
         // once the host closes connections, new ones are refused, so that callers know that their
         // requests were not read
@@ -86,20 +85,16 @@
     let state = edge.clone();
     let checks = Connections::new("ready", READINESS_CONNECTIONS_MAX);
     tokio::spawn(accept_all(listeners.readiness, move |stream, _| {
-        if let Some(place) = checks.open() {
-            let state = state.clone();
-            tokio::spawn(serve_simple(stream, place, move || readiness(&state)));
-        }
+        let state = state.clone();
+        tokio::spawn(serve_simple(stream, checks.open(), move || readiness(&state)));
     }));
     let state = edge.clone();
     let collectors = Connections::new("metrics", METRICS_CONNECTIONS_MAX);
     tokio::spawn(accept_all(listeners.metrics, move |stream, _| {
-        if let Some(place) = collectors.open() {
-            let state = state.clone();
-            tokio::spawn(serve_simple(stream, place, move || {
-                full_answer(StatusCode::OK, Bytes::from(state.metrics.render()))
-            }));
-        }
+        let state = state.clone();
+        tokio::spawn(serve_simple(stream, collectors.open(), move || {
+            full_answer(StatusCode::OK, Bytes::from(state.metrics.render()))
+        }));
     }));
 }
 
--- a/crates/edge/tests/crowds/heads.rs
+++ b/crates/edge/tests/crowds/heads.rs
@@ -47,3 +47,17 @@
     };
     scene.check(address, 400, sent).await;
 }
+
+// Requests that took long held all connections, and those of ordinary callers were closed without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_unanswered() {
+    let scene = Scene::new(BODY_MAX).await;
+    scene.target.set_fault(TargetFault::NoAnswer);
+    let address = scene.edge.caller_address;
+    let sent = |_| {
+        let mut bytes = request_head("Content-Length: 4");
+        bytes.extend_from_slice(b"body");
+        Sent::whole(bytes)
+    };
+    scene.check_answered(503, address, 1200, sent).await;
+}
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -42,9 +42,22 @@
         deadline: now().after_ms(limits.body_ms),
     };
     let read = entry.bodies.read(body, bounds, record_part).await;
+    let refuse = |status, reason, message: String, retry_after_ms| ErrorResponse {
+        status,
+        outcome: Outcome::NotRun,
+        reason,
+        message,
+        retry_after_ms,
+        request: request_id.clone(),
+    };
     if let Some(place) = place {
         match &read {
-            Ok(_) => place.record_request(),
+            Ok(_) if place.record_request() => {}
+            Ok(_) => {
+                let message = "this host serves too many requests".to_owned();
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(refuse(status, Reason::Overloaded, message, Some(RETRY_AFTER_MS)));
+            }
             Err(_) => place.close_after_answer(),
         }
     }
@@ -57,13 +70,6 @@
                 (StatusCode::SERVICE_UNAVAILABLE, Reason::Overloaded, Some(RETRY_AFTER_MS))
             }
         };
-        ErrorResponse {
-            status,
-            outcome: Outcome::NotRun,
-            reason,
-            message: e.to_string(),
-            retry_after_ms,
-            request: request_id.clone(),
-        }
+        refuse(status, reason, e.to_string(), retry_after_ms)
     })
 }
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -61,9 +61,7 @@
                 continue;
             }
         };
-        let Some(place) = unknown_peers.open() else {
-            continue;
-        };
+        let place = unknown_peers.open();
         let (secret, handler) = (secret.clone(), handler.clone());
         tokio::spawn(async move {
             if let Err(problem) = serve_link(stream, place, &secret, handler).await {
--- a/crates/runtime/src/web/connections.rs
+++ b/crates/runtime/src/web/connections.rs
@@ -23,9 +23,10 @@
 /// Descriptors that are left to files.
 const FILE_DESCRIPTORS: u64 = 200;
 
-/// Part of the other descriptors that clients' connections may take. A request that is served may take a
-/// connection to its target as well, and a second one while that is silent.
-const DESCRIPTOR_PARTS: u64 = 3;
+/// Share of the other descriptors that clients' connections may take, in tenths. Requests are served on three
+/// quarters of them, and each of these may take a connection to its target as well, and a second one while
+/// that is silent.
+const DESCRIPTOR_TENTHS: u64 = 4;
 
 /// Largest number of clients' connections on a host with this memory, in megabytes. The settings and the
 /// system each may limit the descriptors of the process.
@@ -33,7 +34,7 @@
 pub fn client_connections_max(host_mb: u64, stated_descriptors: Option<u64>) -> usize {
     let system = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
     let descriptors = stated_descriptors.unwrap_or(u64::MAX).min(system);
-    let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTOR_PARTS;
+    let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / 10 * DESCRIPTOR_TENTHS;
     let max = host_mb.saturating_mul(CONNECTIONS_PER_MB).min(by_descriptors);
     usize::try_from(max).unwrap_or(usize::MAX)
 }
@@ -87,38 +88,34 @@
     }
 
     /// Takes a place for a new connection, also that of the one that has waited longest for its client.
-    /// None if the new one is to be closed.
     #[must_use]
-    pub fn open(self: &Arc<Self>) -> Option<ConnectionPlace> {
+    pub fn open(self: &Arc<Self>) -> ConnectionPlace {
         let cut = Arc::new(Notify::new());
-        let (opened, log_total) = {
+        let (id, log_total) = {
             let mut state = self.state.lock();
-            let (opened, is_full) = match state.limit.open(now()) {
-                ConnectionDecision::Open(id) => (Some(id), false),
+            let (id, is_full) = match state.limit.open(now()) {
+                ConnectionDecision::Open(id) => (id, false),
                 ConnectionDecision::Replace { opened, closed } => {
                     if let Some(cut) = state.cuts.swap_remove(&closed) {
                         cut.notify_one();
                     }
-                    (Some(opened), true)
+                    (opened, true)
                 }
-                ConnectionDecision::Refuse => (None, true),
             };
-            if let Some(id) = opened {
-                state.cuts.insert(id, cut.clone());
-            }
+            state.cuts.insert(id, cut.clone());
             state.closed_total += u64::from(is_full);
             let is_logged = is_full && now() >= state.next_log_at;
             if is_logged {
                 state.next_log_at = now().after_ms(LOG_PAUSE_MS);
             }
-            (opened, is_logged.then_some(state.closed_total))
+            (id, is_logged.then_some(state.closed_total))
         };
         if let Some(total) = log_total {
             events::CONNECTIONS_FULL
                 .warn(format_args!("listener={} limit={} closed={total}", self.listener, self.max));
         }
         let closes_after_answer = AtomicBool::new(false);
-        opened.map(|id| ConnectionPlace { connections: self.clone(), id, cut, closes_after_answer })
+        ConnectionPlace { connections: self.clone(), id, cut, closes_after_answer }
     }
 }
 
@@ -129,8 +126,15 @@
     }
 
     /// Records that a request has arrived completely. The connection keeps its place until its answer ends.
-    pub fn record_request(&self) {
-        self.connections.state.lock().limit.record_request(self.id);
+    /// Returns false if the request has to be refused, since as many are served as may be; the connection then
+    /// ends with that answer, so that the next place is not for its client.
+    #[must_use]
+    pub fn record_request(&self) -> bool {
+        let is_served = self.connections.state.lock().limit.record_request(self.id);
+        if !is_served {
+            self.close_after_answer();
+        }
+        is_served
     }
 
     /// Lets the connection end with its next answer, so that no request behind it is read.
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -117,10 +117,9 @@
             }
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
-                    if let Some(place) = connections.open() {
-                        let (handler, closing) = (handler.clone(), closing.clone());
-                        conns.spawn(serve_connection(stream, peer, place, handler, closing));
-                    }
+                    let place = connections.open();
+                    let (handler, closing) = (handler.clone(), closing.clone());
+                    conns.spawn(serve_connection(stream, peer, place, handler, closing));
                 }
                 // file descriptors may have run out
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
