entry: answers that are held for callers share memory that has a limit

Cause: an entry reads answers of up to 64 MB into one buffer each and keeps them until their callers have read them; nothing bounds their sum. Error answers of engines were collected up to 64 MB, only to be dropped.

Change: what edge hosts have for this (dispatch/held_answers.rs) moves to egret-runtime and serves both; an edge host's share and limit of one answer stay as they were. Answers at an entry share an eighth of the memory beyond 64 KB each; without room, callers that have read nothing for 5 s are cut off. If there are none, the request gets 502 with outcome done: it ran, its answer is recorded without a body, and it isn't sent to a second target, which would find no memory either. The labels of an engine's answer are checked without joining its pieces. Error answers are discarded, up to 64 KB.

Not tested: the outcome of a request whose answer found no memory.

--- a/crates/edge/src/conf.rs
+++ b/crates/edge/src/conf.rs
@@ -257,6 +257,13 @@
     (seconds * 1000.0).round() as u64
 }
 
+/// Memory that answers which are held share, in bytes, if the host's memory is not known.
+const HELD_ANSWERS_BYTES_DEFAULT: usize = 24 * 1024 * 1024;
+
+/// Part of the host's memory that they share if it is known. All that is buffered for slow readers may
+/// take a sixteenth; the other half of that is for the buffers of connections.
+const HELD_ANSWERS_PARTS: u64 = 32;
+
 /// Memory that a host has if its settings do not state it, in megabytes.
 const HOST_MB_DEFAULT: u64 = 512;
 
@@ -267,6 +274,15 @@
         self.memory.map_or(HOST_MB_DEFAULT, |memory| memory.host_mb)
     }
 
+    /// Memory that all answers which are held whole share beyond the first part of each, in bytes.
+    #[must_use]
+    pub fn held_answers_bytes(&self) -> usize {
+        let bytes = self
+            .memory
+            .map(|memory| memory.host_mb.saturating_mul(1024 * 1024) / HELD_ANSWERS_PARTS);
+        bytes.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(HELD_ANSWERS_BYTES_DEFAULT)
+    }
+
     /// Largest number of callers' connections, by the memory of the host and the descriptors that its settings
     /// and the system allow.
     #[must_use]
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -3,7 +3,6 @@
 mod accounts;
 mod attempt;
 mod crash_suspects;
-mod held_answers;
 mod placement;
 mod relay;
 mod request;
@@ -16,7 +15,6 @@
 
 pub(crate) use {
     crash_suspects::{CrashChecks, apply_message as apply_suspects, crashes_message},
-    held_answers::HeldAnswers,
     relay::Relays,
     request::CutCaller,
     stop::serve_until_stop,
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -6,7 +6,6 @@
         accounts,
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
-        held_answers::{ReadError, WholeAnswer},
         placement::{self, BeginVersions, Eligibility, Placed, Placement, select_target},
         relay::{self, Relayed},
         request::{OutgoingRequest, SharedRequest},
@@ -24,7 +23,7 @@
         Target, Time,
     },
     egret_platform::forwarded_answer_headers,
-    egret_runtime::{events, now, with_deadline},
+    egret_runtime::{AnswerReadError, WholeAnswer, events, now, with_deadline},
     faststr::FastStr,
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
@@ -43,6 +42,10 @@
 /// arrived after this multiple of the route's latency goal.
 const PLAIN_HEAD_GOALS: u64 = 3;
 
+/// Largest answer that is held whole. Answers of plain services are read completely before they are passed
+/// on, so that the caller never gets a truncated one.
+pub(super) const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// Serves a request and returns the answer to its caller.
 pub(crate) async fn serve(edge: &Arc<Edge>, req: Request<Incoming>, _peer: SocketAddr) -> Answer {
     let open = OpenRequest::new(edge);
@@ -359,8 +362,9 @@
 ) -> Result<Answer, SendDecision> {
     let (target, sent_at) = (target_answer.target.clone(), target_answer.sent_at);
     let end_mark = end_mark(&target_answer.headers, &target_answer.body);
-    let read = with_deadline(out.deadline, WholeAnswer::read(edge, target_answer.body)).await;
-    if let Some(Err(ReadError::NoRoom)) = read {
+    let read = WholeAnswer::read(&edge.held_answers, target_answer.body, ANSWER_BYTES_MAX);
+    let read = with_deadline(out.deadline, read).await;
+    if let Some(Err(AnswerReadError::NoRoom)) = read {
         // the target has done nothing wrong
         attempt::record_failure(edge, out, &target, SendEnd::Lost, "no memory for the answer");
         return Err(sender.record_end(&target.id, SendEnd::Lost));
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -4,10 +4,9 @@
     super::{
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
-        held_answers::{ReadError, WholeAnswer},
         request::{OutgoingRequest, SharedRequest},
         resumption,
-        serve::{BodyEnd, RequestSender, finish_unanswered, record_answer},
+        serve::{ANSWER_BYTES_MAX, BodyEnd, RequestSender, finish_unanswered, record_answer},
         silence::{ResumePoint, SilenceEnd},
     },
     crate::{
@@ -21,7 +20,7 @@
         SendEnd, StreamHead, Target, Time,
     },
     egret_platform::forwarded_answer_headers,
-    egret_runtime::{EventId, events, now, with_deadline},
+    egret_runtime::{AnswerReadError, EventId, WholeAnswer, events, now, with_deadline},
     futures::stream::unfold,
     http::{HeaderMap, Response, header},
     http_body::{Body, Frame},
@@ -87,7 +86,8 @@
     target_answer: TargetAnswer,
 ) -> Answer {
     let end_mark = end_mark(&target_answer.headers, &target_answer.body);
-    let read = with_deadline(out.deadline, WholeAnswer::read(edge, target_answer.body)).await;
+    let read = WholeAnswer::read(&edge.held_answers, target_answer.body, ANSWER_BYTES_MAX);
+    let read = with_deadline(out.deadline, read).await;
     let is_cut = match &read {
         Some(Ok(_)) if !end_mark.is_framed() => {
             crash_suspects::find_cut(edge, out, &target_answer.target, false).await.is_some()
@@ -96,10 +96,10 @@
     };
     let mut body = match read.filter(|_| !is_cut) {
         Some(Ok(body)) => body,
-        Some(Err(ReadError::NoRoom)) => {
+        Some(Err(AnswerReadError::NoRoom)) => {
             return finish_unanswered(edge, out, FinalAnswer::Unknown, "no memory for the answer");
         }
-        Some(Err(ReadError::Incomplete)) | None => {
+        Some(Err(AnswerReadError::Incomplete)) | None => {
             return finish_unanswered(edge, out, FinalAnswer::Unknown, "answer broke off");
         }
     };
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,7 +4,7 @@
     crate::{
         conf::Settings,
         counts::Counts,
-        dispatch::{CrashChecks, HeldAnswers, Relays},
+        dispatch::{CrashChecks, Relays},
         orders::EngineReconcilers,
         peers::{
             self, AllowanceExchange, FixedRepeats, LoadReports, OriginRecording, Peers,
@@ -21,7 +21,8 @@
     },
     egret_platform::StoreClient,
     egret_runtime::{
-        Connections, Hello, LINK_RELEASE, LinkPool, Metrics, RequestBodies, events, now, unix_ms,
+        Connections, HeldAnswers, Hello, LINK_RELEASE, LinkPool, Metrics, RequestBodies, events,
+        now, unix_ms,
     },
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
@@ -132,7 +133,7 @@
     pub(crate) crash_reports: Mutex<CrashReports>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) crash_checks: CrashChecks,
-    pub(crate) held_answers: HeldAnswers,
+    pub(crate) held_answers: Arc<HeldAnswers>,
     pub(crate) request_bodies: Arc<RequestBodies>,
     pub(crate) caller_connections: Arc<Connections>,
     pub(crate) stream_origins: Mutex<StreamOrigins>,
@@ -224,7 +225,7 @@
             crash_checks: CrashChecks::default(),
             request_bodies: RequestBodies::new(cfg.host_mb()),
             caller_connections: Connections::new("callers", cfg.caller_connections_max()),
-            held_answers: HeldAnswers::new(cfg.memory.map(|memory| memory.host_mb)),
+            held_answers: HeldAnswers::new(cfg.held_answers_bytes()),
             stream_origins: Mutex::default(),
             version_sightings: Mutex::default(),
             version_record: Mutex::default(),
--- a/crates/entry/src/completions/attempt.rs
+++ b/crates/entry/src/completions/attempt.rs
@@ -10,7 +10,8 @@
         AttemptEnd, PlacementRequest, Reason, RequestAttempts, RunPolicy, Time, choose_engine,
     },
     egret_runtime::{
-        AcquireMsg, AttemptKeyMsg, Body, CallError, LinkError, RefuseMsg, events, now, read_limited,
+        AcquireMsg, AnswerReadError, AttemptKeyMsg, Body, CallError, LinkError, RefuseMsg,
+        WholeAnswer, discard_body, events, now,
     },
     faststr::FastStr,
     http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
@@ -21,13 +22,16 @@
 /// Size limit of an answer that is not streamed, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 
+/// Bytes of an error answer that are read, so that its connection can be used again.
+const ERROR_BYTES_MAX: usize = 64 * 1024;
+
 /// Time after a request's deadline that the keeper has for refusing the ticket, in milliseconds.
 const ACQUIRE_GRACE_MS: u64 = 500;
 
 /// Body of an engine's answer.
 pub(crate) enum AnswerBody {
     /// A complete JSON answer whose labels match the attempt.
-    Complete(bytes::Bytes),
+    Complete(WholeAnswer),
     /// An event stream whose first part matches the attempt.
     Stream(Box<EngineStream>),
 }
@@ -228,7 +232,7 @@
         let status = response.status();
         let _ = tokio::time::timeout(
             Duration::from_millis(self.entry.cfg.times.silence_ms),
-            read_limited(response.into_body(), ANSWER_BYTES_MAX),
+            discard_body(response.into_body(), ERROR_BYTES_MAX),
         )
         .await;
         match status {
@@ -253,15 +257,20 @@
         mut ticket: OpenTicket,
     ) -> Result<AnswerBody, AttemptEnd> {
         let silence = Duration::from_millis(self.entry.cfg.times.silence_ms);
-        let read = read_limited(response.into_body(), ANSWER_BYTES_MAX);
+        let read =
+            WholeAnswer::read(&self.entry.held_answers, response.into_body(), ANSWER_BYTES_MAX);
         let Ok(read) = tokio::time::timeout(silence, read).await else {
             return Err(AttemptEnd::Broken(Reason::TargetFailed));
         };
-        let Ok(body) = read else {
-            ticket.report_broken().await;
-            return Err(AttemptEnd::Broken(Reason::BadAnswer));
+        let body = match read {
+            Ok(body) => body,
+            Err(AnswerReadError::NoRoom) => return Err(AttemptEnd::Broken(Reason::Overloaded)),
+            Err(AnswerReadError::Incomplete) => {
+                ticket.report_broken().await;
+                return Err(AttemptEnd::Broken(Reason::BadAnswer));
+            }
         };
-        if !expected.matches_body(&body) {
+        if !expected.matches_body(body.reader()) {
             self.entry.counts.answers_dropped.inc();
             events::ANSWER_DROPPED.warn(format_args!(
                 "request={} labels of the answer do not match",
--- a/crates/entry/src/completions/handler.rs
+++ b/crates/entry/src/completions/handler.rs
@@ -7,11 +7,11 @@
     },
     crate::{
         request_body::read_body,
-        responses::{count_answer, error_response, set_headers},
+        responses::{count_answer, error_response, held_body, set_headers},
         state::{AdmissionGuard, Entry},
     },
     egret_core::{AttemptDecision, Outcome, Reason, RequestAttempts, RunPolicy},
-    egret_runtime::{ErrorResponse, events, now},
+    egret_runtime::{ConnectionPlace, ErrorResponse, events, now},
     faststr::FastStr,
     futures::StreamExt,
     http::{HeaderName, StatusCode, header, request::Parts},
@@ -88,7 +88,8 @@
     }
     entry.retry_budget.lock().record_first_attempt();
     let engine_answer = run_attempts(entry, &req, request_id, caller).await?;
-    Ok(build_response(entry, &req, request_id, engine_answer, admission))
+    let place = head.extensions.get::<Arc<ConnectionPlace>>();
+    Ok(build_response(entry, &req, request_id, engine_answer, admission, place))
 }
 
 async fn run_attempts(
@@ -201,11 +202,12 @@
     request_id: &FastStr,
     engine_answer: EngineAnswer,
     admission: AdmissionGuard,
+    place: Option<&Arc<ConnectionPlace>>,
 ) -> Response {
     let (body, content_type) = match engine_answer.answer_body {
-        AnswerBody::Complete(bytes) => {
+        AnswerBody::Complete(answer) => {
             record_end(entry, request_id, true);
-            (Body::from(bytes), "application/json")
+            (held_body(answer, place), "application/json")
         }
         AnswerBody::Stream(stream) => {
             let (entry, request_id) = (entry.clone(), request_id.clone());
--- a/crates/entry/src/completions/labels.rs
+++ b/crates/entry/src/completions/labels.rs
@@ -1,7 +1,12 @@
 //! Checks that an answer belongs to its request and comes from the requested adapter version.
 
 use {
-    egret_core::ModelName, faststr::FastStr, http::HeaderMap, serde::Deserialize, serde_json::Value,
+    egret_core::ModelName,
+    faststr::FastStr,
+    http::HeaderMap,
+    serde::Deserialize,
+    serde_json::Value,
+    std::io::{BufReader, Read},
 };
 
 /// Labels that the answer to an attempt must carry.
@@ -53,8 +58,8 @@
     }
 
     /// Returns true if a complete JSON answer carries the expected labels.
-    pub(crate) fn matches_body(&self, body: &[u8]) -> bool {
-        let labels: Result<AnswerLabels, _> = serde_json::from_slice(body);
+    pub(crate) fn matches_body(&self, body: impl Read) -> bool {
+        let labels: Result<AnswerLabels, _> = serde_json::from_reader(BufReader::new(body));
         labels.is_ok_and(|labels| self.matches_labels(&labels))
     }
 
--- a/crates/entry/src/conf.rs
+++ b/crates/entry/src/conf.rs
@@ -52,8 +52,8 @@
     pub body_bytes: usize,
     /// Longest time to send a body, in milliseconds.
     pub body_ms: u64,
-    /// Memory of the host, in megabytes. The bodies of requests take an eighth of it, callers' connections
-    /// a quarter.
+    /// Memory of the host, in megabytes. The bodies of requests and the answers that are held take an
+    /// eighth of it each, callers' connections a quarter.
     pub memory_mb: u64,
     /// Limit of open requests.
     pub requests: u32,
@@ -61,6 +61,18 @@
     pub caller_requests: u32,
 }
 
+/// Part of the host's memory that answers which are held for their callers share.
+const HELD_ANSWERS_PARTS: u64 = 8;
+
+impl LimitSettings {
+    /// Memory that all answers which are held share beyond the first part of each, in bytes.
+    #[must_use]
+    pub fn held_answers_bytes(&self) -> usize {
+        let bytes = self.memory_mb.saturating_mul(1024 * 1024) / HELD_ANSWERS_PARTS;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+}
+
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -3,9 +3,10 @@
 use {
     crate::state::Entry,
     egret_core::Outcome,
-    egret_runtime::{ErrorResponse, events},
+    egret_runtime::{ConnectionPlace, ErrorResponse, WholeAnswer, events},
     http::{HeaderName, HeaderValue},
-    volo_http::response::Response,
+    std::sync::Arc,
+    volo_http::{body::Body, response::Response},
 };
 
 /// Sets response headers. Values that are invalid in a header are skipped.
@@ -20,6 +21,15 @@
     }
 }
 
+/// Body of an answer that is held for the caller on the connection with this place, who is cut off if it does
+/// not read and others need the memory.
+pub(crate) fn held_body(mut answer: WholeAnswer, place: Option<&Arc<ConnectionPlace>>) -> Body {
+    if let Some(place) = place {
+        answer.set_reader(place.cut());
+    }
+    Body::from_body(answer)
+}
+
 pub(crate) fn count_answer(entry: &Entry, outcome: Outcome, reason: &str) {
     let labels = vec![("outcome", outcome.as_str().to_owned()), ("reason", reason.to_owned())];
     entry.counts.answers.get_or_create(&labels).inc();
--- a/crates/entry/src/services/call.rs
+++ b/crates/entry/src/services/call.rs
@@ -3,16 +3,16 @@
 use {
     super::{
         idempotency::{KeyedRequest, send_at_most_once, verify_refusal},
-        target::{OutgoingRequest, Target, ranked_targets},
+        target::{OutgoingRequest, SendError, Target, TargetReply, ranked_targets},
     },
     crate::{
         completions::identify_caller,
         request_body::read_body,
-        responses::{count_answer, error_response, set_headers},
+        responses::{count_answer, error_response, held_body, set_headers},
         state::{AdmissionGuard, Entry},
     },
     egret_core::{AttemptDecision, AttemptEnd, Outcome, Reason, RequestAttempts},
-    egret_runtime::{ErrorResponse, Reply, events, now},
+    egret_runtime::{ConnectionPlace, ErrorResponse, WholeAnswer, events, now},
     faststr::FastStr,
     http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
     std::{sync::Arc, time::Duration},
@@ -26,11 +26,19 @@
 const FORWARDED_HEADERS: [HeaderName; 3] =
     [header::CONTENT_TYPE, header::ACCEPT, HeaderName::from_static("idempotency-key")];
 
+/// Body of a service's answer.
+pub(super) enum AnswerBody {
+    /// As the service sent it.
+    Whole(WholeAnswer),
+    /// As the journal has recorded it.
+    Recorded(bytes::Bytes),
+}
+
 /// A service's answer, or its replay from the journal.
 pub(super) struct ServiceAnswer {
     pub(super) status: StatusCode,
     pub(super) content_type: String,
-    pub(super) body: bytes::Bytes,
+    pub(super) body: AnswerBody,
     pub(super) target: FastStr,
     pub(super) is_replay: bool,
 }
@@ -74,7 +82,9 @@
     let read = read_body(&entry, &head.extensions, body, &request_id).await;
     let (body, _memory) = match read {
         Ok(read) => read,
-        Err(answer) => return error_response(&entry, answer),
+        Err(answer) => {
+            return error_response(&entry, verify_refusal(&entry, &keyed_request, answer).await);
+        }
     };
     let config = entry.config.current();
     let Some(targets) = ranked_targets(&entry, &config, &keyed_request.service, &request_id) else {
@@ -99,7 +109,10 @@
         send_at_most_once(call, keyed_request, admission).await
     };
     match answer {
-        Ok(answer) => build_response(&entry, &request_id, answer),
+        Ok(answer) => {
+            let place = head.extensions.get::<Arc<ConnectionPlace>>();
+            build_response(&entry, &request_id, answer, place)
+        }
         Err(answer) => error_response(&entry, answer),
     }
 }
@@ -155,6 +168,15 @@
         }
     }
 
+    /// Creates the final answer for a request that ran, and for whose answer there is no memory.
+    pub(super) fn unheld_answer(&self) -> ErrorResponse {
+        ErrorResponse {
+            status: StatusCode::BAD_GATEWAY,
+            message: "the request ran, and there was no memory for its answer".to_owned(),
+            ..self.failure_answer(Outcome::Done, Reason::Overloaded, RETRY_AFTER_MS)
+        }
+    }
+
     /// Sends a request that is safe to repeat to one target after another.
     async fn send_with_retries(&self) -> Result<ServiceAnswer, ErrorResponse> {
         let deadline = now().after_ms(self.entry.cfg.times.service_ms);
@@ -173,6 +195,8 @@
                     let end = match self.outgoing.send(&self.entry, target, attempt_deadline).await
                     {
                         Ok(reply) => return Ok(service_answer(reply, target)),
+                        // a repeat would find no memory either
+                        Err(SendError::NoRoom { .. }) => return Err(self.unheld_answer()),
                         Err(e) if e.is_unsent() => AttemptEnd::NotConnected,
                         Err(_) => AttemptEnd::Broken(Reason::TargetFailed),
                     };
@@ -194,22 +218,31 @@
     }
 }
 
-pub(super) fn service_answer(reply: Reply, target: &Target) -> ServiceAnswer {
+pub(super) fn service_answer(reply: TargetReply, target: &Target) -> ServiceAnswer {
     let content_type = reply.header("content-type").unwrap_or("application/octet-stream");
     ServiceAnswer {
         status: reply.status,
         content_type: content_type.to_owned(),
-        body: reply.body,
+        body: AnswerBody::Whole(reply.body),
         target: target.name.clone(),
         is_replay: false,
     }
 }
 
-fn build_response(entry: &Entry, request_id: &FastStr, answer: ServiceAnswer) -> Response {
+fn build_response(
+    entry: &Entry,
+    request_id: &FastStr,
+    answer: ServiceAnswer,
+    place: Option<&Arc<ConnectionPlace>>,
+) -> Response {
     count_answer(entry, Outcome::Done, "done");
     entry.traces.add_step(request_id, format!("answered by {}", answer.target));
     events::REQUEST_DONE.debug(format_args!("request={request_id}"));
-    let mut response = Response::new(Body::from(answer.body));
+    let body = match answer.body {
+        AnswerBody::Recorded(bytes) => Body::from(bytes),
+        AnswerBody::Whole(body) => held_body(body, place),
+    };
+    let mut response = Response::new(body);
     *response.status_mut() = answer.status;
     let headers = [
         (header::CONTENT_TYPE, answer.content_type),
--- a/crates/entry/src/services/idempotency.rs
+++ b/crates/entry/src/services/idempotency.rs
@@ -1,13 +1,16 @@
 //! Runs requests with an idempotency key at most once, with the help of the journal.
 
 use {
-    super::call::{ServiceAnswer, ServiceCall, service_answer},
+    super::{
+        call::{AnswerBody, ServiceAnswer, ServiceCall, service_answer},
+        target::{SendError, TargetReply},
+    },
     crate::state::{AdmissionGuard, Entry},
     egret_core::{
         Attempt, IntentDecision, Journal, JournalRecord, KeyDigest, KeyRejection, Lookup, Outcome,
         Reason, RecordedAnswer, Time, hex_digest,
     },
-    egret_runtime::{ErrorResponse, Reply, events, now, unix_ms},
+    egret_runtime::{ErrorResponse, events, now, unix_ms},
     faststr::FastStr,
     http::{HeaderMap, StatusCode},
 };
@@ -24,6 +27,9 @@
 /// Time for reading the journal before a request is refused, in milliseconds.
 const VERIFY_TIMEOUT_MS: u64 = 500;
 
+/// Type that is recorded of an answer which names none.
+const DEFAULT_CONTENT_TYPE: &str = "text/plain";
+
 /// Length limit of an idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 256;
 
@@ -199,7 +205,7 @@
     ServiceAnswer {
         status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
         content_type,
-        body: bytes::Bytes::from(body.to_string()),
+        body: AnswerBody::Recorded(bytes::Bytes::from(body.to_string())),
         target: answer.target,
         is_replay: true,
     }
@@ -258,9 +264,20 @@
         entry.traces.add_step(&call.request_id, format!("sent to {}", target.name));
         match call.outgoing.send(entry, target, deadline).await {
             Ok(reply) => {
-                record_answer(call, key, attempt, &reply, &target.name).await;
+                let answer = recorded_answer(call, &reply, &target.name);
+                record_answer(call, key, attempt, answer).await;
                 return Ok(service_answer(reply, target));
             }
+            Err(SendError::NoRoom { status }) => {
+                let answer = RecordedAnswer {
+                    status: status.as_u16(),
+                    content_type: FastStr::from_static_str(DEFAULT_CONTENT_TYPE),
+                    body: None,
+                    target: target.name.clone(),
+                };
+                record_answer(call, key, attempt, answer).await;
+                return Err(call.unheld_answer());
+            }
             Err(e) if e.is_unsent() => {}
             Err(e) => {
                 events::JOURNAL_UNSETTLED
@@ -277,21 +294,25 @@
     Err(call.failure_answer(Outcome::NotRun, Reason::NoTarget, RETRY_AFTER_MS))
 }
 
+// what the journal keeps of an answer
+fn recorded_answer(call: &ServiceCall, reply: &TargetReply, target: &FastStr) -> RecordedAnswer {
+    let bytes = reply.body.small_bytes(call.entry.cfg.journal.answer_bytes);
+    let text = bytes.as_deref().and_then(|bytes| std::str::from_utf8(bytes).ok());
+    let content_type = reply.header("content-type").unwrap_or(DEFAULT_CONTENT_TYPE);
+    RecordedAnswer {
+        status: reply.status.as_u16(),
+        content_type: FastStr::new(content_type),
+        body: text.map(FastStr::new),
+        target: target.clone(),
+    }
+}
+
 async fn record_answer(
     call: &ServiceCall,
     key: &IdempotencyKey,
     attempt: &Attempt,
-    reply: &Reply,
-    target: &FastStr,
+    answer: RecordedAnswer,
 ) {
-    let fits = reply.body.len() <= call.entry.cfg.journal.answer_bytes;
-    let text = fits.then(|| std::str::from_utf8(&reply.body).ok()).flatten();
-    let answer = RecordedAnswer {
-        status: reply.status.as_u16(),
-        content_type: FastStr::new(reply.header("content-type").unwrap_or("text/plain")),
-        body: text.map(FastStr::new),
-        target: target.clone(),
-    };
     let done = JournalRecord::Done { key: key.digest.clone(), attempt: attempt.clone(), answer };
     // The answer is recorded before it is returned, so that a repeat at another entry finds it. If
     // the log does not answer, the caller waits no longer than this.
--- a/crates/entry/src/services/target.rs
+++ b/crates/entry/src/services/target.rs
@@ -4,13 +4,17 @@
     crate::state::Entry,
     bytes::Bytes,
     egret_core::{Config, ConnectResult, EndStep, Time, UnframedEnd, rendezvous_weight},
-    egret_runtime::{CallError, Reply, now, with_deadline},
+    egret_runtime::{AnswerReadError, CallError, WholeAnswer, now, with_deadline},
     faststr::FastStr,
     http::{HeaderMap, Method, StatusCode, header},
     std::{io::ErrorKind, net::SocketAddr, time::Duration},
+    thiserror::Error,
     tokio::net::TcpStream,
 };
 
+/// Largest answer of a service, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Timeout of a connection that shows whether a target lives.
 const CHECK_TIMEOUT_MS: u64 = 150;
 
@@ -45,6 +49,42 @@
     Some(targets.into_iter().map(to_target).collect())
 }
 
+/// Answer of a target.
+#[derive(Debug)]
+pub(super) struct TargetReply {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: WholeAnswer,
+}
+
+impl TargetReply {
+    /// Value of a header, if it is text.
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Reason why there is no answer of a target.
+#[derive(Debug, Error)]
+pub(super) enum SendError {
+    /// The call failed.
+    #[error("{0}")]
+    Call(#[from] CallError),
+    /// The target has answered, and there is no memory for its answer.
+    #[error("no memory for the answer")]
+    NoRoom {
+        /// Status of the answer.
+        status: StatusCode,
+    },
+}
+
+impl SendError {
+    /// True if no part of the request was sent.
+    pub(super) fn is_unsent(&self) -> bool {
+        matches!(self, Self::Call(e) if e.is_unsent())
+    }
+}
+
 /// Request as sent to a service.
 #[derive(Clone, Debug)]
 pub(super) struct OutgoingRequest {
@@ -62,19 +102,29 @@
         entry: &Entry,
         target: &Target,
         deadline: Time,
-    ) -> Result<Reply, CallError> {
+    ) -> Result<TargetReply, SendError> {
         let client = &entry.service_client;
         let (method, body) = (self.method.clone(), self.body.clone());
-        let reply =
-            client.call(target.address, method, &self.path, &self.headers, body, deadline).await?;
+        let response = client
+            .send_request(target.address, method, &self.path, &self.headers, body, deadline)
+            .await?;
+        let (head, body) = response.into_parts();
+        let read = WholeAnswer::read(&entry.held_answers, body, ANSWER_BYTES_MAX);
+        let read = with_deadline(deadline, read).await.ok_or(CallError::TimedOut)?;
+        let body = read.map_err(|e| match e {
+            AnswerReadError::NoRoom => SendError::NoRoom { status: head.status },
+            AnswerReadError::Incomplete => CallError::Broken(e.to_string()).into(),
+        })?;
+        let reply = TargetReply { status: head.status, headers: head.headers, body };
         if !self.is_framed(&reply) && is_cut(target, deadline).await {
-            return Err(CallError::Broken("nothing shows that the answer is whole".to_owned()));
+            let problem = "nothing shows that the answer is whole".to_owned();
+            return Err(CallError::Broken(problem).into());
         }
         Ok(reply)
     }
 
     // true if a length or chunks mark the end of the answer, or it can have no body
-    fn is_framed(&self, reply: &Reply) -> bool {
+    fn is_framed(&self, reply: &TargetReply) -> bool {
         let last_coding = |value: &str| value.rsplit(',').next().map(|c| c.trim().to_lowercase());
         let is_chunked = reply.header("transfer-encoding").and_then(last_coding);
         reply.headers.contains_key(header::CONTENT_LENGTH)
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -42,9 +42,10 @@
 pub use platform::{Appended, Batch, HostEntry, HostsClient, LogClient, LogError, Tail};
 pub use watch::{ConfigWatch, HostsWatch};
 pub use web::{
-    AnswerBody, BodyBounds, BodyMemory, BodyReadError, CallError, Conn, ConnPool, ConnectionPlace,
-    Connections, ENGINE_ECHO_HEADERS, EndsWithConnection, ErrorResponse, HttpClient, HttpError,
-    HttpLimits, LingeringStream, Pieces, Reply, RequestBodies, SocketBuffers,
-    client_connections_max, error_json, json_response, lingering_connections, listen,
-    read_incoming, read_limited, serve_http, text_response, with_deadline,
+    AnswerBody, AnswerReadError, BodyBounds, BodyMemory, BodyReadError, CallError, Conn, ConnPool,
+    ConnectionPlace, Connections, ENGINE_ECHO_HEADERS, EndsWithConnection, ErrorResponse,
+    HeldAnswers, HttpClient, HttpError, HttpLimits, LingeringStream, Pieces, Reply, RequestBodies,
+    SocketBuffers, WholeAnswer, client_connections_max, discard_body, error_json, json_response,
+    lingering_connections, listen, read_incoming, read_limited, serve_http, text_response,
+    with_deadline,
 };
--- a/crates/runtime/src/web/connections.rs
+++ b/crates/runtime/src/web/connections.rs
@@ -148,6 +148,12 @@
         self.closes_after_answer.load(Ordering::Acquire)
     }
 
+    /// Notified to close the connection.
+    #[must_use]
+    pub fn cut(&self) -> &Arc<Notify> {
+        &self.cut
+    }
+
     /// Waits until the connection is to be closed for another one.
     pub async fn wait_until_cut(&self) {
         self.cut.notified().await;
--- a/crates/edge/src/dispatch/held_answers.rs
+++ b/crates/runtime/src/web/held_answers.rs
@@ -1,22 +1,22 @@
-//! Answers of plain services, which are held whole until their callers have read them.
+//! Answers that are held whole until their callers have read them.
 //!
-//! All of them share a part of the host's memory. The system's buffers for a caller are bounded
-//! (`server::accept`), so a caller that does not read leaves its answer here. If there is no room for
-//! another answer, callers that have read nothing for a while are cut off.
+//! All of them share a part of the host's memory. The system's buffers for a caller are bounded, so a
+//! caller that does not read leaves its answer here. If there is no room for another answer, callers that
+//! have read nothing for a while are cut off.
 
 use {
-    crate::state::Edge,
-    bytes::Bytes,
+    super::pieces::Pieces,
+    crate::clock::now,
+    bytes::{Buf, Bytes},
     egret_core::Time,
-    egret_runtime::{Pieces, now},
     http_body::{Body, Frame, SizeHint},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
     indexmap::IndexMap,
     parking_lot::Mutex,
     std::{
         collections::VecDeque,
         convert::Infallible,
+        io::{self, Read},
         pin::Pin,
         sync::{
             Arc,
@@ -25,24 +25,14 @@
         task::{Context, Poll},
         time::Duration,
     },
+    thiserror::Error,
     tokio::sync::Notify,
 };
 
-/// Largest answer of a plain service. Such answers are read completely before they are passed on,
-/// so that the caller never gets a truncated one.
-const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
-
 /// Part of each answer that does not count for the memory that all of them share, so that answers
 /// without end from some targets do not keep out those of others. The system's buffers take it.
 const ANSWER_BYTES_FREE: usize = 64 * 1024;
 
-/// Memory that all answers beyond those parts share, in bytes, if the host's memory is not known.
-const SHARED_BYTES_DEFAULT: usize = 24 * 1024 * 1024;
-
-/// Part of the host's memory that they share if it is known. All that is buffered for slow readers may
-/// take a sixteenth; the other half of that is for the buffers of connections.
-const HOST_MEMORY_PARTS: u64 = 32;
-
 /// Time without progress after which a caller may be cut off to make room.
 const SLOW_READER_MS: u64 = 5000;
 
@@ -58,7 +48,7 @@
 
 /// The memory of answers that are held, and who has to read them.
 #[derive(Debug)]
-pub(crate) struct HeldAnswers {
+pub struct HeldAnswers {
     bytes_max: usize,
     taken: AtomicUsize,
     next_reader: AtomicU64,
@@ -66,16 +56,21 @@
 }
 
 impl HeldAnswers {
-    /// Answers on a host with this memory, if it is known.
-    pub(crate) fn new(host_mb: Option<u64>) -> Self {
-        let bytes = host_mb.map(|mb| mb.saturating_mul(1024 * 1024) / HOST_MEMORY_PARTS);
-        let bytes = bytes.and_then(|bytes| usize::try_from(bytes).ok());
-        Self {
-            bytes_max: bytes.unwrap_or(SHARED_BYTES_DEFAULT),
+    /// Answers that share `bytes_max` beyond the first 64 KB of each.
+    #[must_use]
+    pub fn new(bytes_max: usize) -> Arc<Self> {
+        Arc::new(Self {
+            bytes_max,
             taken: AtomicUsize::new(0),
             next_reader: AtomicU64::new(0),
             readers: Mutex::default(),
-        }
+        })
+    }
+
+    /// Bytes that answers take of the shared memory.
+    #[must_use]
+    pub fn taken(&self) -> usize {
+        self.taken.load(Ordering::Relaxed)
     }
 
     // cuts off the callers that have read nothing for a while; returns false if there are none
@@ -88,18 +83,20 @@
 }
 
 /// Reason why an answer was not read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ReadError {
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum AnswerReadError {
     /// It broke off, or is too large.
+    #[error("the answer broke off or is too large")]
     Incomplete,
     /// There is no memory for it.
+    #[error("no memory for the answer")]
     NoRoom,
 }
 
 // the part of the shared memory that an answer takes
 #[derive(Debug)]
 struct HeldBytes {
-    edge: Arc<Edge>,
+    answers: Arc<HeldAnswers>,
     taken: usize,
     reader: Option<u64>,
 }
@@ -108,7 +105,7 @@
     // returns false if there is no room for an answer of this length
     fn take(&mut self, length: usize) -> bool {
         let more = length.saturating_sub(ANSWER_BYTES_FREE).saturating_sub(self.taken);
-        let held = &self.edge.held_answers;
+        let held = &self.answers;
         if more == 0 {
             return true;
         }
@@ -123,7 +120,7 @@
     // gives back what an answer of this length no longer needs
     fn shrink(&mut self, length: usize) {
         let needed = length.saturating_sub(ANSWER_BYTES_FREE).min(self.taken);
-        self.edge.held_answers.taken.fetch_sub(self.taken - needed, Ordering::Relaxed);
+        self.answers.taken.fetch_sub(self.taken - needed, Ordering::Relaxed);
         self.taken = needed;
     }
 
@@ -131,7 +128,7 @@
         if self.take(length) {
             return true;
         }
-        if !self.edge.held_answers.cut_slow_readers() {
+        if !self.answers.cut_slow_readers() {
             return false;
         }
         tokio::time::sleep(CUT_PAUSE).await;
@@ -141,7 +138,7 @@
     // called when the caller begins to read
     fn set_reader(&mut self, cut: Arc<Notify>) {
         if self.taken > 0 {
-            let held = &self.edge.held_answers;
+            let held = &self.answers;
             let id = held.next_reader.fetch_add(1, Ordering::Relaxed);
             held.readers.lock().insert(id, Reader { progress_at: now(), cut });
             self.reader = Some(id);
@@ -149,7 +146,7 @@
     }
 
     fn record_progress(&self) {
-        let mut readers = self.edge.held_answers.readers.lock();
+        let mut readers = self.answers.readers.lock();
         if let Some(reader) = self.reader.and_then(|id| readers.get_mut(&id)) {
             reader.progress_at = now();
         }
@@ -158,7 +155,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        let held = &self.edge.held_answers;
+        let held = &self.answers;
         held.taken.fetch_sub(self.taken, Ordering::Relaxed);
         if let Some(id) = self.reader {
             held.readers.lock().swap_remove(&id);
@@ -168,7 +165,7 @@
 
 /// A whole answer, as the body of that to the caller.
 #[derive(Debug)]
-pub(super) struct WholeAnswer {
+pub struct WholeAnswer {
     pieces: VecDeque<Bytes>,
     // bytes of all pieces
     length: usize,
@@ -176,19 +173,31 @@
 }
 
 impl WholeAnswer {
-    /// Reads the body of an answer.
-    pub(super) async fn read(edge: &Arc<Edge>, mut body: Incoming) -> Result<Self, ReadError> {
-        let held = HeldBytes { edge: edge.clone(), taken: 0, reader: None };
+    /// Reads the body of an answer, of `bytes_max` at most.
+    ///
+    /// # Errors
+    ///
+    /// If it is not complete or too large, or if there is no memory for it.
+    pub async fn read<B>(
+        answers: &Arc<HeldAnswers>,
+        body: B,
+        bytes_max: usize,
+    ) -> Result<Self, AnswerReadError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut body = body;
+        let held = HeldBytes { answers: answers.clone(), taken: 0, reader: None };
         let mut this = Self { pieces: VecDeque::new(), length: 0, held };
         let mut pieces = Pieces::default();
         while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() {
+            if let Ok(data) = frame.map_err(|_| AnswerReadError::Incomplete)?.into_data() {
                 let length = this.length + data.len();
-                if length > ANSWER_BYTES_MAX {
-                    return Err(ReadError::Incomplete);
+                if length > bytes_max {
+                    return Err(AnswerReadError::Incomplete);
                 }
                 if !this.held.take_or_cut(length).await {
-                    return Err(ReadError::NoRoom);
+                    return Err(AnswerReadError::NoRoom);
                 }
                 this.length = length;
                 let remaining = body.size_hint().exact().map(|rest| rest + data.len() as u64);
@@ -200,9 +209,40 @@
     }
 
     /// Names what cuts off the caller that has to read it.
-    pub(super) fn set_reader(&mut self, cut: &Arc<Notify>) {
+    pub fn set_reader(&mut self, cut: &Arc<Notify>) {
         self.held.set_reader(cut.clone());
     }
+
+    /// All bytes in one buffer, if there are no more than `bytes_max`.
+    #[must_use]
+    pub fn small_bytes(&self, bytes_max: usize) -> Option<Bytes> {
+        (self.length <= bytes_max).then(|| self.pieces.iter().flatten().copied().collect())
+    }
+
+    /// Reads the bytes without taking them.
+    #[must_use]
+    pub fn reader(&self) -> impl Read {
+        PiecesReader { pieces: self.pieces.iter().cloned().collect() }
+    }
+}
+
+// reads pieces one after another
+struct PiecesReader {
+    pieces: VecDeque<Bytes>,
+}
+
+impl Read for PiecesReader {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let Some(piece) = self.pieces.front_mut() else {
+            return Ok(0);
+        };
+        let length = piece.len().min(buf.len());
+        piece.copy_to_slice(&mut buf[..length]);
+        if piece.is_empty() {
+            self.pieces.pop_front();
+        }
+        Ok(length)
+    }
 }
 
 impl Body for WholeAnswer {
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod conn;
 mod connections;
+mod held_answers;
 mod linger;
 mod listen;
 mod pieces;
@@ -17,9 +18,10 @@
     client::{CallError, ENGINE_ECHO_HEADERS, HttpClient, Reply, with_deadline},
     conn::{Conn, ConnPool, HttpError, read_incoming},
     connections::{ConnectionPlace, Connections, client_connections_max},
+    held_answers::{AnswerReadError, HeldAnswers, WholeAnswer},
     linger::{EndsWithConnection, LingeringStream, lingering_connections},
     listen::{SocketBuffers, listen},
     pieces::Pieces,
     response::{ErrorResponse, error_json, json_response, text_response},
-    server::{HttpLimits, read_limited, serve_http},
+    server::{HttpLimits, discard_body, read_limited, serve_http},
 };
--- a/crates/runtime/src/web/server.rs
+++ b/crates/runtime/src/web/server.rs
@@ -76,6 +76,18 @@
     Ok(bytes.freeze())
 }
 
+/// Reads and discards a body up to `limit` bytes.
+pub async fn discard_body(body: Body, limit: usize) {
+    let mut body = body;
+    let mut discarded = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        discarded += frame.data_ref().map_or(0, Bytes::len);
+        if discarded > limit {
+            return;
+        }
+    }
+}
+
 /// Limits on what clients of a server may make it hold.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
--- a/crates/scenarios/tests/crowds.rs
+++ b/crates/scenarios/tests/crowds.rs
@@ -150,6 +150,22 @@
     });
 }
 
+// The same for answers of engines. An ordinary caller's answer needs memory as well, so that those who do not
+// read theirs have to make way.
+#[test]
+fn entry_engine_answers_unread() {
+    let _turn = TURN.lock();
+    let d = start();
+    d.inject_faults(d.layout.engine(0), &json!({ "answer_bytes": 2 * BODY_MAX }));
+    let body = json!({ "model": "base/a1@1", "prompt": "p", "max_tokens": 2 }).to_string();
+    let sent = |_| {
+        let head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json";
+        let length = body.len();
+        Sent::whole(format!("{head}\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes())
+    };
+    check_on(d, At::Entry, 250, sent);
+}
+
 // Connections were accepted until there were no descriptors.
 #[test]
 fn entry_heads_without_end() {
--- a/crates/standin/src/engine/completions.rs
+++ b/crates/standin/src/engine/completions.rs
@@ -42,6 +42,7 @@
 struct AnswerFaults {
     truncate: bool,
     duplicate: bool,
+    answer_bytes: usize,
 }
 
 /// Request id, attempt and model that every part of an answer names.
@@ -128,6 +129,7 @@
     let answer_faults = AnswerFaults {
         truncate: take_fault(&mut faults.truncate),
         duplicate: take_fault(&mut faults.duplicate),
+        answer_bytes: faults.answer_bytes,
     };
     (ids, answer_faults)
 }
@@ -219,6 +221,7 @@
             break;
         }
     }
+    text.extend(std::iter::repeat_n('x', faults.answer_bytes));
     let answer = json!({
         "id": ids.request,
         "attempt": ids.attempt,
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -24,6 +24,8 @@
     pub(super) wrong_request_id: u32,
     /// Number of answers to give from another version of the adapter.
     pub(super) wrong_version: u32,
+    /// Bytes that each answer which is no stream has in addition.
+    pub(super) answer_bytes: usize,
     /// Number of streams to send with each event twice.
     pub(super) duplicate: u32,
     /// Number of loads to fail.
