edge tests: late_refusal_on_kept_connection uses kept connections of both targets

Cause: in the test. It lets the host send four requests, so that connections are kept, and then has the targets write a late refusal before the next answer. The id of a request decides to which target it goes. Ids are numbered over all tests of the program, so the four may go to one target and the fifth to the other, on a new connection. A refusal there can't be a late copy of an earlier one; it proves that the request was not run, and the host sends it to the other target, as it should.

Change: the test sends requests until both targets have got one, and no longer than 500 ms ago. The asserts are as they were.

--- a/crates/edge/tests/edge/requests.rs
+++ b/crates/edge/tests/edge/requests.rs
@@ -2,13 +2,13 @@
 //! may not be repeated run at most once.
 
 use {
-    crate::support::{Deployment, request, stream_request, wait_until, whole_stream},
+    crate::support::{Deployment, EdgeProcess, request, stream_request, wait_until, whole_stream},
     bytes::Bytes,
     egret_runtime::{HttpError, now},
-    egret_standin::platform::{ROUTE_HOST, StoreFault, StreamFraming, TargetFault},
+    egret_standin::platform::{ROUTE_HOST, StoreFault, StreamFraming, Target, TargetFault},
     http::Method,
     http_body_util::Full,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -231,9 +231,7 @@
         for target in [&a, &b] {
             target.set_fault(TargetFault::None);
         }
-        for _ in 0..4 {
-            edge.call_until(200, || request(Method::POST, "/once/a", &[])).await;
-        }
+        use_connections(&edge, [&a, &b]).await;
         for target in [&a, &b] {
             target.set_fault(TargetFault::RefusalInFront(status));
         }
@@ -245,6 +243,29 @@
     }
 }
 
+// Sends requests until each target has got one on a connection that the host keeps and soon uses again. The
+// ids of requests decide between targets, so any few of them may go to one target alone.
+async fn use_connections(edge: &EdgeProcess, targets: [&Target; 2]) {
+    const USED_WITHIN: Duration = Duration::from_millis(500);
+    const WAIT_MAX: Duration = Duration::from_secs(20);
+    let give_up_at = Instant::now() + WAIT_MAX;
+    while Instant::now() < give_up_at {
+        let started = Instant::now();
+        let before = targets.map(|target| target.executed_requests().len());
+        let are_used = || {
+            let now = targets.map(|target| target.executed_requests().len());
+            now.iter().zip(before).all(|(now, before)| *now > before)
+        };
+        while !are_used() && started.elapsed() < USED_WITHIN {
+            edge.call_until(200, || request(Method::POST, "/once/a", &[])).await;
+        }
+        if are_used() && started.elapsed() < USED_WITHIN {
+            return;
+        }
+    }
+    panic!("the targets are not used");
+}
+
 #[tokio::test]
 async fn reject_crossed_or_doubled_answers() {
     let d = Deployment::new().await;
