--- a/crates/scenarios/tests/crowds.rs
+++ b/crates/scenarios/tests/crowds.rs
@@ -50,10 +50,14 @@
 
 // starts processes that may open so many descriptors; this process needs more for the crowd
 fn start() -> Deployment {
+    start_with("")
+}
+
+fn start_with(more_limits: &str) -> Deployment {
     let spec = DeploymentSpec {
         hosts: 1,
         engines: 1,
-        entry_settings: format!("[limits]\nbody_bytes = {BODY_MAX}\n"),
+        entry_settings: format!("[limits]\nbody_bytes = {BODY_MAX}\n{more_limits}"),
         ..DeploymentSpec::small()
     };
     let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).unwrap();
@@ -166,6 +170,40 @@
     check_on(d, At::Entry, 250, sent);
 }
 
+// A request for whose answer there is no memory has run, and a refused repeat of its key may not say otherwise.
+#[test]
+fn entry_service_answer_without_memory() {
+    const PATH: &str = "/services/studio/x";
+    let _turn = TURN.lock();
+    // answers share 4 MB
+    let d = start_with("memory_mb = 32\n");
+    let entry = d.layout.entry(0);
+    let targets: Vec<_> = (0..d.spec.service_targets).map(|i| d.layout.service_target(i)).collect();
+    for target in &targets {
+        d.inject_faults(*target, &json!({ "answer_bytes": 2 * BODY_MAX }));
+    }
+    let headers = [
+        ("idempotency-key", "k-1".to_owned()),
+        ("idempotency-expires", (unix_ms() + KEY_MS).to_string()),
+    ];
+    let send = |body: &serde_json::Value| {
+        let reply = d.send_json_with_headers(Method::POST, entry, PATH, &headers, body);
+        let reply = reply.expect("an answer");
+        let outcome = reply.header("x-egret-outcome").unwrap_or_default().to_owned();
+        (reply.status.as_u16(), outcome)
+    };
+    let small = json!({ "text": "x" });
+    assert_eq!(send(&small), (502, "done".to_owned()));
+    assert_eq!(send(&small), (200, "done".to_owned()));
+    let oversized = json!({ "text": "x".repeat(BODY_MAX) });
+    assert_eq!(send(&oversized), (413, "unknown".to_owned()));
+    let effects = targets.iter().filter_map(|target| d.get_json(*target, "/stats")).map(|stats| {
+        let effects = stats["effects"].as_array();
+        effects.map_or(0, Vec::len)
+    });
+    assert_eq!(effects.sum::<usize>(), 1);
+}
+
 // Connections were accepted until there were no descriptors.
 #[test]
 fn entry_heads_without_end() {
