edge tests: one setup for contents that have crashed an engine; an unused method

Two tests of crashes repeated the same lines until the first crash was known; they share a function now, and check what they checked. HeldAnswers::taken had no caller.

--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -152,48 +152,43 @@
 #[tokio::test]
 async fn refused_content_is_not_moved_soon_after_sound_streams() {
     let d = Deployment::new().await;
-    d.configure(7);
-    let mut engines = start_engines(&d, 1..=1, 1).await;
-    let edges = start_ready_edges(&d, 1).await;
-    let _ = edges[0].call(crashing_request()).await;
-    assert_eq!(crashes(&engines), 1);
-    wait_until("crash known", || d.log(1).contains("contents became crash suspects")).await;
-    engines.extend(start_engines(&d, 2..=4, 1).await);
+    let (edge, engines) = start_with_suspected_content(&d).await;
     for engine in &engines {
         engine.set_framing(StreamFraming::UntilClose);
     }
-    for number in 2..=4 {
-        let ready = format!("target accepts new requests target=e-{number}");
-        wait_until("engines known", || d.log(1).contains(&ready)).await;
-    }
-    let sound = (0..12).map(|_| edges[0].call(stream_request("stream", "a1")));
+    let sound = (0..12).map(|_| edge.call(stream_request("stream", "a1")));
     for answer in join_all(sound).await {
         assert_eq!(answer.unwrap().body, whole_stream());
     }
-    let _ = edges[0].call(crashing_request()).await;
+    let _ = edge.call(crashing_request()).await;
     assert_eq!(crashes(&engines), CRASHES_MAX);
 }
 
 async fn send_content_that_crashes_two_engines(listener_time: Duration) {
     let d = Deployment::new().await;
-    d.configure(7);
-    // the first crash is that of the only engine
-    let mut engines = start_engines(&d, 1..=1, 1).await;
-    let edges = start_ready_edges(&d, 1).await;
-    let _ = edges[0].call(crashing_request()).await;
-    assert_eq!(crashes(&engines), 1);
-    wait_until("crash known", || d.log(1).contains("contents became crash suspects")).await;
-    engines.extend(start_engines(&d, 2..=4, 1).await);
+    let (edge, engines) = start_with_suspected_content(&d).await;
     for engine in &engines {
         engine.set_crash_listener_time(listener_time);
     }
+    // the second crash is that of the next request, which is not sent a second time
+    let _ = edge.call(crashing_request()).await;
+    assert_eq!(crashes(&engines), CRASHES_MAX);
+}
+
+// a host, and engines of which the first has crashed while the host knew of no other one
+async fn start_with_suspected_content(d: &Deployment) -> (EdgeProcess, Vec<Target>) {
+    d.configure(7);
+    let mut engines = start_engines(d, 1..=1, 1).await;
+    let edge = start_ready_edges(d, 1).await.remove(0);
+    let _ = edge.call(crashing_request()).await;
+    assert_eq!(crashes(&engines), 1);
+    wait_until("crash known", || d.log(1).contains("contents became crash suspects")).await;
+    engines.extend(start_engines(d, 2..=4, 1).await);
     for number in 2..=4 {
         let ready = format!("target accepts new requests target=e-{number}");
         wait_until("engines known", || d.log(1).contains(&ready)).await;
     }
-    // the second one is that of the next request, which is not sent a second time
-    let _ = edges[0].call(crashing_request()).await;
-    assert_eq!(crashes(&engines), CRASHES_MAX);
+    (edge, engines)
 }
 
 // A host that had restarted did not know what the others refused.
--- a/crates/runtime/src/web/held_answers.rs
+++ b/crates/runtime/src/web/held_answers.rs
@@ -67,12 +67,6 @@
         })
     }
 
-    /// Bytes that answers take of the shared memory.
-    #[must_use]
-    pub fn taken(&self) -> usize {
-        self.taken.load(Ordering::Relaxed)
-    }
-
     // cuts off the callers that have read nothing for a while; returns false if there are none
     fn cut_slow_readers(&self) -> bool {
         let readers = self.readers.lock();
