Show servers that crash after a new configuration names a second model

Cause: every model that the configuration lists is ordered on every server, without regard to sizes; the list is taken when a host begins to own a server.

The stand-ins hold models with sizes and crash when they are ordered to load more than fits.

--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -373,3 +373,63 @@
     // of 12 or more, the share that goes on is under half of the share of new streams that begin
     Some(taken_up.len() < 12 || 2 * gone_on * sent >= begun * taken_up.len())
 }
+
+/// A new configuration names a second base model, and no server has room for both. Then the hosts are
+/// stopped and started in turn.
+pub fn second_model(record: &Record, folder: &Path, has_trouble: bool) -> Option<bool> {
+    let mut scene = Scene::start(record.clone(), folder);
+    scene.store.write("keyed.op", "config", &engine_config(1, ONE_MODEL));
+    let args = ["--service", "potter-assist", "--weights-mb", "75000", "--models",
+                "clay=72700,glass=72700", "--events", "40", "--pause-ms", "50", "--slots", "32"];
+    for n in 0..6 {
+        scene.start_server(&format!("i-assist-{n}-0"), free_address("127.0.2.1"), &args);
+    }
+    for number in 1..=2 {
+        scene.start_edge(number);
+    }
+    if !scene.wait_until_ready(Duration::from_secs(15))
+        || !scene.wait_for_servers(Duration::from_secs(10))
+    {
+        return None;
+    }
+    sleep_ms(5000);
+    if has_trouble {
+        record.line("operator: version 2 of the configuration names the model glass too");
+        let models = format!("{ONE_MODEL},{}", ONE_MODEL.replace("clay", "glass"));
+        scene.store.write("keyed.op", "config", &engine_config(2, &models));
+    }
+    let hosts: Vec<SocketAddr> = scene.edges.iter().map(|edge| edge.callers).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let sending = {
+        let (record, is_over) = (record.clone(), is_over.clone());
+        thread::spawn(move || {
+            let mut n = 0;
+            while !is_over.load(Ordering::SeqCst) {
+                let (record, host) = (record.clone(), hosts[n % hosts.len()]);
+                thread::spawn(move || send_stream(&record, host, &format!("stream-{n}"), None));
+                n += 1;
+                sleep_ms(100);
+            }
+        })
+    };
+    sleep_ms(4000);
+    for index in 0..scene.edges.len() {
+        record.line(&format!("planned work: host {} is stopped and starts again", index + 1));
+        scene.stop_edge(index);
+        if !scene.wait_until_ready(Duration::from_secs(15)) {
+            return None;
+        }
+        sleep_ms(6000);
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let _ = sending.join();
+    sleep_ms(3000);
+    let over = record.lines().iter().filter(|(_, l)| l.contains("ordered to load over")).count();
+    let lines = record.lines();
+    let cut = lines.iter().filter(|(_, l)| l.contains("status=200") && l.contains("end=Broken"));
+    record.line(&format!(
+        "servers ordered to load more than they hold: {over}, streams cut: {}",
+        cut.count()
+    ));
+    Some(over == 0)
+}
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -36,6 +36,7 @@
         "crashing-part" => cases::crashing_part(&record, folder, has_trouble, false),
         "crashing-part-kill" => cases::crashing_part(&record, folder, has_trouble, true),
         "frozen-at-release" => cases::frozen_at_release(&record, folder, has_trouble),
+        "second-model" => cases::second_model(&record, folder, has_trouble),
         _ => None,
     };
     let (text, code) = match is_kept {
--- a/review/harness-2/scene.rs
+++ b/review/harness-2/scene.rs
@@ -86,6 +86,17 @@
         edge.child = start_program(&edge.settings, &log);
     }
 
+    /// Stops the program of a host as the platform does, and starts it again.
+    pub fn stop_edge(&mut self, index: usize) {
+        self.signal_edge(index, "-TERM");
+        let stopped_at = Instant::now();
+        let child = &mut self.edges[index].child;
+        while matches!(child.try_wait(), Ok(None)) && stopped_at.elapsed().as_secs() < 8 {
+            thread::sleep(Duration::from_millis(50));
+        }
+        self.restart_edge(index);
+    }
+
     /// Sends a signal to the program of a host.
     pub fn signal_edge(&self, index: usize, signal: &str) {
         let pid = self.edges[index].child.id().to_string();
