--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -86,12 +86,12 @@
             sleep_ms(100);
             record.line(&format!("trouble: {} crashes behind the cut", ids[n]));
             scene.kill_server(&ids[n]);
-            sleep_ms(1000);
+            sleep_ms(2000);
             ids[n] = format!("i-desk-{n}-{}", round + 1);
             record.line(&format!("trouble: it starts again as {}", ids[n]));
             let id = ids[n].clone();
             start(&mut scene, n, &id);
-            sleep_ms(400);
+            sleep_ms(300);
             record.line("trouble: the cut heals");
             proxies[n].set_cut(false);
         }
@@ -212,7 +212,11 @@
             scene.start_server(&format!("i-assist-{n}-{starts}"), addresses[n], &args);
             starts += 1;
         }
-        if kills_hosts && has_trouble && hosts_restarted_at == 0 && started.elapsed().as_secs() >= 18 {
+        if kills_hosts
+            && has_trouble
+            && hosts_restarted_at == 0
+            && started.elapsed().as_secs() >= 18
+        {
             record.line("trouble: all hosts are killed, and start again");
             for index in 0..scene.edges.len() {
                 scene.restart_edge(index);
@@ -245,7 +249,12 @@
 }
 
 // sends a client's request whose answer is a stream, and records it
-fn send_stream(record: &Record, host: SocketAddr, id: &str, resumes: Option<(&str, u64)>) -> Events {
+fn send_stream(
+    record: &Record,
+    host: SocketAddr,
+    id: &str,
+    resumes: Option<(&str, u64)>,
+) -> Events {
     // the longest of two seconds, four times the objective and eight times the pause
     const GAP: Duration = Duration::from_millis(2400);
     let mut head = format!(
@@ -255,10 +264,13 @@
     if let Some((first, last)) = resumes {
         head.push_str(&format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"));
     }
-    record.line(&format!("client: sends {id} to {host}{}", match resumes {
-        Some((first, last)) => format!(", takes up {first} after event {last}"),
-        None => String::new(),
-    }));
+    record.line(&format!(
+        "client: sends {id} to {host}{}",
+        match resumes {
+            Some((first, last)) => format!(", takes up {first} after event {last}"),
+            None => String::new(),
+        }
+    ));
     let read = read_stream(host, &head, b"{}", GAP);
     record.line(&format!(
         "client: {id} status={} events={} from {:?} end={:?}",
@@ -275,13 +287,21 @@
 pub fn frozen_at_release(record: &Record, folder: &Path, has_trouble: bool) -> Option<bool> {
     const STREAMS: usize = 24;
     let mut scene = Scene::start(record.clone(), folder);
-    let config = engine_config(1, ONE_MODEL).replace(
-        "\"target_latency_ms\":800",
-        "\"target_latency_ms\":500",
-    );
+    let config = engine_config(1, ONE_MODEL)
+        .replace("\"target_latency_ms\":800", "\"target_latency_ms\":500");
     scene.store.write("keyed.op", "config", &config);
-    let args = ["--service", "potter-assist", "--models", "clay=72700", "--events", "60",
-                "--pause-ms", "100", "--slots", "32"];
+    let args = [
+        "--service",
+        "potter-assist",
+        "--models",
+        "clay=72700",
+        "--events",
+        "60",
+        "--pause-ms",
+        "100",
+        "--slots",
+        "32",
+    ];
     for n in 0..4 {
         scene.start_server(&format!("i-assist-{n}-0"), free_address("127.0.2.1"), &args);
     }
@@ -311,7 +331,8 @@
                 for attempt in 1..=2 {
                     let host = hosts[1 + (n + attempt) % (hosts.len() - 1)];
                     let resumes = Some((id.as_str(), last));
-                    let next = send_stream(&record, host, &format!("{id}-again-{attempt}"), resumes);
+                    let next =
+                        send_stream(&record, host, &format!("{id}-again-{attempt}"), resumes);
                     if next.events.first().is_some_and(|(number, _)| *number == last + 1) {
                         has_gone_on = true;
                         break;
@@ -351,7 +372,7 @@
             }
         })
     };
-    sleep_ms(3700);
+    sleep_ms(3600);
     if has_trouble {
         record.line("trouble: the first host wakes again");
         scene.signal_edge(0, "-CONT");
@@ -379,8 +400,20 @@
 pub fn second_model(record: &Record, folder: &Path, has_trouble: bool) -> Option<bool> {
     let mut scene = Scene::start(record.clone(), folder);
     scene.store.write("keyed.op", "config", &engine_config(1, ONE_MODEL));
-    let args = ["--service", "potter-assist", "--weights-mb", "75000", "--models",
-                "clay=72700,glass=72700", "--events", "40", "--pause-ms", "50", "--slots", "32"];
+    let args = [
+        "--service",
+        "potter-assist",
+        "--weights-mb",
+        "75000",
+        "--models",
+        "clay=72700,glass=72700",
+        "--events",
+        "40",
+        "--pause-ms",
+        "50",
+        "--slots",
+        "32",
+    ];
     for n in 0..6 {
         scene.start_server(&format!("i-assist-{n}-0"), free_address("127.0.2.1"), &args);
     }
--- a/review/harness-2/scene.rs
+++ b/review/harness-2/scene.rs
@@ -99,8 +99,8 @@
 
     /// Sends a signal to the program of a host.
     pub fn signal_edge(&self, index: usize, signal: &str) {
-        let pid = self.edges[index].child.id().to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status();
+        let pid = self.edges[index].child.id();
+        let sent = Command::new("bash").args(["-c", &format!("kill {signal} {pid}")]).status();
         assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
--- a/review/harness-2/server.rs
+++ b/review/harness-2/server.rs
@@ -119,9 +119,9 @@
             return "[]".to_owned();
         };
         let held = model.held.lock().unwrap();
-        let names = held.iter().map(|(name, _)| {
-            format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}")
-        });
+        let names = held
+            .iter()
+            .map(|(name, _)| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}"));
         format!("[{}]", names.collect::<Vec<_>>().join(","))
     }
 
@@ -193,7 +193,8 @@
             return Ok(true);
         }
         let prompt = request.header("prompt-prefix").unwrap_or_default();
-        let kind = if !self.poison.is_empty() && prompt.contains(&self.poison) { "poison " } else { "" };
+        let kind =
+            if !self.poison.is_empty() && prompt.contains(&self.poison) { "poison " } else { "" };
         self.record.line(&format!("server {}: {kind}request {id} reaches it", self.id));
         let answered = match &self.model {
             Some(_) => self.stream(request, &id, !kind.is_empty(), writer),
@@ -273,7 +274,8 @@
             return Ok(true);
         }
         if taken + size > model.weights_mb {
-            self.record.line(&format!("server {}: crashes, ordered to load over weights_mb", self.id));
+            self.record
+                .line(&format!("server {}: crashes, ordered to load over weights_mb", self.id));
             std::process::abort();
         }
         self.seq.fetch_add(1, Ordering::SeqCst);
