--- a/review/harness-2/util.rs
+++ b/review/harness-2/util.rs
@@ -5,7 +5,10 @@
     io::Write,
     net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -41,11 +44,23 @@
     }
 }
 
-/// A free address on `ip`.
+/// First of the ports that are handed out, and their number. They lie below those that the system gives to
+/// connections.
+const PORTS: (u32, u32) = (10_000, 20_000);
+
+/// A free address on `ip`. No port is handed out twice, and processes begin at different ones, since the
+/// port is free until the program that gets it has started.
 pub fn free_address(ip: &str) -> SocketAddr {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
     let ip: IpAddr = ip.parse().expect("an address");
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+    loop {
+        let number =
+            std::process::id().wrapping_mul(97).wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(PORTS.0 + number % PORTS.1).expect("a port");
+        if TcpListener::bind((ip, port)).is_ok() {
+            return SocketAddr::new(ip, port);
+        }
+    }
 }
 
 pub fn base64(bytes: &[u8]) -> String {
