Declared versions prove where a stream of unknown origin began

While there is one version its host sends no origins, and what a silent host can have begun was written nowhere.

Change: a process declares in the store at which versions it may begin streams, before it begins any there. Where no host and no record has the origin, the processes that answer deny the stream, and what the others have declared leaves one version or none. Not proved, and refused as before: hosts of earlier releases, a restored store, a host that had declared both, a store that is away.

Ruled out: an absent copy as proof (copies are lost with their hosts); origins sent while there is one version (34,000 a second at 410 hosts); reported positions in the host log (a host may have read on since).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod allowances;
 mod attempts;
+mod begin_declarations;
 mod body_room;
 mod brittle_targets;
 mod broken_connections;
@@ -58,6 +59,9 @@
     QUESTION_COSTS_MAX, request_units,
 };
 pub use attempts::{AttemptDecision, AttemptEnd, RequestAttempts};
+pub use begin_declarations::{
+    BeginDeclaration, BeginDeclarations, BeginEvidence, HostProcess, OwnDeclaration, Unproved,
+};
 pub use body_room::{BodyDecision, BodyRoom};
 pub use brittle_targets::{BrittleNotice, BrittleTargets};
 pub use broken_connections::BrokenConnections;
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -61,6 +61,8 @@
 pub struct StreamOrigins {
     by_request: IndexMap<FastStr, OriginEntry>,
     next_expiry_at: Time,
+    // until then, streams may be resumed whose records were dropped for lack of room
+    dropped_until: Time,
 }
 
 impl StreamOrigins {
@@ -81,6 +83,13 @@
         (now < entry.expires_at).then(|| entry.to_record(request_id))
     }
 
+    /// True if this process has not passed on the first event of the stream that request `request_id`
+    /// began.
+    #[must_use]
+    pub fn denies(&self, now: Time, request_id: &str) -> bool {
+        now >= self.dropped_until && self.find(now, request_id).is_none()
+    }
+
     /// Records of the streams of `services` whose events this host has passed on.
     #[must_use]
     pub fn own_records(&self, now: Time, services: &IndexSet<FastStr>) -> Vec<StreamOriginRecord> {
@@ -119,7 +128,9 @@
         }
         if self.by_request.len() >= ORIGINS_MAX {
             // several at once, since the rest moves up
-            self.by_request.drain(..ORIGINS_MAX / 8);
+            let dropped = self.by_request.drain(..ORIGINS_MAX / 8);
+            let last_end = dropped.map(|(_, entry)| entry.expires_at).max();
+            self.dropped_until = self.dropped_until.max(last_end.unwrap_or(Time::ZERO));
         }
     }
 }
--- a/crates/edge/src/counts.rs
+++ b/crates/edge/src/counts.rs
@@ -286,7 +286,9 @@
             }
             Body::LoadAdapter(_) => "load_adapter",
             Body::Suspects(_) => "suspects",
-            Body::StreamOrigins(_) | Body::FindStreamOrigin(_) => "stream_origins",
+            Body::StreamOrigins(_) | Body::FindStreamOrigin(_) | Body::WriteDeclaration(_) => {
+                "stream_origins"
+            }
             Body::FetchRoutes(_) | Body::Routes(_) => "routes",
             Body::TakeToken(_) | Body::Token(_) => "tokens",
             Body::TakePlace(_) | Body::Place(_) | Body::OpenPlaces(_) => "places",
--- a/crates/edge/src/dispatch/placement.rs
+++ b/crates/edge/src/dispatch/placement.rs
@@ -4,12 +4,12 @@
     super::{request::OutgoingRequest, target_starts},
     crate::{
         orders::{self, AdapterRequest},
-        peers,
+        peers::{self, AllowedBegins},
         state::{Edge, RunningRequest},
     },
     egret_core::{
-        Target, TargetCandidate, TargetChoice, TargetPace, Time, VersionRecord,
-        choose_engine_for_adapter, choose_target,
+        Target, TargetCandidate, TargetChoice, TargetPace, Time, choose_engine_for_adapter,
+        choose_target,
     },
     egret_runtime::{events, now},
     faststr::FastStr,
@@ -24,20 +24,17 @@
 /// Software versions at which a request may begin a stream.
 #[derive(Clone, Debug)]
 pub(crate) enum BeginVersions {
-    /// Any: it begins no resumable stream, or no host has recorded versions yet.
+    /// Any: it begins no resumable stream.
     Any,
-    /// Those of the record that this host has read; none if it has not read one. A version without a
-    /// record would be forgotten if all hosts were killed, and its streams would go on at another.
-    Recorded(Option<Arc<VersionRecord>>),
+    /// Those at which this process may begin streams.
+    Allowed(AllowedBegins),
 }
 
 impl BeginVersions {
     fn include(&self, target: &Target) -> bool {
         match self {
             Self::Any => true,
-            Self::Recorded(record) => record.as_ref().is_some_and(|record| {
-                record.allows_begin(&target.service, &target.software_version)
-            }),
+            Self::Allowed(allowed) => allowed.include(target),
         }
     }
 }
--- a/crates/edge/src/dispatch/resumption.rs
+++ b/crates/edge/src/dispatch/resumption.rs
@@ -3,7 +3,10 @@
 
 use {
     super::{placement::BeginVersions, request::OutgoingRequest},
-    crate::{peers, state::Edge},
+    crate::{
+        peers::{self, OriginAnswers},
+        state::Edge,
+    },
     egret_core::{
         OriginReport, ResumePolicy, RouteKind, StoredOrigin, StreamOrigin, StreamOriginRecord,
         Target, Time, decide_resumption,
@@ -11,7 +14,7 @@
     egret_runtime::{events, now},
     faststr::FastStr,
     indexmap::IndexSet,
-    std::{pin::pin, slice, sync::atomic::Ordering},
+    std::{pin::pin, slice},
 };
 
 /// Time after the deadline of a request within which its caller may still resume the stream.
@@ -66,10 +69,10 @@
     // after a kill of all hosts the store knows most streams, and other hosts have just started too
     let is_starting = now() < edge.startup_ends_at;
     let reads_at_once = is_starting && may_be_stored(edge, slice::from_ref(&own));
-    let (found, mut reports) = match request_id {
+    let (found, mut answers) = match request_id {
         Some(id) if reads_at_once => find_or_ask(edge, id, &services).await,
         // without the id, other hosts cannot know more than that there is a single version
-        None if own.versions.len() > 1 => (None, Vec::new()),
+        None if own.versions.len() > 1 => (None, OriginAnswers::default()),
         _ => (None, peers::ask_for_origin(edge, request_id, &services).await),
     };
     if let Some(found) = found {
@@ -78,43 +81,71 @@
     }
     // what this host has read meanwhile counts
     let mut own = peers::origin_report(edge, request_id, &services);
-    if !peers::confirm_current(edge) && peers::is_apart(edge, !reports.is_empty()) {
+    if !peers::confirm_current(edge) && peers::is_apart(edge, !answers.reports.is_empty()) {
         // a software version may have joined meanwhile, and hosts that are apart together know no more
-        for report in reports.iter_mut().chain([&mut own]) {
+        for report in answers.reports.iter_mut().chain([&mut own]) {
             report.is_complete = false;
         }
     }
-    reports.push(own);
-    let policy = decide_resumption(service, &reports);
+    answers.reports.push(own);
+    let policy = decide_resumption(service, &answers.reports);
     if let Some(id) = request_id
         && policy == ResumePolicy::Unknown
-        && !reads_at_once
-        && may_be_stored(edge, &reports)
-        && let Some(found) = peers::find_stored(edge, id).await
     {
-        count(edge, "known_by_store");
-        return stored_policy(found);
+        if !reads_at_once
+            && may_be_stored(edge, &answers.reports)
+            && let Some(found) = peers::find_stored(edge, id).await
+        {
+            count(edge, "known_by_store");
+            return stored_policy(found);
+        }
+        return prove_origin(edge, id, service, &services, &answers).await;
     }
-    count(edge, source(&policy, &reports));
+    count(edge, source(&policy, &answers.reports));
     policy
 }
 
+// Decides by what hosts have declared, when neither a host nor the store has the origin.
+async fn prove_origin(
+    edge: &Edge,
+    request_id: &FastStr,
+    service: &FastStr,
+    services: &[FastStr],
+    answers: &OriginAnswers,
+) -> ResumePolicy {
+    match peers::prove_origin(edge, request_id, service, services, answers).await {
+        Ok(origin) => {
+            events::ORIGIN_PROVED.info(format_args!(
+                "stream={request_id} service={} software_version={}",
+                origin.service, origin.software_version
+            ));
+            count(edge, "proved");
+            ResumePolicy::Only(origin)
+        }
+        Err(reason) => {
+            events::ORIGIN_UNPROVED.info(format_args!("stream={request_id} reason={reason}"));
+            count(edge, "unknown");
+            ResumePolicy::Unknown
+        }
+    }
+}
+
 // Reads the store and asks other hosts at the same time, so that the wait is that of the slower one.
 async fn find_or_ask(
     edge: &Edge,
     request_id: &FastStr,
     services: &[FastStr],
-) -> (Option<StoredOrigin>, Vec<OriginReport>) {
+) -> (Option<StoredOrigin>, OriginAnswers) {
     let mut find = pin!(peers::find_stored(edge, request_id));
     let mut ask = pin!(peers::ask_for_origin(edge, Some(request_id), services));
     tokio::select! {
         found = find.as_mut() => match found {
-            Some(found) => (Some(found), Vec::new()),
+            Some(found) => (Some(found), OriginAnswers::default()),
             None => (None, ask.await),
         },
-        reports = ask.as_mut() => {
-            let is_known = reports.iter().any(|report| report.origin.is_some());
-            (if is_known { None } else { find.await }, reports)
+        answers = ask.as_mut() => {
+            let is_known = answers.origin().is_some();
+            (if is_known { None } else { find.await }, answers)
         }
     }
 }
@@ -171,19 +202,7 @@
     if out.kind() != RouteKind::ResumableStream || out.software_version.is_some() {
         return BeginVersions::Any;
     }
-    if edge.has_read_versions.load(Ordering::Acquire) {
-        return BeginVersions::Recorded(edge.version_record.lock().clone());
-    }
-    // the first record, which may be in the host log although this host has not read it yet
-    if let Some(offered) = edge.offered_version_record.lock().clone() {
-        return BeginVersions::Recorded(Some(offered));
-    }
-    let has_read_hosts = edge.host_log_position.lock().caught_up_at > Time::ZERO;
-    if has_read_hosts {
-        // no host has recorded versions yet
-        return BeginVersions::Any;
-    }
-    BeginVersions::Recorded(None)
+    BeginVersions::Allowed(peers::allowed_begins(edge))
 }
 
 fn resumable_until(out: &OutgoingRequest) -> Time {
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        allowances, gossip, links, paces, places, rate_limits, recorded_origins, routes, spread,
-        stream_origins, target_changes, view_age,
+        allowances, begin_declarations, gossip, links, paces, places, rate_limits,
+        recorded_origins, routes, spread, stream_origins, target_changes, view_age,
     },
     crate::{
         dispatch,
@@ -102,6 +102,10 @@
                 Some(target_changes::answer_fetch(&edge, &hello.host, message))
             }
             Body::FindStreamOrigin(message) => Some(stream_origins::answer_find(&edge, message)),
+            Body::WriteDeclaration(message) => {
+                let answer = begin_declarations::answer_write(&edge, message).await;
+                Some(answer.unwrap_or_else(refusal_message))
+            }
             Body::TakeToken(message) => {
                 let answer = rate_limits::answer_take(&edge, &hello.host, message);
                 Some(answer.unwrap_or_else(refusal_message))
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! single host go to it alone, over a link that is opened when it is needed.
 
 pub(crate) mod allowances;
+mod begin_declarations;
 mod brittle_targets;
 mod departures;
 mod fixed_repeats;
@@ -26,6 +27,9 @@
 
 pub(crate) use {
     allowances::{AllowanceExchange, Charge, charge},
+    begin_declarations::{
+        AllowedBegins, DeclarationExchange, allowed_begins, prove_origin, request_declaration,
+    },
     brittle_targets::{observe_brittle, refusals_max},
     fixed_repeats::FixedRepeats,
     gossip::{
@@ -43,7 +47,7 @@
     routes::RoutesExchange,
     spread::Spread,
     stream_origins::{
-        ask_for_origin, have_several_versions, observe_versions, origin_report,
+        OriginAnswers, ask_for_origin, have_several_versions, observe_versions, origin_report,
         record_stream_origin,
     },
     target_changes::TargetFetch,
@@ -63,6 +67,8 @@
     tokio::spawn(view_age::maintain(edge.clone()));
     tokio::spawn(recorded_origins::write(edge.clone()));
     tokio::spawn(recorded_origins::read(edge.clone()));
+    tokio::spawn(begin_declarations::declare(edge.clone()));
+    tokio::spawn(begin_declarations::read(edge.clone()));
     tokio::spawn(allowances::run(edge.clone()));
 }
 
--- a/crates/edge/src/peers/peer_table.rs
+++ b/crates/edge/src/peers/peer_table.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Peer {
     pub(crate) record: HostRecord,
     pub(crate) last_heartbeat_at: Time,
+    /// Time from which on its current process is known.
+    pub(crate) process_known_at: Time,
     // its requests at the targets of which this host is the aggregator
     loads: IndexMap<FastStr, ReportedLoad>,
     loads_reported_at: Time,
@@ -139,6 +141,7 @@
                 // the host has just restarted; its rows, which may have arrived already, report the
                 // engines that it owns
                 peer.last_heartbeat_at = now();
+                peer.process_known_at = now();
                 peer.loads.clear();
                 peer.revision = 0;
                 peer.operator_position = ReadPosition::default();
@@ -150,6 +153,7 @@
         let peer = Peer {
             record,
             last_heartbeat_at: Time::ZERO,
+            process_known_at: now(),
             loads: IndexMap::new(),
             loads_reported_at: Time::ZERO,
             totals: IndexMap::new(),
@@ -330,8 +334,13 @@
     /// True unless `host` has sent no heartbeat for the whole timeout while this process could
     /// receive one.
     pub(crate) fn may_be_live(&self, host: &str) -> bool {
-        let silent_from = self.all.get(host).map_or(Time::ZERO, |peer| peer.last_heartbeat_at);
-        now() < silent_from.max(self.listening_since).after_ms(HEARTBEAT_TIMEOUT_MS)
+        now() < self.silent_from(host).after_ms(HEARTBEAT_TIMEOUT_MS)
+    }
+
+    /// Time since which `host` has sent no heartbeat that this process could receive.
+    pub(crate) fn silent_from(&self, host: &str) -> Time {
+        let last = self.all.get(host).map_or(Time::ZERO, |peer| peer.last_heartbeat_at);
+        last.max(self.listening_since)
     }
 
     /// Number of other hosts that may draw on a shared budget. If none has sent a heartbeat, all
--- a/crates/edge/src/peers/stream_origins.rs
+++ b/crates/edge/src/peers/stream_origins.rs
@@ -6,15 +6,18 @@
 //! ([`recorded_origins`]). While there is only one version, nothing is sent.
 
 use {
-    super::{links, peer_table::Peer, recorded_origins},
+    super::{begin_declarations, links, peer_table::Peer, recorded_origins},
     crate::state::Edge,
-    egret_core::{OriginReport, StreamOrigin, StreamOriginRecord, Target, Time, rendezvous_weight},
+    egret_core::{
+        HostProcess, OriginReport, StreamOrigin, StreamOriginRecord, Target, Time,
+        rendezvous_weight,
+    },
     egret_runtime::{
         Body, FindStreamOriginMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, now,
     },
     faststr::FastStr,
     futures::{StreamExt, future::join_all, stream::FuturesUnordered},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::{cmp::Reverse, slice, sync::Arc, time::Duration},
 };
 
@@ -41,6 +44,28 @@
 /// Pause between questions.
 const ASK_INTERVAL_MS: u64 = 25;
 
+/// What other hosts have answered about a stream.
+#[derive(Debug, Default)]
+pub(crate) struct OriginAnswers {
+    pub(crate) reports: Vec<OriginReport>,
+    /// Processes that have not begun the stream.
+    pub(crate) denials: IndexSet<HostProcess>,
+}
+
+impl OriginAnswers {
+    /// The origin of the stream, if one of them knows it.
+    pub(crate) fn origin(&self) -> Option<StreamOrigin> {
+        self.reports.iter().find_map(|report| report.origin.clone())
+    }
+
+    /// All software versions at which the stream may have begun, if one of them knows them all.
+    pub(crate) fn all_versions(&self) -> Option<IndexSet<FastStr>> {
+        let is_complete = self.reports.iter().any(|report| report.is_complete);
+        let versions = self.reports.iter().flat_map(|report| report.versions.iter().cloned());
+        is_complete.then(|| versions.collect())
+    }
+}
+
 // another host that may have a copy
 struct OtherHost {
     name: FastStr,
@@ -63,6 +88,7 @@
     let changed = edge.version_sightings.lock().observe(now(), present);
     if is_unrecorded || !changed.is_empty() {
         edge.versions_changed.notify_one();
+        begin_declarations::request_declaration(edge);
     }
     for service in changed {
         let services = edge.routing().services_beside(&service);
@@ -203,12 +229,17 @@
 pub(crate) fn answer_find(edge: &Edge, message: FindStreamOriginMsg) -> Body {
     let request_id = Some(FastStr::from_string(message.request_id)).filter(|id| !id.is_empty());
     let services: Vec<FastStr> = message.services.into_iter().map(FastStr::from_string).collect();
-    let record = request_id.as_ref().and_then(|id| edge.stream_origins.lock().find(now(), id));
+    let (record, is_denied) = {
+        let origins = edge.stream_origins.lock();
+        let record = request_id.as_ref().and_then(|id| origins.find(now(), id));
+        (record, request_id.as_ref().is_some_and(|id| origins.denies(now(), id)))
+    };
     let report = origin_report(edge, None, &services);
     Body::StreamOriginReport(StreamOriginReportMsg {
         origin: record.as_ref().map(origin_message),
         versions: report.versions.iter().map(ToString::to_string).collect(),
         is_complete: report.is_complete,
+        denied_by: if is_denied { edge.incarnation } else { 0 },
     })
 }
 
@@ -219,13 +250,13 @@
     edge: &Edge,
     request_id: Option<&FastStr>,
     services: &[FastStr],
-) -> Vec<OriginReport> {
+) -> OriginAnswers {
     let is_starting = now() < edge.startup_ends_at;
     let wait_until = if is_starting { now().after_ms(ANSWER_WAIT_MS) } else { now() };
     loop {
-        let reports = ask_hosts(edge, request_id, services).await;
-        if !reports.is_empty() || now() >= wait_until || is_only_host(edge) {
-            return reports;
+        let answers = ask_hosts(edge, request_id, services).await;
+        if !answers.reports.is_empty() || now() >= wait_until || is_only_host(edge) {
+            return answers;
         }
         tokio::time::sleep(Duration::from_millis(ASK_INTERVAL_MS)).await;
     }
@@ -240,12 +271,7 @@
     edge: &Edge,
     request_id: Option<&FastStr>,
     services: &[FastStr],
-) -> Vec<OriginReport> {
-    let question = FindStreamOriginMsg {
-        request_id: request_id.map(ToString::to_string).unwrap_or_default(),
-        services: services.iter().map(ToString::to_string).collect(),
-    };
-    let deadline = now().after_ms(ANSWER_TIMEOUT_MS);
+) -> OriginAnswers {
     let mut hosts = hosts_to_ask(other_hosts(edge), request_id);
     let unheard = hosts_to_ask(unheard_hosts(edge), request_id);
     for host in unheard {
@@ -253,24 +279,56 @@
             hosts.push(host);
         }
     }
-    let calls = hosts.iter().map(|host| {
+    let names = hosts.into_iter().map(|host| host.name).collect();
+    call_hosts(edge, request_id, services, names).await
+}
+
+/// Asks `hosts` about the stream that request `request_id` began on a route to `services`, until one
+/// of them knows its origin or all have answered.
+pub(super) async fn ask_named_hosts(
+    edge: &Edge,
+    request_id: &FastStr,
+    services: &[FastStr],
+    hosts: Vec<FastStr>,
+) -> OriginAnswers {
+    call_hosts(edge, Some(request_id), services, hosts).await
+}
+
+async fn call_hosts(
+    edge: &Edge,
+    request_id: Option<&FastStr>,
+    services: &[FastStr],
+    hosts: Vec<FastStr>,
+) -> OriginAnswers {
+    let question = FindStreamOriginMsg {
+        request_id: request_id.map(ToString::to_string).unwrap_or_default(),
+        services: services.iter().map(ToString::to_string).collect(),
+    };
+    let deadline = now().after_ms(ANSWER_TIMEOUT_MS);
+    let calls = hosts.into_iter().map(|host| {
         let question = Body::FindStreamOrigin(question.clone());
-        async move { links::call(edge, &host.name, question, deadline).await }
+        async move {
+            let answer = links::call(edge, &host, question, deadline).await;
+            (host, answer)
+        }
     });
     let mut calls: FuturesUnordered<_> = calls.collect();
-    let mut reports = Vec::new();
-    while let Some(answer) = calls.next().await {
+    let mut answers = OriginAnswers::default();
+    while let Some((host, answer)) = calls.next().await {
         let Ok(Body::StreamOriginReport(message)) = answer else {
             continue;
         };
+        if message.denied_by > 0 {
+            answers.denials.insert(HostProcess { host, incarnation: message.denied_by });
+        }
         let report = report_from_message(message);
         let is_known = report.origin.is_some();
-        reports.push(report);
+        answers.reports.push(report);
         if is_known {
             break;
         }
     }
-    reports
+    answers
 }
 
 // first the hosts that have a copy of the origin, then those of this data centre, then the others
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,8 +7,8 @@
         dispatch::{CrashChecks, Relays},
         orders::EngineReconcilers,
         peers::{
-            self, AllowanceExchange, FixedRepeats, LoadReports, OriginRecording, Peers,
-            RoutesExchange, Spread, TargetFetch,
+            self, AllowanceExchange, DeclarationExchange, FixedRepeats, LoadReports,
+            OriginRecording, Peers, RoutesExchange, Spread, TargetFetch,
         },
         pool::ConnectionPool,
     },
@@ -147,6 +147,8 @@
     /// Notified when a software version has appeared.
     pub(crate) versions_changed: Notify,
     pub(crate) origin_recording: OriginRecording,
+    /// Software versions at which hosts may begin streams.
+    pub(crate) declarations: DeclarationExchange,
     /// Time by which links to the other hosts are open.
     pub(crate) startup_ends_at: Time,
     pub(crate) store: StoreClient,
@@ -233,6 +235,7 @@
             has_read_versions: AtomicBool::new(false),
             versions_changed: Notify::new(),
             origin_recording: OriginRecording::default(),
+            declarations: DeclarationExchange::default(),
             startup_ends_at: now().after_ms(STARTUP_MS),
             store: StoreClient::new(cfg.store.address),
             operator_position: Mutex::default(),
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -138,6 +138,7 @@
         edge.engine_owners.lock().record_complete_read(started);
     }
     edge.host_log_position.lock().advance(page.next_offset, page.next_offset >= page.end_offset);
+    peers::request_declaration(edge);
     if !page.records.is_empty() {
         edge.state_changed.notify_one();
     }
--- a/crates/edge/src/watch/version_record.rs
+++ b/crates/edge/src/watch/version_record.rs
@@ -112,6 +112,7 @@
         }
     }
     *edge.version_record.lock() = record.map(Arc::new);
+    peers::request_declaration(edge);
     if peers::is_read_due(edge) && peers::have_several_versions(edge) {
         peers::request_read(edge);
     }
--- a/crates/edge/tests/edge/upgrades.rs
+++ b/crates/edge/tests/edge/upgrades.rs
@@ -477,6 +477,7 @@
             origin: (question.request_id == request_id).then_some(origin),
             versions: vec!["v1".to_owned(), "v2".to_owned()],
             is_complete: true,
+            denied_by: 0,
         };
         Box::pin(ready(Some(Body::StreamOriginReport(report))))
     };
--- a/crates/edge/tests/edge/versions.rs
+++ b/crates/edge/tests/edge/versions.rs
@@ -1,6 +1,7 @@
 //! Streams while engines of two software versions serve: a stream goes on only at the version that
 //! began it, within one answer and over the attempts of its caller.
 
+mod declared;
 mod restarts;
 
 use {
--- a/crates/keeper/src/links/mod.rs
+++ b/crates/keeper/src/links/mod.rs
@@ -83,7 +83,9 @@
         | Body::FetchTargets(_)
         | Body::TakePlace(_)
         | Body::Place(_)
-        | Body::OpenPlaces(_) => None,
+        | Body::OpenPlaces(_)
+        | Body::WriteDeclaration(_)
+        | Body::Written(_) => None,
     }
 }
 
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -141,6 +141,10 @@
     ORIGINS_DROPPED = 1132 "origins of streams dropped before they were written to the store";
     ORIGINS_READ = 1133 "origins of streams read from the store";
     ORIGINS_NOT_READ = 1134 "origins of streams could not be read from the store";
+    ORIGIN_PROVED = 1135 "version of a stream proved by the declarations of hosts";
+    ORIGIN_UNPROVED = 1136 "version of a stream not proved by the declarations of hosts";
+    DECLARATION_NOT_WRITTEN = 1137 "versions at which streams may begin could not be declared in the store";
+    DECLARATIONS_NOT_READ = 1138 "versions at which hosts may begin streams could not be read from the store";
     KEY_REFUSED = 1140 "request refused because of its key";
     KEYS_VIEW_TOO_OLD = 1141 "keys not confirmed for too long, requests with a key are refused";
     KEYS_VIEW_RENEWED = 1142 "keys confirmed again";
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -35,7 +35,8 @@
     RowMsg, ServiceRepeatsMsg, SourceDeltaMsg, SourceProgressMsg, SpreadMsg, StatusMsg,
     StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg, SuspectsMsg,
     TakeAllowanceMsg, TakePlaceMsg, TargetChangesMsg, TargetEntryMsg, TargetLoadMsg,
-    TargetLoadsMsg, TargetPaceMsg, TargetTotalMsg, TicketMsg, TokenMsg, ViewAgeMsg, serve_links,
+    TargetLoadsMsg, TargetPaceMsg, TargetTotalMsg, TicketMsg, TokenMsg, ViewAgeMsg,
+    WriteDeclarationMsg, WrittenMsg, serve_links,
 };
 pub use logs::init_logging;
 pub use metrics::Metrics;
--- a/crates/runtime/src/link/message.rs
+++ b/crates/runtime/src/link/message.rs
@@ -17,7 +17,7 @@
     #[prost(
         oneof = "Body",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, \
-                27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38"
+                27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 38, 39, 40"
     )]
     pub body: Option<Body>,
 }
@@ -131,6 +131,12 @@
     /// Places at a brittle target that the sender uses, or gives back.
     #[prost(message, tag = "38")]
     OpenPlaces(OpenPlacesMsg),
+    /// Requests that the receiver writes a declaration of the sender to the platform's store.
+    #[prost(message, tag = "39")]
+    WriteDeclaration(WriteDeclarationMsg),
+    /// Answer to that request, once it is written.
+    #[prost(message, tag = "40")]
+    Written(WrittenMsg),
 }
 
 /// Release of the messages that this program sends. The last one had none, which reads as 0.
@@ -1175,6 +1181,29 @@
     /// True if the host has known all targets for the longest life of a stream.
     #[prost(bool, tag = "3")]
     pub is_complete: bool,
+    /// The process of the host, if it has not begun the stream; 0 otherwise, and from hosts of earlier
+    /// releases.
+    #[prost(uint64, tag = "4")]
+    pub denied_by: u64,
+}
+
+/// A declaration of the software versions at which the sender may begin streams.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct WriteDeclarationMsg {
+    /// Key of the record.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Value of the record.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+}
+
+/// Confirms a write to the platform's store.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct WrittenMsg {
+    /// Generation of the store.
+    #[prost(uint64, tag = "1")]
+    pub generation: u64,
 }
 
 /// Asks for the age of the receiver's view of the operator's configuration.
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -20,7 +20,7 @@
         StatusMsg, StreamOriginMsg, StreamOriginReportMsg, StreamOriginsMsg, SuspectMsg,
         SuspectsMsg, TakeAllowanceMsg, TakePlaceMsg, TargetChangesMsg, TargetEntryMsg,
         TargetLoadMsg, TargetLoadsMsg, TargetPaceMsg, TargetTotalMsg, TicketMsg, TokenMsg,
-        ViewAgeMsg,
+        ViewAgeMsg, WriteDeclarationMsg, WrittenMsg,
     },
     pool::LinkPool,
     server::serve_links,
