A new software version is recorded also while the first host lacks the store

Cause: one host writes the record of software versions and passes the host log on. While it was cut off from the store, it went on to try (an append each 0.1 to 0.4 s), no other host wrote, and no stream began at a version that appeared. Found by begin_at_second_version_without_store: both engines of v1 full, e-3 of v2 ready at both hosts, 503 for 8 s; the record lacked v2.

Change: the host ranked next adds a version after 0.6 s, as with claims. The first host with a recent read of the host log passes it on, so that a host that the store turns away learns of the record.

Ruled out: hosts that differ on which versions are gone do not overwrite each other: only a version at which no stream can begin makes another one write.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -121,6 +121,18 @@
     host_rank(edge) == 0
 }
 
+/// True if this host passes on what it reads of the host log: the first of the live hosts, or the first
+/// one after those that have not read it lately because the store turns them away.
+pub(crate) fn passes_on_host_log(edge: &Edge) -> bool {
+    let peers = edge.peers.lock();
+    let own_weight = rendezvous_weight("reader", &edge.cfg.host);
+    let mut others = peers.all().iter().filter(|(host, peer)| {
+        peers.is_live(host)
+            && now().ms_since(peer.host_log_position.caught_up_at) < CURRENT_AGE_MAX_MS
+    });
+    others.all(|(host, _)| rendezvous_weight("reader", host) < own_weight)
+}
+
 /// True if this host's state is that of a recent read, by itself or by a live host that has the same
 /// state or has sent it.
 pub(crate) fn confirm_current(edge: &Edge) -> bool {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -34,7 +34,7 @@
     fixed_repeats::FixedRepeats,
     gossip::{
         ReadStatus, confirm_current, host_rank, is_apart, is_first_for, is_reader, may_be_behind,
-        read_status, send_updates,
+        passes_on_host_log, read_status, send_updates,
     },
     links::notify,
     loads::{LoadReports, is_in_use, running_at},
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -89,7 +89,7 @@
                 }
                 if !std::mem::replace(&mut has_snapshot, true) {
                     forget_lost_records(&edge, &page);
-                } else if peers::is_reader(&edge) && !page.records.is_empty() {
+                } else if peers::passes_on_host_log(&edge) && !page.records.is_empty() {
                     peers::pass_on_host_log(&edge, position.next_offset, &page);
                 }
                 apply_page(&edge, &page, started);
--- a/crates/edge/src/watch/version_record.rs
+++ b/crates/edge/src/watch/version_record.rs
@@ -23,6 +23,13 @@
 /// Interval of checks, at the start, whether a version is missing in the record.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time that a host waits for each host ranked before it to add a version to the record. Those may be
+/// cut off from the store.
+const RANK_DELAY_MS: u64 = 600;
+
+/// Rank beyond which the wait does not grow.
+const RANKS_MAX: u64 = 5;
+
 /// First pause after a failed append. It is short, since streams do not begin at a version that is
 /// not recorded yet.
 const BACKOFF_MS: u64 = 100;
@@ -30,20 +37,29 @@
 /// Highest number of doublings of that pause.
 const DOUBLINGS_MAX: u32 = 4;
 
-/// Writes the record when it is missing or outdated. One host does it for all.
+/// Writes the record when it is missing or outdated. One host does it for all; if it does not add a
+/// version that has appeared, the host ranked next does.
 pub(super) async fn maintain(edge: Arc<Edge>) {
     // hosts that start together know each other by then, and the claims of engines come first
     while now() < edge.startup_ends_at && !lacks_present_version(&edge) {
         tokio::time::sleep(STARTUP_CHECK_INTERVAL).await;
     }
     let mut failures = 0;
+    // since when the record lacks a version
+    let mut lacking_since: Option<Time> = None;
     loop {
+        let rank = peers::host_rank(&edge);
+        let turn_at =
+            lacking_since.map(|since| since.after_ms(rank.min(RANKS_MAX) * RANK_DELAY_MS));
         if failures == 0 {
             // a version that has appeared is written at once
-            let interval = Duration::from_millis(CHECK_INTERVAL_MS);
+            let wait_ms = turn_at.map_or(CHECK_INTERVAL_MS, |at| now().ms_until(at));
+            let interval = Duration::from_millis(wait_ms.clamp(1, CHECK_INTERVAL_MS));
             let _ = tokio::time::timeout(interval, edge.versions_changed.notified()).await;
         }
-        if !peers::is_reader(&edge) {
+        lacking_since = lacks_present_version(&edge).then(|| lacking_since.unwrap_or_else(now));
+        let is_turn = rank == 0 || turn_at.is_some_and(|at| lacking_since.is_some() && now() >= at);
+        if !is_turn {
             failures = 0;
             continue;
         }
--- a/crates/edge/tests/edge/versions/declared.rs
+++ b/crates/edge/tests/edge/versions/declared.rs
@@ -3,13 +3,23 @@
 
 use {
     super::{
-        ADAPTERS, CallerStream, assert_no_problems, begin_at_both, begin_streams, check_refused,
-        kill_all, start_deployment, start_edges, start_engine, wait_until_usable,
+        ADAPTERS, CallerStream, assert_no_problems, begin_at_both, begin_stream, begin_streams,
+        check_refused, kill_all, start_deployment, start_edges, start_engine, wait_until_usable,
     },
-    crate::support::{Deployment, EdgeProcess, wait_until},
-    egret_standin::platform::Target,
+    crate::{
+        routes::start_slow_relay,
+        support::{Deployment, EdgeProcess, wait_until},
+    },
+    egret_standin::platform::{Target, TargetFault},
     nix::sys::signal::Signal,
-    std::time::Duration,
+    std::{
+        slice,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 const DECLARATIONS: &str = "keyed.begin-declarations";
@@ -112,6 +122,31 @@
     assert_no_problems(results);
 }
 
+// While the host that writes the record of versions for all was cut off from the store, no host began
+// streams at a version that appeared.
+#[tokio::test]
+async fn begin_at_second_version_without_store() {
+    let mut d = start_deployment().await;
+    let mut engines = start_v1_engines(&d).await;
+    let _reader = d.start_ready_edge(2).await;
+    let is_cut = Arc::new(AtomicBool::new(false));
+    d.store_address = start_slow_relay(d.store.address(), 100_000_000, is_cut.clone()).await;
+    let edge = d.start_ready_edge(1).await;
+    wait_until_usable(slice::from_ref(&edge), &engines, &engines).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    is_cut.store(true, Ordering::Relaxed);
+    engines.push(start_engine(&d, "e-3", "v2", &ADAPTERS).await);
+    for engine in &engines[..2] {
+        engine.set_fault(TargetFault::Full);
+    }
+    let stream = begin_stream(&edge, "a1", 1).await;
+    assert_eq!(stream.origin(&engines).1, "v2");
+    let by_first = d.store.keys(DECLARATIONS).into_iter().filter(|key| key.starts_with("host-1/"));
+    let texts: Vec<String> =
+        by_first.filter_map(|key| d.store.newest(DECLARATIONS, &key)).collect();
+    assert!(texts.iter().any(|text| text.contains("v2")), "{texts:?}");
+}
+
 // The store would be called for each stream, or each second.
 #[tokio::test]
 async fn declarations_one_for_each_process() {
