What crashes targets is kept in the host log, with three tests over its life

Change: a finding in the host log for each refusal. Three tests over its life; each is granted to one process by an append on the condition that the log has not changed, before it is made, so that the number holds whatever hosts believe of each other and however often they are killed. A test that is not sent is given back; a request that runs to its end removes the finding. A host that starts reads the log before it is ready. The oracle of the random test of CrashReports has the bound of three as well.

Ruled out: the first test granted with the finding (two parts that always come together then belong to two testers: the test of engines that ended together failed, 0 served); single crashes in the log; no tests after a start (a sound part would stay refused).

--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -6,9 +6,14 @@
 //! lately, at any host, are taken out; of the rest, the one that explains most crashes is refused.
 
 use {
-    crate::{Fingerprint, Time},
+    crate::{
+        Fingerprint, HostProcess, Time,
+        crash_refusals::{CrashFinding, CrashRefusals},
+    },
     faststr::FastStr,
     indexmap::{IndexMap, IndexSet},
+    std::{fmt, str::FromStr},
+    thiserror::Error,
 };
 
 /// Time for which something counts as sound after it has run to its end.
@@ -29,13 +34,6 @@
 /// Sound suspects kept; the oldest are dropped beyond that.
 const SOUND_MAX: usize = 16_384;
 
-/// A request with several refused suspects is tested later than one with a single one, by the first
-/// interval divided by this number.
-const JOINT_TEST_DELAY_DIVISOR: u64 = 2;
-
-/// Highest number of doublings of the time between two tests.
-const TEST_DOUBLINGS_MAX: u32 = 5;
-
 /// What may make a request crash its target.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Suspect {
@@ -56,7 +54,7 @@
 
     // Time from a refusal to the first test. Many sound requests may share a part, so it is tested
     // soon.
-    const fn first_test_ms(self) -> u64 {
+    pub(crate) const fn first_test_ms(self) -> u64 {
         match self {
             Self::Part(_) => 5000,
             Self::Content(_) => 30_000,
@@ -64,6 +62,34 @@
     }
 }
 
+const PART_PREFIX: &str = "part-";
+const CONTENT_PREFIX: &str = "content-";
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(fingerprint) => write!(f, "{PART_PREFIX}{:016x}", fingerprint.0),
+            Self::Content(fingerprint) => write!(f, "{CONTENT_PREFIX}{:016x}", fingerprint.0),
+        }
+    }
+}
+
+/// A text that names no suspect.
+#[derive(Debug, Error)]
+#[error("`{0}` names no suspect")]
+pub struct SuspectNameError(FastStr);
+
+impl FromStr for Suspect {
+    type Err = SuspectNameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = |digits: &str| u64::from_str_radix(digits, 16).ok().map(Fingerprint);
+        let part = || text.strip_prefix(PART_PREFIX).and_then(number).map(Self::Part);
+        let content = || text.strip_prefix(CONTENT_PREFIX).and_then(number).map(Self::Content);
+        part().or_else(content).ok_or_else(|| SuspectNameError(FastStr::new(text)))
+    }
+}
+
 /// A crash: the target, and the Unix time of its start in milliseconds.
 pub type CrashId = (FastStr, u64);
 
@@ -115,12 +141,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Refusal {
-    tests: u32,
-    next_test_at: Time,
-}
-
 /// Crash reports of all hosts, as known to one of them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashReports {
@@ -134,7 +154,7 @@
     recurring: IndexSet<Suspect>,
     // when each was last known to have run to its end
     sound: IndexMap<Suspect, Time>,
-    refused: IndexMap<Suspect, Refusal>,
+    refusals: CrashRefusals,
 }
 
 impl CrashReports {
@@ -171,6 +191,7 @@
                 if slots.len() > 1 {
                     self.recurring.insert(suspect);
                 }
+                self.refusals.record_crash(suspect, slots.len());
             }
         }
         self.update_refusals(now);
@@ -243,17 +264,10 @@
         let mut cleared = Vec::new();
         for suspect in suspects {
             self.sound.insert(suspect, now);
-            let Some(slots) = self.on_crashes.swap_remove(&suspect) else {
-                continue;
-            };
-            self.recurring.swap_remove(&suspect);
-            for slot in slots.iter() {
-                if let Some(crash) = &mut self.crashes[slot] {
-                    crash.suspects.swap_remove(&suspect);
-                    crash.cleared.insert(suspect);
-                }
+            let was_refused = self.refusals.remove(suspect);
+            if self.clear(suspect) || was_refused {
+                cleared.push(suspect);
             }
-            cleared.push(suspect);
         }
         if !cleared.is_empty() {
             self.update_refusals(now);
@@ -261,14 +275,29 @@
         cleared
     }
 
+    // returns true if it was on a crash
+    fn clear(&mut self, suspect: Suspect) -> bool {
+        let Some(slots) = self.on_crashes.swap_remove(&suspect) else {
+            return false;
+        };
+        self.recurring.swap_remove(&suspect);
+        for slot in slots.iter() {
+            if let Some(crash) = &mut self.crashes[slot] {
+                crash.suspects.swap_remove(&suspect);
+                crash.cleared.insert(suspect);
+            }
+        }
+        true
+    }
+
     /// Whether a request with these suspects may be sent. `is_tester` tells whether this host is the one that
     /// tests the first of them that is refused.
     pub fn judge(&mut self, now: Time, suspects: &[Suspect], is_tester: bool) -> CrashVerdict {
         let refused: Vec<Suspect> =
-            suspects.iter().filter(|s| self.refused.contains_key(*s)).copied().collect();
-        let Some(first) = refused.first() else {
+            suspects.iter().filter(|suspect| self.refusals.contains(**suspect)).copied().collect();
+        if refused.is_empty() {
             return CrashVerdict::Allowed;
-        };
+        }
         for slots in refused.iter().filter_map(|suspect| self.on_crashes.get(suspect)) {
             for slot in slots.iter() {
                 if let Some(crash) = &mut self.crashes[slot] {
@@ -276,30 +305,57 @@
                 }
             }
         }
-        let mut next_test_at = self.refused[first].next_test_at;
-        if refused.len() > 1 {
-            // requests with one of them alone go first: they tell which one is sound
-            let due = refused.iter().map(|s| {
-                self.refused[s].next_test_at.after_ms(s.first_test_ms() / JOINT_TEST_DELAY_DIVISOR)
-            });
-            next_test_at = due.max().unwrap_or(next_test_at);
-        }
-        if now < next_test_at || !is_tester {
-            return CrashVerdict::Refused(next_test_at.max(now));
-        }
-        for suspect in &refused {
-            let refusal = &mut self.refused[suspect];
-            refusal.tests += 1;
-            let factor = 1 << refusal.tests.min(TEST_DOUBLINGS_MAX);
-            refusal.next_test_at = now.after_ms(suspect.first_test_ms() * factor);
+        self.refusals.judge(now, &refused, is_tester)
+    }
+
+    /// Takes back a test of a request with these suspects, which was not sent.
+    pub fn return_test(&mut self, now: Time, suspects: &[Suspect]) {
+        self.refusals.return_test(now, suspects);
+    }
+
+    /// Applies the finding about `suspect` that the host log has; none if it has none any more. `times`
+    /// are now and the Unix time in milliseconds, `own` is this process.
+    pub fn apply_finding(
+        &mut self,
+        times: (Time, u64),
+        own: &HostProcess,
+        suspect: Suspect,
+        finding: Option<CrashFinding>,
+    ) {
+        if let Some(finding) = finding {
+            self.refusals.apply_finding(times, own, suspect, finding);
+        } else {
+            self.refusals.apply_removal(suspect);
+            self.clear(suspect);
+            self.update_refusals(times.0);
         }
-        CrashVerdict::Test
+    }
+
+    /// Applies that the host log, as listed, has findings about these suspects only.
+    pub fn record_listing(&mut self, present: &IndexSet<Suspect>) {
+        self.refusals.record_listing(present);
+    }
+
+    /// Findings to write to the host log, on the condition that it has not changed: new ones of the
+    /// suspects for which this host `writes`, and those that grant a test to the process `own`.
+    pub fn findings_to_write(
+        &mut self,
+        times: (Time, u64),
+        own: &HostProcess,
+        writes: impl Fn(Suspect) -> bool,
+    ) -> Vec<(Suspect, CrashFinding)> {
+        self.refusals.findings_to_write(times, own, writes)
+    }
+
+    /// Suspects whose findings are to be removed from the host log.
+    pub fn findings_to_remove(&mut self, now: Time) -> Vec<Suspect> {
+        self.refusals.removals(now).collect()
     }
 
     /// The first of these suspects that is refused.
     #[must_use]
     pub fn first_refused(&self, suspects: &[Suspect]) -> Option<Suspect> {
-        suspects.iter().find(|suspect| self.refused.contains_key(*suspect)).copied()
+        suspects.iter().find(|suspect| self.refusals.contains(**suspect)).copied()
     }
 
     /// True if one of these suspects is refused.
@@ -319,7 +375,7 @@
 
     /// The refused suspects, each with the number of crashes that it was on.
     pub fn refused(&self) -> impl Iterator<Item = (Suspect, usize)> {
-        self.refused.keys().map(|suspect| (*suspect, self.crash_count(*suspect)))
+        self.refusals.suspects().map(|suspect| (suspect, self.crash_count(suspect)))
     }
 
     fn crash_count(&self, suspect: Suspect) -> usize {
@@ -348,7 +404,7 @@
         let recurring = self.recurring.iter();
         let mut left: Vec<(Suspect, SlotSet)> =
             recurring.map(|suspect| (*suspect, self.on_crashes[suspect])).collect();
-        let mut refused = IndexMap::new();
+        let mut explaining = IndexSet::new();
         loop {
             left.retain(|(suspect, slots)| slots.len() >= suspect.crashes_to_refuse());
             let best = left.iter().max_by_key(|(suspect, slots)| (slots.len(), *suspect)).copied();
@@ -359,15 +415,17 @@
                 |other: Suspect| std::mem::discriminant(&other) == std::mem::discriminant(&best);
             for (suspect, slots) in &left {
                 if *slots == explained && is_same_kind(*suspect) {
-                    let first_test_at = now.after_ms(suspect.first_test_ms());
-                    let new = Refusal { tests: 0, next_test_at: first_test_at };
-                    refused.insert(*suspect, self.refused.get(suspect).copied().unwrap_or(new));
+                    explaining.insert(*suspect);
                 }
             }
             for (_, slots) in &mut left {
                 *slots = slots.without(explained);
             }
         }
-        self.refused = refused;
+        let on_crashes = &self.on_crashes;
+        self.refusals.update(now, &explaining, |suspect| {
+            let slots = on_crashes.get(&suspect);
+            slots.is_some_and(|slots| slots.len() >= suspect.crashes_to_refuse())
+        });
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod cold_load_limit;
 mod config;
 mod connection_limit;
+mod crash_refusals;
 mod crash_reports;
 mod crash_suspects;
 mod cross_data_centre;
@@ -72,7 +73,8 @@
     ServiceSpec, ServiceTarget, WeightStoreSpec, diff, validate,
 };
 pub use connection_limit::{ConnectionDecision, ConnectionLimit};
-pub use crash_reports::{CrashId, CrashReports, CrashVerdict, Suspect};
+pub use crash_refusals::CrashFinding;
+pub use crash_reports::{CrashId, CrashReports, CrashVerdict, Suspect, SuspectNameError};
 pub use crash_suspects::{CrashSuspects, RunPolicy, SuspectRecord};
 pub use cross_data_centre::CrossDataCentreRequests;
 pub use engine_owners::{EngineClaim, EngineOwners, Fencing};
--- a/crates/core/tests/naive/mod.rs
+++ b/crates/core/tests/naive/mod.rs
@@ -25,8 +25,11 @@
 /// interval divided by this number.
 const JOINT_TEST_DELAY_DIVISOR: u64 = 2;
 
-/// Highest number of doublings of the time between two tests.
-const TEST_DOUBLINGS_MAX: u32 = 5;
+/// Most tests of a refused suspect.
+const TESTS_MAX: u32 = 3;
+
+/// Time after which a caller may return when there are no further tests.
+const LAST_RETRY_MS: u64 = 60_000;
 
 fn crashes_to_refuse(suspect: Suspect) -> usize {
     match suspect {
@@ -145,6 +148,9 @@
                 crash.expires_at = now.after_ms(RETENTION_MS);
             }
         }
+        if refused.iter().any(|suspect| self.refused[suspect].tests >= TESTS_MAX) {
+            return CrashVerdict::Refused(now.after_ms(LAST_RETRY_MS));
+        }
         let mut next_test_at = self.refused[first].next_test_at;
         if refused.len() > 1 {
             // requests with one of them alone go first: they tell which one is sound
@@ -159,7 +165,7 @@
         for suspect in &refused {
             let refusal = &mut self.refused[suspect];
             refusal.tests += 1;
-            let factor = 1 << refusal.tests.min(TEST_DOUBLINGS_MAX);
+            let factor = 1 << refusal.tests;
             refusal.next_test_at = now.after_ms(first_test_ms(*suspect) * factor);
         }
         CrashVerdict::Test
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -81,30 +81,30 @@
     let Some(refused) = refused else {
         return CrashVerdict::Allowed;
     };
-    let is_tester = peers::is_first_for(edge, &key_of(refused));
+    // without the host log, this host does not know how often it was tested
+    let has_read_findings = edge.host_log_position.lock().caught_up_at > Time::ZERO;
+    let is_tester = has_read_findings && peers::is_first_for(edge, &refused.to_string());
     let verdict = edge.crash_reports.lock().judge(now(), &out.suspects, is_tester);
     if verdict == CrashVerdict::Test {
         events::CRASH_TEST.warn(format_args!(
             "request={} route={} suspect={}",
-            out.head.id,
-            out.selected.route.name,
-            key_of(refused)
+            out.head.id, out.selected.route.name, refused
         ));
     }
+    if is_tester {
+        // it may need the grant of a test
+        edge.crash_findings_changed.notify_one();
+    }
     verdict
 }
 
 /// True if a request may not be sent, or sent again, because its content crashed targets.
 pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest, was_sent: bool) -> bool {
-    let is_first_of_test = out.is_crash_test && !was_sent;
-    !is_first_of_test && edge.crash_reports.lock().is_refused(&out.suspects)
-}
-
-fn key_of(suspect: Suspect) -> String {
-    match suspect {
-        Suspect::Content(fingerprint) => format!("content-{:016x}", fingerprint.0),
-        Suspect::Part(fingerprint) => format!("part-{:016x}", fingerprint.0),
+    if let Some(test) = out.crash_test.as_ref().filter(|_| !was_sent) {
+        test.record_sent(true);
+        return false;
     }
+    edge.crash_reports.lock().is_refused(&out.suspects)
 }
 
 /// Records that a request has run to its end, which shows that nothing of it crashes targets.
@@ -118,6 +118,7 @@
     if suspects.is_empty() {
         return;
     }
+    edge.crash_findings_changed.notify_one();
     peers::report_crashes(edge, &sound_message(suspects, false));
 }
 
@@ -179,6 +180,7 @@
         }
         cleared
     };
+    edge.crash_findings_changed.notify_one();
     if message.is_reply {
         send_sound(edge, &cleared);
     }
@@ -202,7 +204,7 @@
         out.head.id,
         out.selected.route.name,
         target.id,
-        out.suspects.iter().map(|suspect| key_of(*suspect)).collect::<Vec<_>>().join(","),
+        out.suspects.iter().map(ToString::to_string).collect::<Vec<_>>().join(","),
         out.head.shared_prompt_parts.join(",")
     ));
     let broken_at = now();
@@ -396,8 +398,9 @@
         sound.len()
     ));
     for (suspect, crashes) in newly_refused {
-        events::SUSPECT_REFUSED.warn(format_args!("suspect={} crashes={crashes}", key_of(suspect)));
+        events::SUSPECT_REFUSED.warn(format_args!("suspect={suspect} crashes={crashes}"));
     }
+    edge.crash_findings_changed.notify_one();
     let unknown = suspects.iter().filter(|suspect| !sound.contains(suspect));
     let crash = crash_message(&id, unknown);
     let message = SuspectsMsg { crashes: vec![crash], ..SuspectsMsg::default() };
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod attempt;
 mod crash_suspects;
+mod crash_test;
 mod placement;
 mod relay;
 mod request;
--- a/crates/edge/src/dispatch/request.rs
+++ b/crates/edge/src/dispatch/request.rs
@@ -1,7 +1,7 @@
 //! Reads a request from its caller and selects its route.
 
 use {
-    super::{accounts, relay::Relayed},
+    super::{accounts, crash_test::CrashTest, relay::Relayed},
     crate::{
         peers::Charge,
         server::{Answer, refusal},
@@ -94,9 +94,9 @@
     pub(crate) revision: u64,
     /// What of it may crash the target that runs it.
     pub(crate) suspects: Arc<[Suspect]>,
-    /// True if it is sent although something of it is refused, to find out whether that still crashes
+    /// Set if it is sent although something of it is refused, to find out whether that still crashes
     /// targets.
-    pub(crate) is_crash_test: bool,
+    pub(crate) crash_test: Option<CrashTest>,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
     /// Notified to cut off the caller, if it does not read its answer.
@@ -200,7 +200,7 @@
             charge: Mutex::new(None),
             revision: routing.revision,
             suspects,
-            is_crash_test: false,
+            crash_test: None,
             arrived_at: arrived,
             deadline,
             cut_caller: parts.extensions.remove::<CutCaller>().unwrap_or_default().0,
@@ -250,6 +250,11 @@
         self.selected.route.kind
     }
 
+    /// True if it has parts of a prompt that other requests may share.
+    pub(crate) fn has_prompt_parts(&self) -> bool {
+        self.suspects.iter().any(|suspect| matches!(suspect, Suspect::Part(_)))
+    }
+
     /// Records what the request has taken of its account's allowance.
     pub(crate) fn record_charge(&self, charge: Charge) {
         *self.charge.lock() = Some(charge);
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -6,6 +6,7 @@
         accounts,
         attempt::{self, HealthSignal, TargetAnswer, record_health},
         crash_suspects,
+        crash_test::CrashTest,
         placement::{self, BeginVersions, Eligibility, Placed, Placement, select_target},
         relay::{self, Relayed},
         request::{OutgoingRequest, SharedRequest},
@@ -42,6 +43,9 @@
 /// arrived after this multiple of the route's latency goal.
 const PLAIN_HEAD_GOALS: u64 = 3;
 
+/// Reason of a refusal by a host that has just started.
+const FINDINGS_UNKNOWN_REASON: &str = "what crashes targets is not known here yet";
+
 /// Largest answer that is held whole. Answers of plain services are read completely before they are passed
 /// on, so that the caller never gets a truncated one.
 pub(super) const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
@@ -56,9 +60,12 @@
     if edge.is_cut_off(&out.selected.service.name) {
         return answer_cut_off(edge, &Arc::new(out), Relayed::First, open).await;
     }
+    if out.has_prompt_parts() && !edge.knows_crash_findings() {
+        return finish_unanswered(edge, &out, FinalAnswer::NotRun, FINDINGS_UNKNOWN_REASON);
+    }
     match crash_suspects::judge(edge, &out) {
         CrashVerdict::Allowed => {}
-        CrashVerdict::Test => out.is_crash_test = true,
+        CrashVerdict::Test => out.crash_test = Some(CrashTest::new(edge, out.suspects.clone())),
         CrashVerdict::Refused(until) => return refuse_suspect(edge, &out, until),
     }
     if let Err(reason) = resumption::restrict_to_origin(edge, &mut out).await {
@@ -317,10 +324,14 @@
         }
         let service = &self.out.selected.service.name;
         let permit = &mut self.permit;
-        self.sends.decide_after_send(now(), end, || {
+        let decision = self.sends.decide_after_send(now(), end, || {
             *permit = self.edge.reserve_repeat(service).map(Arc::new);
             permit.is_some()
-        })
+        });
+        if let Some(test) = &self.out.crash_test {
+            test.record_sent(self.sends.has_reached_target());
+        }
+        decision
     }
 
     /// Restarts the caller's wait, after a break of a stream from which it has received events.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -29,7 +29,7 @@
     parking_lot::{Mutex, RwLock},
     std::{
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
@@ -40,6 +40,9 @@
 /// Time after the start of the process within which links to the other hosts are opened.
 const STARTUP_MS: u64 = 3000;
 
+/// Longest wait of a host that can serve else for what the host log says of crashes.
+const CRASH_FINDINGS_WAIT_MS: u64 = 1500;
+
 /// Bits of a request's number that count the requests of one process.
 const REQUEST_NUMBER_BITS: u32 = 20;
 
@@ -131,6 +134,10 @@
     // time from which this host may use its part of the free repeats
     fixed_repeats_from: Mutex<Time>,
     pub(crate) crash_reports: Mutex<CrashReports>,
+    /// Notified when the host log lacks a finding of the crash reports.
+    pub(crate) crash_findings_changed: Notify,
+    // time until which this host waits for the findings in the host log, once it can serve else
+    crash_findings_awaited_until: OnceLock<Time>,
     pub(crate) broken_connections: Mutex<BrokenConnections>,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) held_answers: Arc<HeldAnswers>,
@@ -223,6 +230,8 @@
             retry_shares: Mutex::default(),
             fixed_repeats_from: Mutex::new(now().after_ms(cfg.retries.window_ms())),
             crash_reports: Mutex::default(),
+            crash_findings_changed: Notify::new(),
+            crash_findings_awaited_until: OnceLock::new(),
             broken_connections: Mutex::default(),
             crash_checks: CrashChecks::default(),
             request_bodies: RequestBodies::new(cfg.host_mb()),
@@ -268,6 +277,19 @@
         !self.is_stopping()
             && self.routing.read().is_known()
             && *self.registry_read_at.lock() > Time::ZERO
+            && self.knows_crash_findings()
+    }
+
+    /// True if this host has read in the host log what crashes targets. A host that knows routes, from
+    /// others, waits for it only for a while: the store may turn it away.
+    pub(crate) fn knows_crash_findings(&self) -> bool {
+        if self.host_log_position.lock().caught_up_at > Time::ZERO {
+            return true;
+        }
+        let awaited_until = self
+            .crash_findings_awaited_until
+            .get_or_init(|| now().after_ms(CRASH_FINDINGS_WAIT_MS));
+        now() >= *awaited_until
     }
 
     /// True while this host reaches no target of `service`.
--- a/crates/edge/src/watch/host_log.rs
+++ b/crates/edge/src/watch/host_log.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{
+        crash_findings::{self, FINDING_PREFIX},
         stream_reads::{CHECK_INTERVAL_MS, READER_POLL_MS, ReadLag, StreamReads, call_deadline},
         version_record,
     },
@@ -130,6 +131,7 @@
     if !has_record(VERSIONS_KEY) {
         version_record::apply(edge, page.next_offset, None);
     }
+    crash_findings::apply_listing(edge, page);
 }
 
 fn apply_page(edge: &Edge, page: &Page, started: Time) {
@@ -170,6 +172,8 @@
         } else if let Some(engine) = record.key.strip_prefix(ENGINE_PREFIX) {
             let value: Option<EngineClaim> = parse_value(record);
             edge.engine_owners.lock().apply_record(now(), engine, record.offset, value);
+        } else if let Some(name) = record.key.strip_prefix(FINDING_PREFIX) {
+            crash_findings::apply(edge, name, record, parse_value(record));
         } else if record.key == VERSIONS_KEY {
             version_record::apply(edge, record.offset, parse_value(record));
         }
--- a/crates/edge/src/watch/mod.rs
+++ b/crates/edge/src/watch/mod.rs
@@ -1,5 +1,6 @@
 //! Follows the platform's store: routes and versions, targets, hosts and claims.
 
+mod crash_findings;
 mod host_log;
 mod operator;
 mod reach;
@@ -22,5 +23,6 @@
     tokio::spawn(targets::follow(edge.clone()));
     tokio::spawn(host_log::follow(edge.clone()));
     tokio::spawn(version_record::maintain(edge.clone()));
+    tokio::spawn(crash_findings::maintain(edge.clone()));
     tokio::spawn(reach::probe_targets(edge.clone()));
 }
--- a/crates/edge/tests/edge/crashes.rs
+++ b/crates/edge/tests/edge/crashes.rs
@@ -16,19 +16,19 @@
 };
 
 /// Part of the prompt of requests that crash engines.
-const MARKER: &str = "dead";
+pub(crate) const MARKER: &str = "dead";
 
 /// Time within which all hosts know of a crash.
-const NOTICE: Duration = Duration::from_millis(700);
+pub(crate) const NOTICE: Duration = Duration::from_millis(700);
 
 /// Crashes after which a content is refused.
 const CRASHES_MAX: u64 = 2;
 
 /// Crashes after which a part of a prompt is refused, with those of requests that are under way.
-const PART_CRASHES_MAX: u64 = 5;
+pub(crate) const PART_CRASHES_MAX: u64 = 5;
 
 /// A request whose prompt has a shared first part, `part` and a last part of its own.
-fn request_with_part(part: &str, number: usize) -> Request<Full<Bytes>> {
+pub(crate) fn request_with_part(part: &str, number: usize) -> Request<Full<Bytes>> {
     let mut req = stream_request("stream", "a1");
     let prefix = format!("5c1e:10,{part}:10,{number:x}:10");
     req.headers_mut().insert("prompt-prefix", prefix.parse().unwrap());
@@ -42,7 +42,7 @@
     req
 }
 
-async fn start_engines(
+pub(crate) async fn start_engines(
     d: &Deployment,
     numbers: RangeInclusive<u64>,
     crash_after_events: u64,
@@ -57,7 +57,7 @@
     engines
 }
 
-async fn start_ready_edges(d: &Deployment, count: u64) -> Vec<EdgeProcess> {
+pub(crate) async fn start_ready_edges(d: &Deployment, count: u64) -> Vec<EdgeProcess> {
     let mut edges = Vec::new();
     for host in 1..=count {
         edges.push(d.start_ready_edge(host).await);
@@ -67,7 +67,7 @@
     edges
 }
 
-fn crashes(engines: &[Target]) -> u64 {
+pub(crate) fn crashes(engines: &[Target]) -> u64 {
     engines.iter().map(Target::crashes).sum()
 }
 
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod allowances;
 mod brittle;
 mod broken_heads;
+mod crash_findings;
 mod crashes;
 mod cut_off;
 mod doubtful_ends;
--- a/crates/runtime/src/event.rs
+++ b/crates/runtime/src/event.rs
@@ -168,6 +168,7 @@
     CRASH_WITNESSED = 1225 "request was on a target when its connection broke off";
     SUSPECT_REFUSED = 1226 "requests refused, since targets crashed on what they hold";
     CRASH_TEST = 1227 "request sent to test whether what it holds still crashes targets";
+    CRASH_FINDING = 1228 "finding about what crashes targets read in the host log";
     TICKET_CANCELLED = 1230 "expired ticket cancelled at the engine";
     PERMITS_LENT = 1240 "weight store permits lent";
 }
