Answers with a status outside of 200 to 599 are none

Change: a final status is 200 to 599, decided in the core and checked where both HTTP clients return the head of an answer, so for targets, load reports, relayed answers, egret-entry, egret-keeper and the store.

Ruled out: 000 (502 before and after it, on routes that run once, safe ones and streams, in three framings).

Measured: statuses_of_no_answer_plain and statuses_of_no_answer_streams failed before (101, first framing), and pass; call_status_of_no_answer has the same for both clients.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod accounts;
 mod admission;
 mod allowances;
+mod answer_status;
 mod attempts;
 mod begin_declarations;
 mod body_room;
@@ -59,6 +60,7 @@
     AllowanceAnswer, AllowanceBounds, AllowanceQuestion, Allowances, ChargeDecision,
     QUESTION_COSTS_MAX, request_units,
 };
+pub use answer_status::is_final_status;
 pub use attempts::{AttemptDecision, AttemptEnd, RequestAttempts};
 pub use begin_declarations::{
     BeginDeclaration, BeginDeclarations, BeginEvidence, HostProcess, OwnDeclaration, Unproved,
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -110,7 +110,9 @@
         Err(e) => {
             // the other kept connections to this target may be broken as well
             edge.connections.close_kept(&target.id);
-            watch::record_unreached(edge, &target);
+            if !matches!(e, HttpError::InvalidStatus(_)) {
+                watch::record_unreached(edge, &target);
+            }
             if matches!(e, HttpError::Broken(_)) {
                 crash_suspects::handle_broken_connection(edge, out, &target).await;
             }
--- a/crates/edge/tests/edge/main.rs
+++ b/crates/edge/tests/edge/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod odd_answers;
 mod paces;
 mod raw;
 mod requests;
--- a/crates/entry/src/completions/attempt.rs
+++ b/crates/entry/src/completions/attempt.rs
@@ -216,6 +216,7 @@
                 AttemptEnd::NotConnected
             }
             CallError::TimedOut => AttemptEnd::Broken(Reason::TargetFailed),
+            CallError::InvalidStatus(_) => AttemptEnd::Broken(Reason::BadAnswer),
             CallError::Broken(_) => {
                 ticket.report_broken().await;
                 AttemptEnd::Broken(Reason::TargetFailed)
--- a/crates/keeper/src/engines/probe.rs
+++ b/crates/keeper/src/engines/probe.rs
@@ -114,8 +114,8 @@
         },
         Err(CallError::NotConnected(_)) => mark_down(engine),
         Err(CallError::Broken(_)) => return ProbeEnd::Broken,
-        // A timeout does not prove a crash, so the engine's requests are left to their deadlines.
-        Err(CallError::TimedOut) => return ProbeEnd::Complete,
+        // Neither proves a crash, so the engine's requests are left to their deadlines.
+        Err(CallError::TimedOut | CallError::InvalidStatus(_)) => return ProbeEnd::Complete,
     };
     record_suspects(keeper, engine, &crashed);
     run_effects(keeper, engine, effects);
--- a/crates/runtime/src/web/client.rs
+++ b/crates/runtime/src/web/client.rs
@@ -3,7 +3,7 @@
 use {
     super::server::read_limited,
     bytes::Bytes,
-    egret_core::Time,
+    egret_core::{Time, is_final_status},
     http::{HeaderMap, Method, StatusCode, Uri},
     std::{error::Error, future::Future, io, net::SocketAddr, time::Duration},
     thiserror::Error,
@@ -33,6 +33,9 @@
     /// The connection broke: the target may have seen the request.
     #[error("connection broke: {0}")]
     Broken(String),
+    /// The status is not that of a final answer. The target may have run the request.
+    #[error("status {0} is not that of an answer")]
+    InvalidStatus(u16),
 }
 
 impl CallError {
@@ -118,7 +121,7 @@
     ///
     /// # Errors
     ///
-    /// When no answer head arrives before `deadline`.
+    /// When no answer head arrives before `deadline`, or its status is not that of a final answer.
     pub async fn send_request(
         &self,
         address: SocketAddr,
@@ -140,7 +143,12 @@
         request.headers_mut().extend(headers.clone());
         let result =
             with_deadline(deadline, request.send::<Body>()).await.ok_or(CallError::TimedOut)?;
-        result.map_err(|e| classify_error(&e))
+        let answer = result.map_err(|e| classify_error(&e))?;
+        let status = answer.status().as_u16();
+        if !is_final_status(status) {
+            return Err(CallError::InvalidStatus(status));
+        }
+        Ok(answer)
     }
 
     /// Sends a request and reads the complete answer.
--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -4,7 +4,7 @@
 use {
     super::client::{Reply, with_deadline},
     bytes::{Bytes, BytesMut},
-    egret_core::Time,
+    egret_core::{Time, is_final_status},
     http::{HeaderMap, HeaderValue, Method, Request, Response, header},
     http_body_util::{BodyExt, Full},
     hyper::{
@@ -51,6 +51,9 @@
     /// The connection broke: the peer may have seen the request.
     #[error("connection broke: {0}")]
     Broken(String),
+    /// The status is not that of a final answer. The peer may have run the request.
+    #[error("status {0} is not that of an answer")]
+    InvalidStatus(u16),
     /// The deadline passed: the peer may have seen the request.
     #[error("no answer before the deadline")]
     TimedOut,
@@ -118,18 +121,24 @@
     ///
     /// # Errors
     ///
-    /// When no answer head arrives by `deadline`. The connection is unusable then.
+    /// When no answer head arrives by `deadline`, or its status is not that of a final answer. The
+    /// connection is unusable then.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         deadline: Time,
     ) -> Result<Response<Incoming>, HttpError> {
         let result = with_deadline(deadline, self.tx.try_send_request(request)).await;
-        result.ok_or(HttpError::TimedOut)?.map_err(|mut e| {
+        let answer = result.ok_or(HttpError::TimedOut)?.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let text = e.into_error().to_string();
             if unsent { HttpError::NotSent(text) } else { HttpError::Broken(text) }
-        })
+        })?;
+        let status = answer.status().as_u16();
+        if !is_final_status(status) {
+            return Err(HttpError::InvalidStatus(status));
+        }
+        Ok(answer)
     }
 
     /// Sends a request and reads the complete answer.
