Bytes without end neither hold a stream nor the process

Cause (report of operators): a target in trouble sends bytes that are no answer until its caller closes. Memory stayed bounded, as before. Three faults showed. Interim answers without end: the HTTP library skips them in a loop, up to some megabytes in one turn, and all requests of the host waited (20 calls ended after 5 to 17 s at a deadline of 2 s). Single bytes that are no event: a stream looked at its deadline only while nothing had arrived, and the search for the end of an event began anew with each byte. A byte, a comment or half an event every 300 ms counted as life, so the stream was not moved.

Change: silence is measured from the last event, less the time in which the caller takes nothing, and the deadline is looked at before each read; events that have arrived by then are passed on for 0.4 s (core, event_wait). The search goes on where it ended. A connection to a target reads 256 KB at most until the head of an answer, and 128 KB in one turn.

Ruled out: memory (128 KB heads, 256 KB events; under 128 MB at 20 callers in ten cases).

--- a/crates/core/src/event_splitter.rs
+++ b/crates/core/src/event_splitter.rs
@@ -32,8 +32,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial_event: BytesMut,
+    // its bytes that were searched for the end of the event, and whether they end with an empty line so
+    // far
+    searched: usize,
+    is_line_empty: bool,
     last_number: Option<u64>,
     event_count: u64,
+    // events other than comments and reconnection times
+    content_count: u64,
     // true from a resumption to the first event after it
     awaits_number: bool,
 }
@@ -57,6 +63,12 @@
         self.event_count
     }
 
+    /// Number of events received, without comments and reconnection times.
+    #[must_use]
+    pub fn content_count(&self) -> u64 {
+        self.content_count
+    }
+
     /// True when the bytes so far end with a complete event.
     #[must_use]
     pub fn is_at_boundary(&self) -> bool {
@@ -66,6 +78,7 @@
     /// Discards the beginning of an event that will not be completed.
     pub fn discard_partial(&mut self) {
         self.partial_event.clear();
+        self.restart_search();
     }
 
     /// Rejects the next event unless it has a number, since it comes from another target.
@@ -81,12 +94,22 @@
     /// resumption has none, or an event is too long. No event of these bytes counts as received then.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.partial_event.extend_from_slice(bytes);
+        let taken = self.take_complete();
+        if taken.is_err() {
+            self.restart_search();
+        }
+        taken
+    }
+
+    fn take_complete(&mut self) -> Result<Bytes, EventError> {
         let mut complete_len = 0;
         let mut last_number = self.last_number;
         let mut event_count = self.event_count;
+        let mut content_count = self.content_count;
         let mut awaits_number = self.awaits_number;
-        while let Some(end) = self.event_end(complete_len) {
+        while let Some(end) = self.find_end(complete_len) {
             let event = &self.partial_event[complete_len..end];
+            let is_without_content = is_without_content(event);
             if let Some(found) = event_number(event) {
                 match last_number {
                     Some(last) if found != last + 1 => {
@@ -95,35 +118,48 @@
                     _ => last_number = Some(found),
                 }
                 awaits_number = false;
-            } else if awaits_number && !is_without_content(event) {
+            } else if awaits_number && !is_without_content {
                 return Err(EventError::Unnumbered);
             }
             complete_len = end;
             event_count += 1;
+            content_count += u64::from(!is_without_content);
         }
         if self.partial_event.len() - complete_len > EVENT_BYTES_MAX {
             return Err(EventError::TooLong);
         }
         self.last_number = last_number;
         self.event_count = event_count;
+        self.content_count = content_count;
+        self.searched -= complete_len;
         self.awaits_number = awaits_number;
         Ok(self.partial_event.split_to(complete_len).freeze())
     }
 
-    // The end of the event that begins at `from`: the position after its blank line.
-    fn event_end(&self, from: usize) -> Option<usize> {
-        let bytes = &self.partial_event[from..];
-        let mut line_empty = false;
-        for (i, byte) in bytes.iter().enumerate() {
+    // The end of the event that begins at `from`: the position after its blank line. Bytes of it that were
+    // searched before are not searched again.
+    fn find_end(&mut self, from: usize) -> Option<usize> {
+        let start = from.max(self.searched);
+        for (i, byte) in self.partial_event[start..].iter().enumerate() {
             match byte {
-                b'\n' if line_empty => return Some(from + i + 1),
-                b'\n' => line_empty = true,
+                b'\n' if self.is_line_empty => {
+                    self.searched = start + i + 1;
+                    self.is_line_empty = false;
+                    return Some(self.searched);
+                }
+                b'\n' => self.is_line_empty = true,
                 b'\r' => {}
-                _ => line_empty = false,
+                _ => self.is_line_empty = false,
             }
         }
+        self.searched = self.partial_event.len();
         None
     }
+
+    fn restart_search(&mut self) {
+        self.searched = 0;
+        self.is_line_empty = false;
+    }
 }
 
 // true for comments and reconnection times, which are no events
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod cross_data_centre;
 mod engine_owners;
 mod event_splitter;
+mod event_wait;
 mod fleet;
 mod hash;
 mod journal;
@@ -81,6 +82,7 @@
 pub use cross_data_centre::CrossDataCentreRequests;
 pub use engine_owners::{EngineClaim, EngineOwners, Fencing};
 pub use event_splitter::{EventError, EventSplitter};
+pub use event_wait::{EventWait, EventWaitStep};
 pub use fleet::{
     AdapterVersions, Aggregators, ChangedTarget, ChangesApplied, ConfirmedConnection, Departure,
     Divergence, Fleet, Health, RegisteredAdapter, RegisteredModel, RemovedTarget, SentChanges,
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -16,12 +16,12 @@
     },
     bytes::Bytes,
     egret_core::{
-        CutReason, EndMark, EventSplitter, FinalAnswer, PaceSource, STREAM_SAMPLE_MS, SendDecision,
-        SendEnd, StreamHead, Target, Time,
+        CutReason, EndMark, EventError, EventSplitter, EventWait, EventWaitStep, FinalAnswer,
+        PaceSource, STREAM_SAMPLE_MS, SendDecision, SendEnd, StreamHead, Target, Time,
     },
     egret_platform::forwarded_answer_headers,
     egret_runtime::{AnswerReadError, EventId, WholeAnswer, events, now, with_deadline},
-    futures::stream::unfold,
+    futures::{FutureExt, stream::unfold},
     http::{HeaderMap, Response, header},
     http_body::{Body, Frame},
     http_body_util::{BodyExt, StreamBody},
@@ -57,6 +57,7 @@
     let (status, headers) =
         (target_answer.status, forwarded_answer_headers(&target_answer.headers));
     let end_mark = end_mark(&target_answer.headers, &target_answer.body);
+    let wait = EventWait::new(silent_at(&sender, &out, false), out.deadline);
     let state = EventStream {
         edge: edge.clone(),
         splitter: EventSplitter::resuming_after(out.head.last_event_id),
@@ -66,6 +67,7 @@
         target_answer: Some(target_answer),
         end_mark,
         has_sent_events: false,
+        wait,
         pace: PaceSpan::default(),
         _open: open,
     };
@@ -143,6 +145,7 @@
     head: StreamHead,
     splitter: EventSplitter,
     has_sent_events: bool,
+    wait: EventWait,
     pace: PaceSpan,
     _open: OpenRequest,
 }
@@ -165,58 +168,111 @@
     }
 }
 
-// the next frame of an answer, unless the deadline passes before it
-type NextFrame = Option<Option<Result<Frame<Bytes>, hyper::Error>>>;
+/// What comes next of an answer.
+#[derive(Debug)]
+enum NextEvents {
+    /// Complete events, or comments.
+    Complete(Bytes),
+    /// The body has ended, between two events if `is_whole` is set.
+    Ended { is_whole: bool },
+    /// The connection broke off.
+    Broken(hyper::Error),
+    /// The bytes are no part of the stream.
+    Invalid(EventError),
+    /// There was no event in time.
+    Silent,
+    /// The deadline of the request has passed.
+    DeadlinePassed,
+}
+
+// Reads until there are complete events. Other bytes do not prolong the wait, however fast they come.
+// Comments are passed on unless another target may go on meanwhile.
+async fn read_events(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+    wait: EventWait,
+    drops_comments: bool,
+) -> NextEvents {
+    let content_before = splitter.content_count();
+    loop {
+        let next = match wait.step(now()) {
+            EventWaitStep::Wait(until) => match with_deadline(until, body.frame()).await {
+                Some(next) => next,
+                None => continue,
+            },
+            EventWaitStep::TakeReady => match body.frame().now_or_never() {
+                Some(next) => next,
+                None => return NextEvents::DeadlinePassed,
+            },
+            EventWaitStep::Silent => return NextEvents::Silent,
+            EventWaitStep::DeadlinePassed => return NextEvents::DeadlinePassed,
+        };
+        let frame = match next {
+            Some(Ok(frame)) => frame,
+            Some(Err(e)) => return NextEvents::Broken(e),
+            None => return NextEvents::Ended { is_whole: splitter.is_at_boundary() },
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        match splitter.push(&data) {
+            Ok(complete) if complete.is_empty() => {}
+            Ok(_) if drops_comments && splitter.content_count() == content_before => {}
+            Ok(complete) => return NextEvents::Complete(complete),
+            Err(e) => return NextEvents::Invalid(e),
+        }
+    }
+}
 
 impl EventStream {
     // returns the next complete events, or none at the end of the stream
     async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
+        self.wait.resume(now());
         loop {
-            let deadline = self.event_deadline();
             let wait_started_at = now();
             let target_answer = self.target_answer.as_mut()?;
-            let mut next = with_deadline(deadline, target_answer.body.frame()).await;
-            if next.is_none() && now() < self.out.deadline {
-                let Some(frame) = self.wait_while_silent().await else {
+            let content_before = self.splitter.content_count();
+            let mut next =
+                read_events(&mut target_answer.body, &mut self.splitter, self.wait, false).await;
+            if matches!(next, NextEvents::Silent) {
+                let Some(later) = self.wait_while_silent().await else {
                     continue;
                 };
-                next = frame;
+                next = later;
             }
             self.pace.waited_ms += now().ms_since(wait_started_at);
             let handled = match next {
-                Some(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.splitter.push(&data) {
-                        Ok(complete) if complete.is_empty() => continue,
-                        Ok(complete) => {
-                            self.record_pace(STREAM_SAMPLE_MS);
-                            self.record_first_event().await;
-                            return Some(Ok(complete));
-                        }
-                        Err(e) => self.handle_break(&e.to_string()).await,
+                NextEvents::Complete(complete) => {
+                    if self.splitter.content_count() > content_before {
+                        self.record_pace(STREAM_SAMPLE_MS);
+                        self.record_first_event().await;
+                        self.wait.restart(self.silent_at());
                     }
+                    self.wait.pause(now());
+                    return Some(Ok(complete));
                 }
-                Some(None) if self.splitter.is_at_boundary() => match self.find_cut().await {
+                NextEvents::Invalid(e) => self.handle_break(&e.to_string()).await,
+                NextEvents::Ended { is_whole: true } => match self.find_cut().await {
                     None => {
                         self.finish_complete();
                         return None;
                     }
                     Some(problem) => self.handle_break(problem).await,
                 },
-                Some(None) => {
+                NextEvents::Ended { is_whole: false } => {
                     self.record_broken_end();
                     // the end of a stream without length or chunks is that of its connection
                     self.check_for_crash().await;
                     self.handle_break("stream ended within an event").await
                 }
-                Some(Some(Err(e))) => {
+                NextEvents::Broken(e) => {
                     self.record_broken_end();
                     self.check_for_crash().await;
                     self.handle_break(&e.to_string()).await
                 }
-                None => self.handle_break("deadline exceeded").await,
+                NextEvents::Silent | NextEvents::DeadlinePassed => {
+                    self.handle_break("deadline exceeded").await
+                }
             };
             if let Err(e) = handled {
                 return Some(Err(e));
@@ -259,28 +315,29 @@
         self.pace = PaceSpan::starting(arrived_at, events_now);
     }
 
-    // Waits until the silent target goes on, or another one resumes the stream. Returns the next
-    // frame of the silent target, if it came first.
-    async fn wait_while_silent(&mut self) -> Option<NextFrame> {
+    // Waits until the silent target goes on, or another one resumes the stream. Returns what comes next
+    // of the silent target, if it came first.
+    async fn wait_while_silent(&mut self) -> Option<NextEvents> {
         if self.has_sent_events {
             self.sender.reset_wait();
         }
         let last_event = self.splitter.last_number();
         let silent = self.target_answer.as_mut()?;
         let target = silent.target.clone();
-        let next = with_deadline(self.out.deadline, silent.body.frame());
+        let wait = EventWait::new(Time::NEVER, self.out.deadline);
+        let next = read_events(&mut silent.body, &mut self.splitter, wait, true);
         // the end of a connection may be that of the target, which is checked if no other one answers
-        let is_complete = self.splitter.is_at_boundary() && self.end_mark.is_framed();
-        let failed_end = |next: &NextFrame| match next {
-            Some(Some(Ok(_))) => None,
-            Some(None) if is_complete => None,
-            Some(_) | None => Some(SendEnd::Lost),
+        let is_framed = self.end_mark.is_framed();
+        let failed_end = |next: &NextEvents| match next {
+            NextEvents::Complete(_) => None,
+            NextEvents::Ended { is_whole } if *is_whole && is_framed => None,
+            _ => Some(SendEnd::Lost),
         };
         let resume_point = ResumePoint::Stream(self.head.clone(), last_event);
         match self.sender.wait_or_move(&target, resume_point, next, failed_end).await {
             SilenceEnd::Answered(next) => Some(next),
             SilenceEnd::Moved { answer, failure } => {
-                if let Some(Some(Some(Err(_)) | None)) = failure {
+                if let Some(NextEvents::Broken(_) | NextEvents::Ended { .. }) = failure {
                     crash_suspects::handle_broken_connection(&self.edge, &self.out, &target).await;
                 }
                 self.resume_from(*answer, &target, "silent");
@@ -418,6 +475,7 @@
         self.splitter.discard_partial();
         self.splitter.require_number();
         self.pace = PaceSpan::default();
+        self.wait.restart(self.silent_at());
         self.end_mark = end_mark(&target_answer.headers, &target_answer.body);
         self.target_answer = Some(target_answer);
     }
@@ -445,16 +503,21 @@
         problem.to_owned().into()
     }
 
-    fn event_deadline(&self) -> Time {
-        if !self.sender.can_reroute() {
-            return self.out.deadline;
-        }
-        let route = &self.out.selected.route;
-        let wait_ms = if self.has_sent_events {
-            route.event_gap_max_ms * EVENT_GAP_TENTHS / 10
-        } else {
-            route.latency_goal_ms * FIRST_EVENT_GOAL_TENTHS / 10
-        };
-        now().after_ms(wait_ms).min(self.out.deadline)
+    // time at which the target counts as silent if it writes no event from now on
+    fn silent_at(&self) -> Time {
+        silent_at(&self.sender, &self.out, self.has_sent_events)
+    }
+}
+
+fn silent_at(sender: &RequestSender, out: &OutgoingRequest, has_sent_events: bool) -> Time {
+    if !sender.can_reroute() {
+        return Time::NEVER;
     }
+    let route = &out.selected.route;
+    let wait_ms = if has_sent_events {
+        route.event_gap_max_ms * EVENT_GAP_TENTHS / 10
+    } else {
+        route.latency_goal_ms * FIRST_EVENT_GOAL_TENTHS / 10
+    };
+    now().after_ms(wait_ms)
 }
--- a/crates/edge/tests/edge/raw.rs
+++ b/crates/edge/tests/edge/raw.rs
@@ -32,6 +32,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Goes on with these bytes, again and again after the pause, until the host closes the connection.
+    Repeat(&'static [u8], Duration),
 }
 
 /// The exact bytes of an answer.
@@ -151,6 +153,14 @@
                 let _ = stream.set_zero_linger();
                 return;
             }
+            End::Repeat(bytes, pause) => {
+                while stream.write_all(bytes).await.is_ok() {
+                    if !pause.is_zero() {
+                        tokio::time::sleep(pause).await;
+                    }
+                }
+                return;
+            }
         }
     }
 }
--- a/crates/runtime/src/web/conn.rs
+++ b/crates/runtime/src/web/conn.rs
@@ -2,7 +2,10 @@
 //! the next request, or drops it, which closes it at once and so cancels the request at the target.
 
 use {
-    super::client::{Reply, with_deadline},
+    super::{
+        answer_stream::{AnswerRoom, AnswerStream},
+        client::{Reply, with_deadline},
+    },
     bytes::{Bytes, BytesMut},
     egret_core::{Time, is_final_status},
     http::{HeaderMap, HeaderValue, Method, Request, Response, header},
@@ -66,6 +69,7 @@
 #[derive(Debug)]
 pub struct Conn {
     tx: SendRequest<Full<Bytes>>,
+    room: AnswerRoom,
     driver: JoinHandle<()>,
 }
 
@@ -91,12 +95,14 @@
         stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
         let mut builder = http1::Builder::new();
         builder.title_case_headers(true).max_buf_size(BUF_BYTES_MAX);
-        let (tx, conn) = builder.handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
+        let room = AnswerRoom::default();
+        let stream = TokioIo::new(AnswerStream::new(stream, room.clone()));
+        let (tx, conn) = builder.handshake(stream).await.map_err(|e| not_sent(&e))?;
         // a connection error is reported to the request that is open on it
         let driver = tokio::spawn(async move {
             let _ = conn.await;
         });
-        Ok(Self { tx, driver })
+        Ok(Self { tx, room, driver })
     }
 
     /// Returns true if the connection can take a request now.
@@ -128,12 +134,14 @@
         request: Request<Full<Bytes>>,
         deadline: Time,
     ) -> Result<Response<Incoming>, HttpError> {
+        self.room.await_head();
         let result = with_deadline(deadline, self.tx.try_send_request(request)).await;
         let answer = result.ok_or(HttpError::TimedOut)?.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let text = e.into_error().to_string();
             if unsent { HttpError::NotSent(text) } else { HttpError::Broken(text) }
         })?;
+        self.room.end_head();
         let status = answer.status().as_u16();
         if !is_final_status(status) {
             return Err(HttpError::InvalidStatus(status));
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server, responses, clients and connections, built on volo-http and hyper.
 
 mod answer_body;
+mod answer_stream;
 mod bodies;
 mod client;
 mod conn;
--- a/crates/runtime/tests/odd_answers.rs
+++ b/crates/runtime/tests/odd_answers.rs
@@ -1,10 +1,14 @@
-//! Clients of targets in trouble: statuses of no answer.
+//! Clients of targets in trouble: statuses of no answer, bytes without an end.
 
 use {
     egret_runtime::{CallError, Conn, HttpClient, HttpError, now},
+    futures::future::join_all,
     http::Request,
     http_body_util::Full,
-    std::net::SocketAddr,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -14,6 +18,9 @@
 /// Time until the deadline of a call, in milliseconds.
 const DEADLINE_MS: u64 = 1000;
 
+/// Longest time of a call with that deadline.
+const END_MAX: Duration = Duration::from_millis(2500);
+
 /// Starts a server that answers each request with `head`, and then with `bytes` again and again unless
 /// there are none.
 async fn start_server(head: String, bytes: &'static [u8]) -> SocketAddr {
@@ -76,3 +83,38 @@
     assert_eq!(call_conn(address).await.unwrap(), 200);
     assert_eq!(call_client(address).await.unwrap(), 200);
 }
+
+const ENDLESS: [(&str, &[u8]); 7] = [
+    ("HTTP/1.1 200 ", &[b'a'; 4096]),
+    ("HTTP/1.1 200 OK\r\n", b"Aaaa: bbbb\r\n"),
+    ("", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0000000000000000"),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", &[b'a'; 4096]),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"Aaaa: bbbb\r\n"),
+    ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", &[b'a'; 4096]),
+];
+
+// Interim answers without an end held the thread of the caller for seconds.
+#[tokio::test]
+async fn call_bytes_without_end() {
+    for (head, bytes) in ENDLESS {
+        let address = start_server(head.to_owned(), bytes).await;
+        let started = Instant::now();
+        for result in join_all((0..8).map(|_| call_conn(address))).await {
+            assert!(result.is_err(), "{head:?}");
+        }
+        assert!(started.elapsed() < END_MAX, "{head:?}: {:?}", started.elapsed());
+    }
+}
+
+#[tokio::test]
+async fn client_call_bytes_without_end() {
+    for (head, bytes) in ENDLESS {
+        let address = start_server(head.to_owned(), bytes).await;
+        let started = Instant::now();
+        for result in join_all((0..8).map(|_| call_client(address))).await {
+            assert!(result.is_err(), "{head:?}");
+        }
+        assert!(started.elapsed() < END_MAX, "{head:?}: {:?}", started.elapsed());
+    }
+}
