The HTTP client of entry and keeper bounds what precedes an answer as well

Cause: HttpClient read through the client of volo-http, whose connections cannot be wrapped. Interim answers without end held the thread of its caller: eight calls took 13.6 s at a deadline of 1 s (client_call_bytes_without_end).

Ruled out: an own connector for volo-http (its transport is not open to one); a bound in egret-entry alone (keepers and egretctl use the same client).

--- a/crates/runtime/src/web/client.rs
+++ b/crates/runtime/src/web/client.rs
@@ -1,22 +1,26 @@
 //! HTTP client; each call takes its address and its deadline.
 
 use {
-    super::server::read_limited,
+    super::{
+        client_pool::{ClientPool, PooledBody},
+        conn::{Conn, HttpError},
+        server::read_limited,
+    },
     bytes::Bytes,
-    egret_core::{Time, is_final_status},
-    http::{HeaderMap, Method, StatusCode, Uri},
-    std::{error::Error, future::Future, io, net::SocketAddr, time::Duration},
+    egret_core::Time,
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header},
+    http_body_util::Full,
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     thiserror::Error,
-    volo::net::Address,
-    volo_http::{body::Body, client::Client, error::ClientError, response::Response},
+    volo_http::{body::Body, response::Response},
 };
 
 /// Headers in an engine's answer that identify the request it belongs to.
 pub const ENGINE_ECHO_HEADERS: [&str; 4] =
     ["x-request-id", "x-attempt", "x-adapter", "x-engine-epoch"];
 
-/// Timeout for opening a connection, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 1500;
+/// Idle connections that a pooled client keeps to one address.
+const IDLE_CONNECTIONS_MAX: usize = 64;
 
 /// Size limit of an answer that is read into memory, in bytes.
 const REPLY_BYTES_MAX: usize = 64 * 1024 * 1024;
@@ -38,6 +42,17 @@
     InvalidStatus(u16),
 }
 
+impl From<HttpError> for CallError {
+    fn from(e: HttpError) -> Self {
+        match e {
+            HttpError::NotSent(text) => Self::NotConnected(text),
+            HttpError::InvalidStatus(status) => Self::InvalidStatus(status),
+            HttpError::TimedOut => Self::TimedOut,
+            HttpError::Broken(_) | HttpError::Incomplete(_) => Self::Broken(e.to_string()),
+        }
+    }
+}
+
 impl CallError {
     /// Returns true if the target can't have seen the request.
     #[must_use]
@@ -75,46 +90,24 @@
 }
 
 /// An HTTP client that follows no redirects and never retries.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client,
-}
-
-impl std::fmt::Debug for HttpClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("HttpClient")
-    }
+    pool: Arc<ClientPool>,
 }
 
 impl HttpClient {
     /// Creates a client that keeps idle connections for later calls.
-    ///
-    /// # Panics
-    ///
-    /// When the library can't build a client, which needs no outside resource.
     #[must_use]
     pub fn pooled() -> Self {
-        Self::build(64)
+        Self { pool: Arc::new(ClientPool::new(IDLE_CONNECTIONS_MAX)) }
     }
 
     /// Creates a client that opens a new connection for each call. Calls that may not be repeated
     /// need one: on an idle connection that the target is closing, the outcome of a call would be
     /// unknown.
-    ///
-    /// # Panics
-    ///
-    /// When the library can't build a client, which needs no outside resource.
     #[must_use]
     pub fn unpooled() -> Self {
-        Self::build(0)
-    }
-
-    fn build(idle_max: usize) -> Self {
-        let mut builder = Client::builder();
-        builder.set_max_idle_per_host(idle_max);
-        builder.set_connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS));
-        let client = builder.build().expect("a client without TLS needs no outside resource");
-        Self { client }
+        Self { pool: Arc::new(ClientPool::new(0)) }
     }
 
     /// Sends a request and returns the answer once its head has arrived.
@@ -133,22 +126,20 @@
     ) -> Result<Response, CallError> {
         let uri: Uri =
             path.parse().map_err(|_| CallError::NotConnected("invalid path".to_owned()))?;
-        let mut request = self
-            .client
-            .request_builder()
-            .method(method)
-            .uri(uri)
-            .address(Address::from(address))
-            .body(Body::from(body));
-        request.headers_mut().extend(headers.clone());
-        let result =
-            with_deadline(deadline, request.send::<Body>()).await.ok_or(CallError::TimedOut)?;
-        let answer = result.map_err(|e| classify_error(&e))?;
-        let status = answer.status().as_u16();
-        if !is_final_status(status) {
-            return Err(CallError::InvalidStatus(status));
-        }
-        Ok(answer)
+        let host = HeaderValue::from_str(&address.to_string())
+            .map_err(|e| CallError::NotConnected(e.to_string()))?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers.clone();
+        request.headers_mut().entry(header::HOST).or_insert(host);
+        let mut conn = match self.pool.take(address) {
+            Some(conn) => conn,
+            None => Conn::open(address, deadline).await?,
+        };
+        let (head, body) = conn.send(request, deadline).await?.into_parts();
+        let body = PooledBody::new(body, conn, address, self.pool.clone());
+        Ok(Response::from_parts(head, Body::from_body(body)))
     }
 
     /// Sends a request and reads the complete answer.
@@ -212,28 +203,3 @@
     let remaining = Duration::from_millis(crate::now().ms_until(deadline));
     tokio::time::timeout(remaining, work).await.ok()
 }
-
-fn classify_error(error: &ClientError) -> CallError {
-    let text = error.to_string();
-    let mut cause: Option<&(dyn Error + 'static)> = Some(error);
-    while let Some(inner) = cause {
-        let connect_failed =
-            inner.downcast_ref::<io::Error>().is_some_and(|e| is_connect_error(e.kind()));
-        if connect_failed {
-            return CallError::NotConnected(text);
-        }
-        cause = inner.source();
-    }
-    CallError::Broken(text)
-}
-
-// only connect(2) reports these errors, an open connection never does
-fn is_connect_error(kind: io::ErrorKind) -> bool {
-    matches!(
-        kind,
-        io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable
-            | io::ErrorKind::AddrNotAvailable
-    )
-}
--- a/crates/runtime/src/web/mod.rs
+++ b/crates/runtime/src/web/mod.rs
@@ -4,6 +4,7 @@
 mod answer_stream;
 mod bodies;
 mod client;
+mod client_pool;
 mod conn;
 mod connections;
 mod held_answers;
