--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod crash_suspects;
 mod crash_test;
+mod event_reader;
 mod placement;
 mod relay;
 mod request;
--- a/crates/edge/src/peers/begin_declarations.rs
+++ b/crates/edge/src/peers/begin_declarations.rs
@@ -145,13 +145,20 @@
             failures = 0;
             continue;
         };
-        let written_in = write(&edge, &declaration, key_number % KEYS_PER_PROCESS).await;
-        if let Some(written_in) = written_in {
+        let key = key_of(declaration.process(), key_number % KEYS_PER_PROCESS);
+        let value = serde_json::to_vec(&declaration).expect("declaration serializes to JSON");
+        let value = Bytes::from(value);
+        let mut written_in = append(&edge, key.clone(), value.clone()).await;
+        if written_in.is_none() {
+            // it may still take effect, after a later declaration
+            key_number += 1;
+            written_in = append_by_others(&edge, &key, &value).await;
+        }
+        if let Some(written_in) = written_in.filter(|at| *at == declaration.generation()) {
             let mut own = edge.declarations.own.lock();
             Arc::make_mut(&mut own).record_written(declaration, written_in);
             failures = 0;
         } else {
-            key_number += 1;
             failures += 1;
             let pause = backoff_ms(BACKOFF_MS, failures.min(DOUBLINGS_MAX), edge.incarnation);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -179,28 +186,22 @@
     FastStr::from_string(format!("{}/{}/{number}", process.host, process.incarnation))
 }
 
-// returns the generation of the store to which the declaration was written, if it was
-async fn write(edge: &Edge, declaration: &BeginDeclaration, key_number: u64) -> Option<u64> {
-    let key = key_of(declaration.process(), key_number);
-    let value = serde_json::to_vec(declaration).expect("declaration serializes to JSON");
-    let value = Bytes::from(value);
-    let mut written_in = append(edge, key.clone(), value.clone()).await;
+// has another host write a declaration, which the store may turn away here
+async fn append_by_others(edge: &Edge, key: &FastStr, value: &Bytes) -> Option<u64> {
     let mut writers = gossip::live_hosts(edge);
     writers.sort_by_cached_key(|host| Reverse(rendezvous_weight("reader", host)));
     for writer in writers.iter().take(WRITERS_MAX) {
-        if written_in.is_some() {
-            break;
-        }
         let message = WriteDeclarationMsg { key: key.to_string(), value: value.clone() };
         let deadline = now().after_ms(STORE_TIMEOUT_MS);
         let answer = links::call(edge, writer, Body::WriteDeclaration(message), deadline).await;
         if let Ok(Body::Written(WrittenMsg { generation })) = answer {
-            written_in = Some(generation);
+            return Some(generation);
         }
     }
-    written_in.filter(|written_in| *written_in == declaration.generation())
+    None
 }
 
+// returns the generation of the store to which the declaration was written, if it was
 async fn append(edge: &Edge, key: FastStr, value: Bytes) -> Option<u64> {
     let deadline = now().after_ms(STORE_TIMEOUT_MS);
     let records = [(key, value)];
