Names and files for readers: host processes, crash tests

Cause: HostProcess stood among the declarations and is used by the findings of crashes too; CrashTest::record_sent took a flag that turned its meaning around; two queries asked for a mutable reference.

Change: a file for HostProcess, record_send and record_unsent, queries by shared reference.

--- a/crates/core/src/begin_declarations.rs
+++ b/crates/core/src/begin_declarations.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        Time,
+        HostProcess, Time,
         stream_origins::{CLOCK_DIFFERENCE_MAX_MS, STREAM_LIFE_MAX_MS},
     },
     faststr::FastStr,
@@ -21,15 +21,6 @@
 /// Software versions by service.
 type Versions = IndexMap<FastStr, IndexSet<FastStr>>;
 
-/// A process of a host.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
-pub struct HostProcess {
-    /// Name of the host.
-    pub host: FastStr,
-    /// Distinguishes the processes of the host.
-    pub incarnation: u64,
-}
-
 /// Software versions at which a process may begin streams, as the store keeps them. A later
 /// declaration of the process has all versions of an earlier one.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- a/crates/core/src/crash_refusals.rs
+++ b/crates/core/src/crash_refusals.rs
@@ -300,7 +300,7 @@
     /// `writes`, and those that grant a test to the process `own`. They are written on the condition that
     /// the host log has not changed.
     pub(crate) fn findings_to_write(
-        &mut self,
+        &self,
         (now, unix_ms): (Time, u64),
         own: &HostProcess,
         writes: impl Fn(Suspect) -> bool,
--- a/crates/core/src/crash_reports.rs
+++ b/crates/core/src/crash_reports.rs
@@ -339,7 +339,7 @@
     /// Findings to write to the host log, on the condition that it has not changed: new ones of the
     /// suspects for which this host `writes`, and those that grant a test to the process `own`.
     pub fn findings_to_write(
-        &mut self,
+        &self,
         times: (Time, u64),
         own: &HostProcess,
         writes: impl Fn(Suspect) -> bool,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod event_wait;
 mod fleet;
 mod hash;
+mod host_process;
 mod journal;
 mod load_balancing;
 mod local_copies;
@@ -64,7 +65,7 @@
 pub use answer_status::is_final_status;
 pub use attempts::{AttemptDecision, AttemptEnd, RequestAttempts};
 pub use begin_declarations::{
-    BeginDeclaration, BeginDeclarations, BeginEvidence, HostProcess, OwnDeclaration, Unproved,
+    BeginDeclaration, BeginDeclarations, BeginEvidence, OwnDeclaration, Unproved,
 };
 pub use body_room::{BodyDecision, BodyRoom};
 pub use brittle_targets::{BrittleNotice, BrittleTargets};
@@ -89,6 +90,7 @@
     StartCheck, Target, TargetChanges, TargetStarts, TargetState,
 };
 pub use hash::{Fingerprint, fingerprint, hex_digest, mix_hashes, rendezvous_weight};
+pub use host_process::HostProcess;
 pub use journal::{
     AppendOutcome, Attempt, IntentDecision, Journal, JournalEntry, JournalRecord, KeyDigest,
     KeyRejection, Lookup, RecordedAnswer,
--- a/crates/edge/src/dispatch/crash_suspects.rs
+++ b/crates/edge/src/dispatch/crash_suspects.rs
@@ -101,7 +101,7 @@
 /// True if a request may not be sent, or sent again, because its content crashed targets.
 pub(crate) fn is_refused(edge: &Edge, out: &OutgoingRequest, was_sent: bool) -> bool {
     if let Some(test) = out.crash_test.as_ref().filter(|_| !was_sent) {
-        test.record_sent(true);
+        test.record_send();
         return false;
     }
     edge.crash_reports.lock().is_refused(&out.suspects)
--- a/crates/edge/src/dispatch/crash_test.rs
+++ b/crates/edge/src/dispatch/crash_test.rs
@@ -24,9 +24,14 @@
         Self { edge: edge.clone(), suspects, may_be_sent: AtomicBool::new(false) }
     }
 
-    /// Records that the request is about to be sent, or has not reached its target.
-    pub(super) fn record_sent(&self, may_be_sent: bool) {
-        self.may_be_sent.store(may_be_sent, Ordering::Release);
+    /// Records that the request is about to be sent.
+    pub(super) fn record_send(&self) {
+        self.may_be_sent.store(true, Ordering::Release);
+    }
+
+    /// Records that the request has reached no target.
+    pub(super) fn record_unsent(&self) {
+        self.may_be_sent.store(false, Ordering::Release);
     }
 }
 
--- a/crates/edge/src/dispatch/serve.rs
+++ b/crates/edge/src/dispatch/serve.rs
@@ -328,8 +328,10 @@
             *permit = self.edge.reserve_repeat(service).map(Arc::new);
             permit.is_some()
         });
-        if let Some(test) = &self.out.crash_test {
-            test.record_sent(self.sends.has_reached_target());
+        if let Some(test) = &self.out.crash_test
+            && !self.sends.has_reached_target()
+        {
+            test.record_unsent();
         }
         decision
     }
