--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -34,6 +34,8 @@
     Whole { status: u16, headers: Vec<(String, String)>, body: Vec<u8> },
     /// Ends the connection without an answer.
     Hang,
+    /// Sends nothing, and leaves the connection open until the peer closes it.
+    Silent,
     /// The handler has written the answer itself. True keeps the connection.
     Written(bool),
 }
@@ -50,18 +52,26 @@
         for stream in listener.incoming().flatten() {
             let handler = handler.clone();
             thread::spawn(move || {
-                let _ = serve_connection(stream, &*handler);
+                let _ = handle_connection(stream, &*handler);
             });
         }
     });
 }
 
-fn serve_connection(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+/// Serves one connection until it ends.
+pub fn handle_connection(
+    mut stream: TcpStream,
+    handler: &dyn Fn(&Request, &mut TcpStream) -> Reply,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(request) = read_request(&mut reader)? {
         match handler(&request, &mut stream) {
             Reply::Hang => return Ok(()),
+            Reply::Silent => {
+                let _ = io::copy(&mut reader, &mut io::sink());
+                return Ok(());
+            }
             Reply::Written(true) => {}
             Reply::Written(false) => return Ok(()),
             Reply::Whole { status, headers, body } => {
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -51,6 +51,7 @@
     state: Mutex<State>,
     changed: Condvar,
     is_away: AtomicBool,
+    notes: Mutex<Vec<(Instant, String)>>,
 }
 
 impl Store {
@@ -61,6 +62,7 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             is_away: AtomicBool::new(false),
+            notes: Mutex::default(),
         });
         let served = store.clone();
         serve(listener, Arc::new(move |request: &Request, _: &mut _| served.handle(request)));
@@ -98,6 +100,11 @@
         self.changed.notify_all();
     }
 
+    /// What servers have told the script, and when.
+    pub fn notes(&self) -> Vec<(Instant, String)> {
+        self.notes.lock().unwrap().clone()
+    }
+
     /// The newest values in a topic whose keys begin with `prefix`.
     pub fn newest(&self, topic: &str, prefix: &str) -> Vec<(String, String)> {
         let state = self.state.lock().unwrap();
@@ -117,6 +124,17 @@
             "/v1/log-append" => self.append(request),
             "/v1/log-read" => self.read(request),
             "/v1/log-newest" => self.list(request),
+            // for servers that are processes of their own
+            "/own/write" => {
+                let text = |name: &str| request.query.get(name).cloned().unwrap_or_default();
+                self.write(&text("topic"), &text("key"), &String::from_utf8_lossy(&request.body));
+                whole(200, "")
+            }
+            "/own/note" => {
+                let text = String::from_utf8_lossy(&request.body).into_owned();
+                self.notes.lock().unwrap().push((Instant::now(), text));
+                whole(200, "")
+            }
             _ => whole(404, ""),
         };
         if self.is_away.load(Ordering::SeqCst) {
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -6,7 +6,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -59,9 +62,20 @@
 
 impl Addresses {
     pub fn free() -> Self {
-        let listeners: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-        Self(std::array::from_fn(|index| listeners[index].local_addr().expect("an address")))
+        let addresses = Self::free_list(4);
+        Self(std::array::from_fn(|index| addresses[index]))
+    }
+
+    /// Addresses with free ports. They lie below those that the system gives to outgoing connections, and
+    /// none is handed out twice.
+    pub fn free_list(count: usize) -> Vec<SocketAddr> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let first = std::process::id().wrapping_mul(97);
+        let candidates = std::iter::from_fn(|| {
+            let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+            Some(SocketAddr::from(([127, 0, 0, 1], (20_000 + number % 12_000) as u16)))
+        });
+        candidates.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect()
     }
 }
 
@@ -121,6 +135,12 @@
     false
 }
 
+/// Where the record of a run is written.
+pub fn record_path(case: &str) -> PathBuf {
+    let path = std::env::var("RECORD").unwrap_or_else(|_| format!("review/{case}/record.txt"));
+    PathBuf::from(path)
+}
+
 /// A folder for the files of one run.
 pub fn temporary_folder(name: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("egretshore-{name}-{}", std::process::id()));
