Review: a sound request of another service clears one that crashes servers (case 14)

Cause: the fingerprint that stands for a request in the crash reports holds the path and the body, but neither the host nor the service. A request with the same path and an empty body at another host is sound, and clears the one that crashes the servers of the first service each time.

--- a/review/harness-3/crashing.rs
+++ b/review/harness-3/crashing.rs
@@ -1,9 +1,9 @@
-//! A model server as a process of its own. One part of a prompt, or one body, ends it as soon as it begins
-//! to write an answer on it.
+//! A server as a process of its own. One part of a prompt, or one body, ends a model server as soon as it
+//! begins to write an answer on it; one path ends a plain server as soon as it begins to run the request.
 
 use crate::{
     http::{self, Reply, Request, serve, whole},
-    world::unix_ms,
+    world::{has_trouble, unix_ms},
 };
 use std::{
     io::Write,
@@ -20,26 +20,42 @@
 pub const BAD_PART: &str = "deadbeef";
 /// The body that ends a server.
 pub const BAD_BODY: &str = "the same words again";
+/// The plain service whose servers one path ends.
+pub const CRASHING_SERVICE: &str = "first";
+/// The path that ends them.
+pub const BAD_PATH: &str = "/v/status";
 const HEARTBEAT: Duration = Duration::from_millis(1000);
 const EVENTS: u64 = 5;
 
-/// Arguments of the program: server ID ADDRESS ZONE STORE
+/// The entry of a server in the registry.
+pub fn entry(service: &str, address: &str, zone: &str, born: u64) -> String {
+    let models = if service == SERVICE {
+        format!(",\"stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}]")
+    } else {
+        String::new()
+    };
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+         \"slots\":32,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":{born}{models},\"seq\":0}}"
+    )
+}
+
+/// Arguments of the program: server ID ADDRESS ZONE STORE SERVICE
 pub fn run(arguments: &[String]) -> ! {
-    let [id, address, zone, store] = arguments else {
+    let [id, address, zone, store, service] = arguments else {
         std::process::exit(2);
     };
     let store: SocketAddr = store.parse().expect("the address of the store");
     let listener = TcpListener::bind(address).unwrap_or_else(|_| std::process::exit(3));
     let born = unix_ms();
-    let entry = format!(
-        "{{\"service\":\"{SERVICE}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-         \"slots\":32,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":{born},\"stage\":\"both\",\
-         \"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}],\"seq\":0}}"
-    );
-    let own_id = id.clone();
+    let entry = entry(service, address, zone, born);
+    let (own_id, own_service) = (id.clone(), service.clone());
     serve(
         listener,
         Arc::new(move |request: &Request, stream: &mut TcpStream| {
+            if own_service != SERVICE {
+                return handle_plain(&own_id, &own_service, store, request);
+            }
             handle(&own_id, born, store, request, stream)
         }),
     );
@@ -54,6 +70,29 @@
     }
 }
 
+fn handle_plain(id: &str, service: &str, store: SocketAddr, request: &Request) -> Reply {
+    let request_id = request.header("request-id");
+    let mut headers = vec![("Request-Id".to_owned(), request_id.to_owned())];
+    let expected = request.header("expect-instance");
+    if !expected.is_empty() && expected != id {
+        headers.push(("Not-Executed".to_owned(), "1".to_owned()));
+        return Reply::Whole { status: 421, headers, body: Vec::new() };
+    }
+    if request.path == "/health" {
+        headers.push(("Instance-Id".to_owned(), id.to_owned()));
+        return Reply::Whole { status: 200, headers, body: Vec::new() };
+    }
+    let is_bad = has_trouble() && service == CRASHING_SERVICE && request.path == BAD_PATH;
+    let kind = if is_bad { "crash" } else { "run" };
+    let note = format!("{kind} server={id} request={request_id}");
+    let _ = http::call(store, "POST", "/own/note", &[], note.as_bytes(), Duration::from_secs(1));
+    if is_bad {
+        std::process::abort();
+    }
+    headers.push(("Server-Seal".to_owned(), format!("seal.{request_id}")));
+    Reply::Whole { status: 200, headers, body: b"done".to_vec() }
+}
+
 fn handle(
     id: &str,
     born: u64,
@@ -117,10 +156,11 @@
 
 /// A place at which a server runs, and starts again under another id some time after it has ended.
 pub struct Place {
+    service: &'static str,
     number: usize,
-    address: SocketAddr,
+    pub address: SocketAddr,
     starts: u32,
-    id: String,
+    pub id: String,
     child: Option<Child>,
     ended_at: Instant,
     is_entry_gone: bool,
@@ -146,8 +186,12 @@
 
 impl Place {
     pub fn new(number: usize, address: SocketAddr) -> Self {
+        Self::of_service(SERVICE, number, address)
+    }
+
+    pub fn of_service(service: &'static str, number: usize, address: SocketAddr) -> Self {
         let (id, ended_at) = (String::new(), Instant::now() - Duration::from_secs(60));
-        Self { number, address, starts: 0, id, child: None, ended_at, is_entry_gone: true }
+        Self { service, number, address, starts: 0, id, child: None, ended_at, is_entry_gone: true }
     }
 
     /// Looks after the server. A server that has ended is back after `down`.
@@ -177,6 +221,7 @@
             let program = std::env::current_exe().expect("the path of this program");
             let child = Command::new(program)
                 .args(["server", &self.id, &self.address.to_string(), zone, &store.to_string()])
+                .arg(self.service)
                 .stdin(Stdio::null())
                 .stdout(Stdio::null())
                 .stderr(Stdio::null())
