Review: case 13 also counts the sound requests with the crashing path

Cause: the same fault can refuse the other service's sound requests; the script did not show it.

Change: the stand-in counts the requests with that path apart, and OTHER=late lets them begin after 20 s.

--- a/review/harness-3/apart.rs
+++ b/review/harness-3/apart.rs
@@ -30,6 +30,7 @@
 // what is sent, by the time since the hosts were ready
 const BAD_FROM: Duration = Duration::from_secs(6);
 const END: Duration = Duration::from_secs(66);
+const LATE_FROM: Duration = Duration::from_secs(20);
 const BAD_INTERVAL: Duration = Duration::from_secs(4);
 const SOUND_INTERVAL: Duration = Duration::from_millis(125);
 
@@ -67,6 +68,9 @@
     hosts: Vec<SocketAddr>,
     sound: AtomicU64,
     served: AtomicU64,
+    // of the sound ones, those with the path that crashes the first service's servers
+    same_path: AtomicU64,
+    same_path_served: AtomicU64,
 }
 
 impl Run {
@@ -88,10 +92,14 @@
                 _ => 0,
             };
             run.record.write(&format!("answer request={id} status={status}"));
-            if kind == "sound" {
+            if kind != "bad" {
                 run.sound.fetch_add(1, Ordering::SeqCst);
                 run.served.fetch_add(u64::from(status == 200), Ordering::SeqCst);
             }
+            if kind == "same" {
+                run.same_path.fetch_add(1, Ordering::SeqCst);
+                run.same_path_served.fetch_add(u64::from(status == 200), Ordering::SeqCst);
+            }
         })
     }
 }
@@ -132,6 +140,8 @@
         hosts: hosts.iter().map(|host| host.callers).collect(),
         sound: AtomicU64::new(0),
         served: AtomicU64::new(0),
+        same_path: AtomicU64::new(0),
+        same_path_served: AtomicU64::new(0),
     });
     let mut calls = Vec::new();
     if are_ready {
@@ -176,17 +186,23 @@
 }
 
 // Sound requests go to both services in turn. Each fourth of those to the other service has the path that
-// ends the servers of the first one, unless OTHER=none.
+// ends the servers of the first one: none with OTHER=none, those after LATE_FROM with OTHER=late.
 fn play(run: &Arc<Run>, calls: &mut Vec<JoinHandle<()>>) {
-    let has_same_path = !std::env::var("OTHER").is_ok_and(|value| value == "none");
+    let same_path_from = match std::env::var("OTHER").as_deref() {
+        Ok("none") => END,
+        Ok("late") => LATE_FROM,
+        _ => Duration::ZERO,
+    };
     let started = Instant::now();
     let (mut sound, mut bad) = (0, 0);
     while started.elapsed() < END {
         sound += 1;
         let service = if sound % 2 == 0 { OTHER_SERVICE } else { CRASHING_SERVICE };
-        let path = if has_same_path && sound % 8 == 0 { BAD_PATH.to_owned() } else { format!("/v/{sound}") };
+        let is_same = sound % 8 == 0 && started.elapsed() >= same_path_from;
+        let (kind, path) =
+            if is_same { ("same", BAD_PATH.to_owned()) } else { ("sound", format!("/v/{sound}")) };
         // the hosts get requests of each kind in turn
-        calls.push(run.send("sound", sound / 8 + sound, service, &path));
+        calls.push(run.send(kind, sound / 8 + sound, service, &path));
         if started.elapsed() >= BAD_FROM + BAD_INTERVAL * bad {
             bad += 1;
             calls.push(run.send("bad", u64::from(bad), CRASHING_SERVICE, BAD_PATH));
@@ -212,9 +228,11 @@
     retries.dedup();
     let line = format!(
         "{} crashes; {} retries reached servers later than contact_ms after the third (3 are allowed); {served} \
-         of {sound} sound requests served",
+         of {sound} sound requests served, {} of {} with the same path",
         crashes.len(),
-        retries.len()
+        retries.len(),
+        run.same_path_served.load(Ordering::SeqCst),
+        run.same_path.load(Ordering::SeqCst)
     );
     record.write(&line);
     println!("{line}");
