--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,5 +3,4 @@
 # server. With OTHER=none no request to the other service has the path that crashes the first one's servers,
 # with OTHER=late none before the twentieth second. RECORD names another file for the record.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/egret-edge ] && [ -x target/review-3/apart ] || exit 2
-exec target/review-3/apart
+exec bash review/harness-3/play.sh apart
