--- a/review/harness-3/limit.rs
+++ b/review/harness-3/limit.rs
@@ -30,7 +30,7 @@
 
 // from the start of the calls
 const LATE_FROM: Duration = Duration::from_secs(2);
-const LATE_FOR: Duration = Duration::from_secs(6);
+const LATE_FOR: Duration = Duration::from_millis(5500);
 const CRASH_AT: Duration = Duration::from_secs(6);
 const DOWN: Duration = Duration::from_secs(2);
 const END: Duration = Duration::from_secs(24);
